--- /dev/null
+++ b/include/dotterelport/net/http_client.hpp
@@ -0,0 +1,97 @@
+#ifndef DOTTERELPORT_NET_HTTP_CLIENT_HPP
+#define DOTTERELPORT_NET_HTTP_CLIENT_HPP
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "dotterelport/net/endpoint.hpp"
+#include "dotterelport/net/event_loop.hpp"
+#include "dotterelport/net/http.hpp"
+
+namespace dotterelport::net {
+
+/// How far a failed exchange had got.
+enum class failure_stage {
+    /// No connection: nothing was sent.
+    connect,
+    /// The request may have been received; no answer arrived.
+    sent,
+    /// A part of the answer arrived.
+    answering,
+};
+
+/// @brief Name of a stage for logs.
+std::string_view to_string(failure_stage stage);
+
+/// A request to another process.
+struct client_request {
+    endpoint to;
+    std::string method = "GET";
+    /// Path with the query, percent-encoded.
+    std::string path = "/";
+    header_list headers = {};
+    std::string body = {};
+    /// Limit for connecting and for the first byte of the answer.
+    milliseconds answer_timeout{5'000};
+    /// Limit between two parts of the answer's body.
+    milliseconds idle_timeout{30'000};
+};
+
+/// Functions that receive an answer as it arrives; unset ones are skipped. After on_complete or
+/// on_failure nothing more is called.
+struct answer_handler {
+    std::function<void(int status, const header_list& headers)> on_head = {};
+    std::function<void(std::string_view data)> on_data = {};
+    std::function<void()> on_complete = {};
+    std::function<void(failure_stage stage, const std::string& message)> on_failure = {};
+};
+
+/// A complete answer, or the failure that took its place.
+struct client_answer {
+    /// 0 if the exchange failed.
+    int status = 0;
+    header_list headers;
+    std::string body;
+    failure_stage stage = failure_stage::connect;
+    std::string message;
+
+    [[nodiscard]] bool failed() const { return status == 0; }
+};
+
+/// Identifies an exchange in progress; 0 is never used.
+using exchange_id = std::uint64_t;
+
+/// HTTP/1.1 client on the event loop, with a pool of kept-alive connections for each endpoint.
+class http_client {
+public:
+    explicit http_client(event_loop& loop, address_overrides overrides = {});
+    ~http_client();
+    http_client(const http_client&) = delete;
+    http_client& operator=(const http_client&) = delete;
+
+    /// @brief Starts an exchange whose answer is passed on as it arrives. Functions of the handler
+    /// are never called before this returns.
+    exchange_id start(const client_request& request, answer_handler handler);
+
+    /// @brief Starts an exchange and collects the answer.
+    exchange_id fetch(const client_request& request,
+                      std::function<void(const client_answer&)> done);
+
+    /// @brief Ends an exchange without calling any more of its functions; closes its connection.
+    void cancel(exchange_id exchange);
+
+    /// @brief Number of exchanges in progress.
+    [[nodiscard]] std::size_t exchanges_in_progress() const;
+
+    struct native;
+
+private:
+    std::unique_ptr<native> native_;
+};
+
+} // namespace dotterelport::net
+
+#endif
--- /dev/null
+++ b/src/dotterelport/net/line_splitter.cpp
@@ -0,0 +1,60 @@
+#include "dotterelport/net/line_splitter.hpp"
+
+#include <utility>
+
+namespace dotterelport::net {
+
+line_splitter::line_splitter(std::function<void(std::string_view)> on_line)
+    : on_line_(std::move(on_line))
+{}
+
+void line_splitter::feed(std::string_view data)
+{
+    rest_.append(data);
+    std::size_t start = 0;
+    for (auto end = rest_.find('\n'); end != std::string::npos; end = rest_.find('\n', start)) {
+        std::string_view line = std::string_view(rest_).substr(start, end - start);
+        if (!line.empty() && line.back() == '\r') {
+            line.remove_suffix(1);
+        }
+        start = end + 1;
+        on_line_(line);
+    }
+    rest_.erase(0, start);
+}
+
+sse_parser::sse_parser(std::function<void(std::string_view)> on_event)
+    : on_event_(std::move(on_event)), lines_([this](std::string_view line) { take_line(line); })
+{}
+
+void sse_parser::take_line(std::string_view line)
+{
+    constexpr std::string_view field = "data:";
+    if (line.empty()) {
+        if (std::exchange(has_data_, false)) {
+            on_event_(std::exchange(data_, {}));
+        }
+        return;
+    }
+    if (line.substr(0, field.size()) != field) {
+        return;
+    }
+    line.remove_prefix(field.size());
+    if (!line.empty() && line.front() == ' ') {
+        line.remove_prefix(1);
+    }
+    if (std::exchange(has_data_, true)) {
+        data_.push_back('\n');
+    }
+    data_.append(line);
+}
+
+std::string format_sse(std::string_view data)
+{
+    std::string event = "data: ";
+    event.append(data);
+    event.append("\n\n");
+    return event;
+}
+
+} // namespace dotterelport::net
--- /dev/null
+++ b/src/dotterelport/net/net_test.cpp
@@ -0,0 +1,225 @@
+#include <catch2/catch.hpp>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "dotterelport/net/http_client.hpp"
+#include "dotterelport/net/http_server.hpp"
+#include "dotterelport/net/line_splitter.hpp"
+#include "dotterelport/net/rpc.hpp"
+
+namespace dotterelport::net {
+namespace {
+
+constexpr milliseconds test_limit{3'000};
+
+/// A server and a client on one loop.
+struct fixture {
+    event_loop loop;
+    http_server server{loop};
+    http_client client{loop};
+    endpoint address;
+
+    endpoint listen() { return address = server.listen({"127.0.0.1", 0}); }
+
+    client_answer fetch(const client_request& request)
+    {
+        client_answer result;
+        client.fetch(request, [&](const client_answer& answer) {
+            result = answer;
+            loop.stop();
+        });
+        loop.run_for(test_limit);
+        return result;
+    }
+};
+
+TEST_CASE("A complete answer arrives unchanged, also over a kept-alive connection")
+{
+    fixture net;
+    net.server.route("POST", "/echo", [](const http_request& request, const auto& response) {
+        response->send(201, {{"X-Test", std::string(request.header("x-name").value_or("none"))}},
+                       request.body);
+    });
+    net.listen();
+    const std::string body =
+        GENERATE(std::string(), std::string("text"), std::string(300'000, 'x'));
+    for (int i = 0; i < 3; ++i) {
+        const auto answer = net.fetch({.to = net.address,
+                                       .method = "POST",
+                                       .path = "/echo",
+                                       .headers = {{"X-Name", "a"}},
+                                       .body = body});
+        CHECK(answer.status == 201);
+        CHECK(answer.body == body);
+        CHECK(find_header(answer.headers, "X-Test") == "a");
+    }
+    CHECK(net.server.requests_in_progress() == 0);
+}
+
+TEST_CASE("A streamed answer arrives in parts and in order")
+{
+    fixture net;
+    net.server.route("GET", "/stream", [&](const http_request&, const auto& response) {
+        response->start(200, {{"content-type", "text/plain"}});
+        for (int i = 0; i < 5; ++i) {
+            net.loop.schedule(milliseconds{5 * i}, [response, i] {
+                response->write(std::to_string(i));
+                if (i == 4) {
+                    response->finish();
+                }
+            });
+        }
+    });
+    net.listen();
+    std::vector<std::string> parts;
+    net.client.start({.to = net.address, .path = "/stream"},
+                     {.on_head = nullptr,
+                      .on_data = [&](std::string_view data) { parts.emplace_back(data); },
+                      .on_complete = [&] { net.loop.stop(); },
+                      .on_failure = nullptr});
+    net.loop.run_for(test_limit);
+    std::string all;
+    for (const auto& part : parts) {
+        all += part;
+    }
+    CHECK(all == "01234");
+    CHECK(parts.size() > 1);
+}
+
+TEST_CASE("Failures tell how far the exchange had got")
+{
+    fixture net;
+    net.server.route("GET", "/silent", [](const http_request&, const auto&) {});
+    net.server.route("GET", "/cut", [&](const http_request&, const auto& response) {
+        response->start(200, {});
+        response->write("half");
+        net.loop.schedule(milliseconds{20}, [response] { response->abort(); });
+    });
+    net.listen();
+    struct row {
+        std::string path;
+        bool listening;
+        failure_stage stage;
+    };
+    const auto [path, listening, stage] = GENERATE(row{"/x", false, failure_stage::connect},
+                                                   row{"/silent", true, failure_stage::sent},
+                                                   row{"/cut", true, failure_stage::answering});
+    const endpoint to = listening ? net.address : endpoint{"127.0.0.1", 1};
+    const auto answer = net.fetch({.to = to, .path = path, .answer_timeout = milliseconds{200}});
+    CHECK(answer.failed());
+    CHECK(answer.stage == stage);
+}
+
+TEST_CASE("A client that goes away is reported to the server")
+{
+    fixture net;
+    bool closed = false;
+    net.server.route("GET", "/stream", [&](const http_request&, const auto& response) {
+        response->on_close([&] {
+            closed = true;
+            net.loop.stop();
+        });
+        response->start(200, {});
+        for (int i = 0; i < 20; ++i) {
+            net.loop.schedule(milliseconds{10 * i}, [response] { response->write("x"); });
+        }
+    });
+    net.listen();
+    const auto exchange = net.client.start({.to = net.address, .path = "/stream"}, {});
+    net.loop.schedule(milliseconds{50}, [&] { net.client.cancel(exchange); });
+    net.loop.run_for(test_limit);
+    CHECK(closed);
+}
+
+TEST_CASE("An exchange may be cancelled from its own functions")
+{
+    fixture net;
+    net.server.route("GET", "/", [](const http_request&, const auto& response) {
+        response->send(200, {}, "body");
+    });
+    net.listen();
+    const bool in_head = GENERATE(true, false);
+    exchange_id exchange = 0;
+    bool completed = false;
+    exchange = net.client.start({.to = net.address},
+                                {.on_head =
+                                     [&](int, const header_list&) {
+                                         if (in_head) {
+                                             net.client.cancel(exchange);
+                                         }
+                                     },
+                                 .on_data = [&](std::string_view) { net.client.cancel(exchange); },
+                                 .on_complete = [&] { completed = true; },
+                                 .on_failure = [&](auto, const auto&) { completed = true; }});
+    net.loop.run_for(milliseconds{100});
+    CHECK_FALSE(completed);
+    CHECK(net.client.exchanges_in_progress() == 0);
+}
+
+TEST_CASE("A body over the limit is refused")
+{
+    fixture net;
+    http_server small(net.loop, {.max_body_bytes = 10, .idle_timeout = milliseconds{1000}});
+    small.route("POST", "/",
+                [](const http_request&, const auto& response) { response->send(200, {}, ""); });
+    const endpoint to = small.listen({"127.0.0.1", 0});
+    CHECK(net.fetch({.to = to, .method = "POST", .body = std::string(100, 'x')}).status == 413);
+}
+
+TEST_CASE("RPC methods answer at once or later, and report errors")
+{
+    fixture net;
+    rpc_server rpc(net.server);
+    rpc_client caller(net.client);
+    rpc.add("add", [](const json& parameters) {
+        return json{{"sum", parameters.at("a").get<int>() + parameters.at("b").get<int>()}};
+    });
+    rpc.add("fail", [](const json&) -> json { throw rpc_error("wrong_incarnation"); });
+    rpc.add_deferred("later", [&](const json& parameters, const rpc_server::reply& done) {
+        net.loop.schedule(milliseconds{5}, [parameters, done] { done(parameters); });
+    });
+    net.listen();
+    const auto call = [&](const std::string& method, const json& parameters) {
+        rpc_result result;
+        caller.call(net.address, method, parameters, test_limit, [&](const rpc_result& value) {
+            result = value;
+            net.loop.stop();
+        });
+        net.loop.run_for(test_limit);
+        return result;
+    };
+    CHECK(call("add", {{"a", 1}, {"b", 2}}).value == json{{"sum", 3}});
+    CHECK(call("later", {{"x", 1}}).value == json{{"x", 1}});
+    const auto refused = call("fail", json::object());
+    CHECK(refused.outcome == rpc_result::status::refused);
+    CHECK(refused.message.find("wrong_incarnation") != std::string::npos);
+    CHECK(call("absent", json::object()).outcome == rpc_result::status::refused);
+}
+
+TEST_CASE("Server-sent events are reassembled from any split of the bytes")
+{
+    const std::string stream = "data: one\r\n\r\n: comment\ndata: two\ndata: three\n\n";
+    const std::size_t size = GENERATE(1U, 2U, 7U, 100U);
+    std::vector<std::string> events;
+    sse_parser parser([&](std::string_view data) { events.emplace_back(data); });
+    for (std::size_t i = 0; i < stream.size(); i += size) {
+        parser.feed(std::string_view(stream).substr(i, size));
+    }
+    CHECK(events == std::vector<std::string>{"one", "two\nthree"});
+}
+
+TEST_CASE("Query parameters are percent-decoded")
+{
+    http_request request;
+    request.query = "prefix=node%2F&since=3&empty";
+    CHECK(request.parameter("prefix") == "node/");
+    CHECK(request.parameter("since") == "3");
+    CHECK(request.parameter("empty") == "");
+    CHECK_FALSE(request.parameter("absent").has_value());
+    CHECK(percent_decode(percent_encode("a b/%~")) == "a b/%~");
+}
+
+} // namespace
+} // namespace dotterelport::net
