Declare the interfaces between the modules

Cause: several parts are written at the same time against each other. Conclusion: the parts can be written independently.

--- /dev/null
+++ b/include/dotterelport/config/follower.hpp
@@ -0,0 +1,57 @@
+#ifndef DOTTERELPORT_CONFIG_FOLLOWER_HPP
+#define DOTTERELPORT_CONFIG_FOLLOWER_HPP
+
+#include <functional>
+#include <memory>
+#include <vector>
+
+#include "dotterelport/base/clock.hpp"
+#include "dotterelport/config/snapshot.hpp"
+#include "dotterelport/net/event_loop.hpp"
+#include "dotterelport/net/rpc.hpp"
+#include "dotterelport/platform/client.hpp"
+
+namespace dotterelport::config {
+
+/// Keeps the configuration of a process up to date: watches the platform's manifest or asks routers
+/// for it, fetches the parts that changed, and puts only higher generations in force.
+class follower {
+public:
+    struct options {
+        /// Tells, at each poll, whether this process is one of those that watch the platform.
+        std::function<bool()> is_watcher;
+        /// Routers of the failure domain to ask, without this process.
+        std::function<std::vector<net::endpoint>()> routers;
+    };
+
+    follower(net::event_loop& loop, platform::client& platform, net::rpc_client& rpc,
+             options settings);
+    ~follower();
+    follower(const follower&) = delete;
+    follower& operator=(const follower&) = delete;
+
+    /// @brief Starts to follow.
+    /// @param on_change called after each change of the configuration in force
+    void start(std::function<void(const snapshot_ptr&)> on_change);
+
+    /// @brief Configuration in force; null until the platform has confirmed one.
+    [[nodiscard]] snapshot_ptr current() const;
+
+    /// @brief Time since the current generation came into force.
+    [[nodiscard]] milliseconds in_force_for() const;
+
+    /// @brief Notes that another process has a generation, so that a newer one is fetched at once.
+    void hint(std::uint64_t generation);
+
+    /// @brief Adds the methods config_manifest and config_part, from which other processes follow.
+    void serve(net::rpc_server& server);
+
+    struct native;
+
+private:
+    std::unique_ptr<native> native_;
+};
+
+} // namespace dotterelport::config
+
+#endif
--- /dev/null
+++ b/include/dotterelport/process/operators_server.hpp
@@ -0,0 +1,37 @@
+#ifndef DOTTERELPORT_PROCESS_OPERATORS_SERVER_HPP
+#define DOTTERELPORT_PROCESS_OPERATORS_SERVER_HPP
+
+#include <functional>
+#include <memory>
+
+#include <prometheus/registry.h>
+
+#include "dotterelport/base/json.hpp"
+#include "dotterelport/net/http_server.hpp"
+
+namespace dotterelport::process {
+
+/// Serves /metrics, /healthz, /readyz and /dump on the operators' port of a daemon.
+class operators_server {
+public:
+    struct options {
+        net::endpoint address;
+        /// Empty if ready, otherwise why not.
+        std::function<std::string()> not_ready_reason;
+        /// State of the process for /dump.
+        std::function<json()> dump;
+    };
+
+    operators_server(net::event_loop& loop, options settings);
+
+    /// @brief Registry for the metrics of the process.
+    [[nodiscard]] prometheus::Registry& metrics() { return *registry_; }
+
+private:
+    std::shared_ptr<prometheus::Registry> registry_;
+    net::http_server server_;
+};
+
+} // namespace dotterelport::process
+
+#endif
--- /dev/null
+++ b/include/dotterelport/router/budget_service.hpp
@@ -0,0 +1,91 @@
+#ifndef DOTTERELPORT_ROUTER_BUDGET_SERVICE_HPP
+#define DOTTERELPORT_ROUTER_BUDGET_SERVICE_HPP
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "dotterelport/base/identifiers.hpp"
+#include "dotterelport/base/json.hpp"
+#include "dotterelport/base/tokens.hpp"
+#include "dotterelport/config/follower.hpp"
+#include "dotterelport/membership/directory.hpp"
+#include "dotterelport/net/rpc.hpp"
+#include "dotterelport/platform/client.hpp"
+
+namespace dotterelport::router {
+
+/// Asks for tokens before a request is sent.
+struct reserve_request {
+    request_key key;
+    std::string budget;
+    tokens upper_tokens = 0;
+    /// Agent incarnation that the request will be sent to.
+    incarnation agent;
+    /// Hash of the content.
+    std::string digest;
+    /// The key came from the caller, so another attempt may be running.
+    bool caller_key = false;
+};
+
+/// Answer to a reservation.
+enum class reserve_status {
+    reserved,
+    /// The key runs or ran at the agent named in the result.
+    known,
+    /// The ledger and the peers prove that the budget has no room.
+    exhausted,
+    /// Nobody could be asked whether the budget has room.
+    unavailable,
+};
+
+struct reserve_result {
+    reserve_status status = reserve_status::unavailable;
+    /// Router incarnation whose grant covers the request, and its peers endpoint.
+    incarnation holder;
+    std::string holder_address;
+    incarnation agent;
+};
+
+/// Reserves, settles and bills tokens in a router: asks the owner of the budget's shard, and is the
+/// owner of some shards itself. Holds grants, writes bill batches, closes the grants of dead
+/// routers, audits shards.
+class budget_service {
+public:
+    struct context {
+        net::event_loop& loop;
+        platform::client& platform;
+        net::rpc_client& rpc;
+        membership::directory& nodes;
+        const config::follower& configuration;
+    };
+
+    explicit budget_service(const context& environment);
+    ~budget_service();
+    budget_service(const budget_service&) = delete;
+    budget_service& operator=(const budget_service&) = delete;
+
+    /// @brief Adds the methods reserve, release, recall, outcomes and lookup for other nodes.
+    void serve(net::rpc_server& server);
+
+    /// @brief Reserves tokens for a request, or tells where the request already runs. Repeating it
+    /// for the same key with another agent moves the reservation there.
+    void reserve(const reserve_request& request, std::function<void(const reserve_result&)> done);
+
+    /// @brief Gives a reservation back; only after the verdict not_run.
+    void release(const request_key& key, const std::string& budget);
+
+    /// @brief Returns unused grants and writes open bill batches, for a graceful stop.
+    void drain(std::function<void()> done);
+
+    [[nodiscard]] json dump() const;
+
+    struct native;
+
+private:
+    std::unique_ptr<native> native_;
+};
+
+} // namespace dotterelport::router
+
+#endif
