--- /dev/null
+++ b/src/dotterelport/router/recent_agents.hpp
@@ -0,0 +1,58 @@
+#ifndef DOTTERELPORT_ROUTER_RECENT_AGENTS_HPP
+#define DOTTERELPORT_ROUTER_RECENT_AGENTS_HPP
+
+#include <list>
+#include <optional>
+#include <unordered_map>
+
+#include "dotterelport/base/identifiers.hpp"
+
+namespace dotterelport::router {
+
+/// Remembers where this router sent each key that came from a caller. A retry through the same
+/// router has to go to the same agent: the owner of the budget takes another agent from the same
+/// router as a move of the attempt.
+class recent_agents {
+public:
+    explicit recent_agents(std::size_t limit) : limit_(limit) {}
+
+    /// @brief Notes the agent of a key; forgets the oldest key beyond the limit.
+    void note(const request_key& key, const incarnation& agent)
+    {
+        forget(key);
+        order_.push_front({key, agent});
+        entries_[key] = order_.begin();
+        if (order_.size() > limit_) {
+            entries_.erase(order_.back().key);
+            order_.pop_back();
+        }
+    }
+
+    void forget(const request_key& key)
+    {
+        if (const auto found = entries_.find(key); found != entries_.end()) {
+            order_.erase(found->second);
+            entries_.erase(found);
+        }
+    }
+
+    [[nodiscard]] std::optional<incarnation> find(const request_key& key) const
+    {
+        const auto found = entries_.find(key);
+        return found == entries_.end() ? std::nullopt : std::optional(found->second->agent);
+    }
+
+private:
+    struct entry {
+        request_key key;
+        incarnation agent;
+    };
+
+    std::size_t limit_;
+    std::list<entry> order_;
+    std::unordered_map<request_key, std::list<entry>::iterator> entries_;
+};
+
+} // namespace dotterelport::router
+
+#endif
--- /dev/null
+++ b/src/dotterelport/router/request_run.cpp
@@ -0,0 +1,334 @@
+#include "request_run.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "events.hpp"
+#include "intake.hpp"
+
+namespace dotterelport::router {
+namespace {
+
+/// Longest wait for a live agent with room, and for the owner of a budget to learn that an agent
+/// has gone.
+constexpr milliseconds patience{5'000};
+constexpr milliseconds poll_wait{200};
+
+constexpr milliseconds first_retry_wait{10};
+
+json describe(const job& request)
+{
+    return {{"workspace", request.key.workspace},
+            {"key", request.key.key},
+            {"service", request.service}};
+}
+
+} // namespace
+
+request::admission make_admission(const job& request, const reserve_result& reservation,
+                                  std::uint64_t generation)
+{
+    request::admission admission;
+    admission.key = request.key;
+    admission.agent = reservation.agent;
+    admission.holder = reservation.holder;
+    admission.holder_address = reservation.holder_address;
+    admission.budget = request.budget;
+    admission.upper_tokens = request.upper_tokens;
+    admission.generation = generation;
+    admission.deadline = request.deadline - steady_now();
+    admission.priority = request.priority;
+    admission.service = request.service;
+    admission.kind = request.kind;
+    admission.idempotent = request.idempotent;
+    admission.digest = request.digest;
+    admission.offset = request.offset;
+    admission.payload = request.payload;
+    return admission;
+}
+
+milliseconds retry_wait(int attempt, std::mt19937_64& random)
+{
+    const auto longest = first_retry_wait * (1 << std::min(attempt, max_attempts));
+    std::uniform_int_distribution<milliseconds::rep> jitter(longest.count() / 2, longest.count());
+    return milliseconds(jitter(random));
+}
+
+request_run::request_run(dispatch_context& context, job request, answer reply,
+                         std::function<void(const caller_error*)> on_finished)
+    : context_(context), job_(std::move(request)), answer_(std::move(reply)),
+      on_finished_(std::move(on_finished)), patience_until_(steady_now() + patience)
+{}
+
+void request_run::start()
+{
+    context_.note_first_attempt(job_.service);
+    choose();
+}
+
+bool request_run::is_quarantined()
+{
+    if (!context_.crashes.is_quarantined(job_.digest)) {
+        return false;
+    }
+    const bool had_attempt = may_have_run_ || context_.crashes.had_attempt(job_.digest, job_.key);
+    fail({error_code::quarantined, "this content has crashed backend servers and is refused",
+          had_attempt ? verdict::may_have_run : verdict::not_run});
+    return true;
+}
+
+void request_run::choose()
+{
+    if (is_quarantined()) {
+        return;
+    }
+    if (steady_now() >= job_.deadline) {
+        fail({error_code::deadline, "the deadline has passed",
+              may_have_run_ ? verdict::may_have_run : verdict::not_run});
+        return;
+    }
+    auto agent = context_.agents.choose(job_.service, tried_);
+    if (const auto recent = context_.recent.find(job_.key); recent && !tried_.contains(*recent)) {
+        const auto record = context_.agents.find(*recent);
+        agent = record ? record : agent;
+    }
+    if (!agent) {
+        wait_for_agent();
+        return;
+    }
+    reserve(*agent);
+}
+
+void request_run::wait_for_agent()
+{
+    if (steady_now() < patience_until_) {
+        tried_.clear();
+        after(poll_wait, &request_run::choose);
+        return;
+    }
+    const auto outcome = may_have_run_ ? verdict::may_have_run : verdict::not_run;
+    if (last_failure_) {
+        fail({last_failure_->code(), last_failure_->what(), outcome});
+        return;
+    }
+    fail({error_code::backend_error, "no backend server of service " + job_.service + " is live",
+          outcome});
+}
+
+void request_run::reserve(const membership::node_record& agent)
+{
+    const reserve_request request{.key = job_.key,
+                                  .budget = job_.budget,
+                                  .upper_tokens = job_.upper_tokens,
+                                  .agent = agent.id,
+                                  .digest = job_.digest,
+                                  .caller_key = job_.caller_key};
+    context_.reserve(request, [self = shared_from_this(), agent](const reserve_result& result) {
+        if (!self->finished_) {
+            self->take_reservation(agent, result);
+        } else if (result.status == reserve_status::reserved && !self->may_have_run_) {
+            self->context_.release(self->job_.key, self->job_.budget);
+        }
+    });
+}
+
+void request_run::take_reservation(const membership::node_record& agent,
+                                   const reserve_result& result)
+{
+    const auto outcome = may_have_run_ ? verdict::may_have_run : verdict::not_run;
+    switch (result.status) {
+    case reserve_status::reserved:
+        reserved_ = true;
+        admit(agent, result);
+        return;
+    case reserve_status::known:
+        reserved_ = false;
+        join_known(result);
+        return;
+    case reserve_status::exhausted:
+        fail({error_code::budget_exhausted,
+              "budget " + job_.budget + " has no room for " + std::to_string(job_.upper_tokens) +
+                  " tokens",
+              outcome});
+        return;
+    case reserve_status::unavailable:
+        break;
+    }
+    fail({error_code::budget_unavailable,
+          "it cannot be told now whether budget " + job_.budget + " has room", outcome});
+}
+
+void request_run::join_known(const reserve_result& result)
+{
+    may_have_run_ = true;
+    if (const auto agent = context_.agents.find(result.agent)) {
+        admit(*agent, result);
+        return;
+    }
+    // The owner gives the key free once it knows that the agent has gone.
+    if (steady_now() < patience_until_) {
+        after(poll_wait, &request_run::choose);
+        return;
+    }
+    fail({error_code::backend_error, "the agent that ran this request cannot be reached",
+          verdict::may_have_run});
+}
+
+void request_run::admit(const membership::node_record& agent, const reserve_result& result)
+{
+    const auto configuration = context_.configuration();
+    auto reservation = result;
+    reservation.agent = agent.id;
+    auto admission = make_admission(job_, reservation, configuration->generation());
+    admission.attempt = static_cast<std::uint32_t>(++attempts_);
+    if (job_.caller_key) {
+        context_.recent.note(job_.key, agent.id);
+    }
+    lease_ = context_.agents.begin(agent.id);
+    attempt_handler handler;
+    handler.on_chunk = [self = shared_from_this()](const json& data) {
+        add_chunk(self->answer_, data);
+    };
+    handler.on_done = [self = shared_from_this(), agent](const attempt_result& ended) {
+        self->take_result(agent, ended);
+    };
+    attempt_ = std::make_shared<agent_attempt>(
+        agent_attempt::context{context_.loop, context_.http, context_.rpc, context_.is_gone},
+        std::move(admission), agent.peers, std::move(handler));
+    attempt_->start();
+}
+
+void request_run::take_result(const membership::node_record& agent, const attempt_result& result)
+{
+    if (finished_) {
+        return;
+    }
+    lease_ = nullptr;
+    attempt_ = nullptr;
+    if (const auto* end = std::get_if<request::end_frame>(&result)) {
+        context_.report_contact(agent.id.node, true);
+        end_answer(answer_, *end);
+        finish(nullptr);
+        return;
+    }
+    take_failure(agent, std::get<request::error_frame>(result));
+}
+
+void request_run::take_failure(const membership::node_record& agent,
+                               const request::error_frame& failure)
+{
+    using request::failure_reason;
+    json fields = describe(job_);
+    fields.update({{"agent", to_string(agent.id)},
+                   {"reason", to_string(failure.reason)},
+                   {"verdict", to_string(failure.verdict)},
+                   {"message", failure.message}});
+    log(events::attempt_failed, fields);
+    may_have_run_ = may_have_run_ || failure.verdict != verdict::not_run;
+    context_.report_contact(agent.id.node, failure.reason != failure_reason::backend_unreachable);
+    give_back_if_not_run(failure.verdict);
+    if (failure.reason == failure_reason::leaving) {
+        context_.agents.mark_leaving(agent.id);
+        context_.report_leaving(agent.id.node);
+    }
+    if (failure.reason == failure_reason::stale_configuration) {
+        context_.refresh_configuration();
+    }
+    if (failure.reason != failure_reason::backend_crashed) {
+        retry_or_fail(agent, failure);
+        return;
+    }
+    context_.crashes.report(job_.digest, job_.key, agent.id,
+                            [self = shared_from_this(), agent, failure] {
+                                if (!self->finished_) {
+                                    self->retry_or_fail(agent, failure);
+                                }
+                            });
+}
+
+void request_run::give_back_if_not_run(verdict outcome)
+{
+    if (outcome == verdict::not_run && reserved_ && !may_have_run_) {
+        context_.release(job_.key, job_.budget);
+        reserved_ = false;
+    }
+}
+
+void request_run::retry_or_fail(const membership::node_record& agent,
+                                const request::error_frame& failure)
+{
+    const attempt_state state{job_.idempotent, has_relayed(answer_), attempts_};
+    last_failure_ = to_caller_error(failure);
+    const auto& rule = rule_of(failure.reason);
+    const bool allowed =
+        may_attempt_again(failure, state) && (rule.redirect || context_.take_retry(job_.service));
+    if (!allowed) {
+        const bool earlier_ran = failure.verdict == verdict::not_run && may_have_run_;
+        fail(earlier_ran
+                 ? caller_error(last_failure_->code(), last_failure_->what(), verdict::may_have_run)
+                 : *last_failure_);
+        return;
+    }
+    if (!rule.same_agent) {
+        tried_.insert(agent.id);
+        context_.recent.forget(job_.key);
+    }
+    try {
+        authorise_again(*context_.configuration(), job_);
+    } catch (const caller_error& refusal) {
+        fail(refusal);
+        return;
+    }
+    reset_answer(answer_);
+    after(retry_wait(attempts_, context_.random), &request_run::choose);
+}
+
+void request_run::after(milliseconds delay, void (request_run::*step)())
+{
+    timer_ = context_.loop.schedule(delay, [self = shared_from_this(), step] {
+        if (!self->finished_) {
+            (self.get()->*step)();
+        }
+    });
+}
+
+void request_run::caller_gone()
+{
+    if (finished_) {
+        return;
+    }
+    if (attempt_) {
+        if (job_.caller_key) {
+            attempt_->abandon();
+        } else {
+            attempt_->cancel();
+        }
+    }
+    finish(nullptr);
+}
+
+void request_run::fail(const caller_error& failure)
+{
+    json fields = describe(job_);
+    fields.update({{"code", to_string(failure.code())},
+                   {"verdict", to_string(failure.verdict())},
+                   {"message", failure.what()}});
+    log(events::request_refused, fields);
+    fail_answer(answer_, failure);
+    finish(&failure);
+}
+
+void request_run::finish(const caller_error* failure)
+{
+    if (std::exchange(finished_, true)) {
+        return;
+    }
+    context_.loop.cancel(std::exchange(timer_, 0));
+    lease_ = nullptr;
+    attempt_ = nullptr;
+    if (const auto on_finished = std::exchange(on_finished_, nullptr)) {
+        on_finished(failure);
+    }
+}
+
+} // namespace dotterelport::router
