--- /dev/null
+++ b/src/dotterelport/base/settings.cpp
@@ -0,0 +1,136 @@
+#include "dotterelport/base/settings.hpp"
+
+#include <algorithm>
+#include <fstream>
+#include <iterator>
+#include <vector>
+
+#include <valijson/adapters/nlohmann_json_adapter.hpp>
+#include <valijson/schema.hpp>
+#include <valijson/schema_parser.hpp>
+#include <valijson/validation_results.hpp>
+#include <valijson/validator.hpp>
+
+#include "dotterelport/base/error.hpp"
+
+namespace dotterelport {
+namespace {
+
+using valijson::ValidationResults;
+using valijson::adapters::NlohmannJsonAdapter;
+
+/// @brief Turns a path element of valijson, such as "[name]", into the plain name.
+std::string plain_name(const std::string& element)
+{
+    const bool bracketed = element.size() >= 2 && element.front() == '[' && element.back() == ']';
+    return bracketed ? element.substr(1, element.size() - 2) : element;
+}
+
+/// Path of an error without the element for the root.
+std::vector<std::string> path_of(const ValidationResults::Error& failure)
+{
+    std::vector<std::string> path;
+    for (std::size_t i = 1; i < failure.context.size(); ++i) {
+        path.push_back(plain_name(failure.context[i]));
+    }
+    return path;
+}
+
+std::string to_pointer(const std::vector<std::string>& path)
+{
+    std::string pointer;
+    for (const auto& element : path) {
+        pointer.append("/").append(element);
+    }
+    return pointer;
+}
+
+/// @brief Finds the part of a schema that applies to a path, as far as properties and items lead to
+/// it.
+const json* schema_at(const json& schema, const std::vector<std::string>& path)
+{
+    const json* node = &schema;
+    for (const auto& element : path) {
+        if (node->contains("properties") && (*node)["properties"].contains(element)) {
+            node = &(*node)["properties"][element];
+        } else if (node->contains("items")) {
+            node = &(*node)["items"];
+        } else if (node->contains("additionalProperties") &&
+                   (*node)["additionalProperties"].is_object()) {
+            node = &(*node)["additionalProperties"];
+        } else {
+            return nullptr;
+        }
+    }
+    return node;
+}
+
+/// @brief Lists the constraints of a schema that say what a single value must be.
+std::string describe(const json& schema)
+{
+    std::string text;
+    for (const char* keyword : {"type", "enum", "pattern", "minimum", "maximum", "minLength",
+                                "maxLength", "minItems", "maxItems", "uniqueItems"}) {
+        if (const auto found = schema.find(keyword); found != schema.end()) {
+            text.append(text.empty() ? "" : ", ").append(keyword).append(" ").append(found->dump());
+        }
+    }
+    return text;
+}
+
+format_error to_format_error(const std::vector<ValidationResults::Error>& failures,
+                             const json& schema, const std::string& source)
+{
+    // valijson reports the violation and then each enclosing value; the longest path names the
+    // violation.
+    const auto deepest =
+        std::max_element(failures.begin(), failures.end(), [](const auto& left, const auto& right) {
+            return left.context.size() < right.context.size();
+        });
+    const auto path = path_of(*deepest);
+    std::string message = deepest->description;
+    if (const json* part = schema_at(schema, path); part != nullptr && !describe(*part).empty()) {
+        message += " Expected " + describe(*part) + ".";
+    }
+    return {source, to_pointer(path), message};
+}
+
+} // namespace
+
+void check_schema(const json& value, const json& schema, const std::string& source)
+{
+    valijson::Schema compiled;
+    valijson::SchemaParser parser;
+    parser.populateSchema(NlohmannJsonAdapter(schema), compiled);
+    valijson::Validator validator(valijson::Validator::kStrongTypes);
+    ValidationResults results;
+    if (!validator.validate(compiled, NlohmannJsonAdapter(value), &results)) {
+        const std::vector<ValidationResults::Error> failures(results.begin(), results.end());
+        throw to_format_error(failures, schema, source);
+    }
+}
+
+json parse_json(std::string_view text, const std::string& source)
+{
+    try {
+        return json::parse(text);
+    } catch (const json::parse_error& failure) {
+        const auto end =
+            text.begin() + static_cast<std::ptrdiff_t>(std::min(failure.byte, text.size()));
+        const auto line = std::count(text.begin(), end, '\n') + 1;
+        throw format_error(
+            source, "", "not valid JSON at line " + std::to_string(line) + ": " + failure.what());
+    }
+}
+
+json read_json_file(const std::string& path)
+{
+    std::ifstream file(path, std::ios::binary);
+    if (!file) {
+        throw format_error(path, "", "cannot be read");
+    }
+    const std::string text{std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
+    return parse_json(text, path);
+}
+
+} // namespace dotterelport
