--- /dev/null
+++ b/src/dotterelport/router/callers_server.cpp
@@ -0,0 +1,110 @@
+#include "callers_server.hpp"
+
+#include <utility>
+
+namespace dotterelport::router {
+namespace {
+
+/// The server itself accepts larger bodies than callers may send, so that the refusal has the shape
+/// of the protocol; beyond this limit it answers a bare 413.
+constexpr std::size_t server_body_limit = 8 * max_caller_body_bytes;
+
+constexpr milliseconds idle_connection_timeout{60'000};
+
+/// Runs a stage and answers with the error that it throws.
+template<typename Stage> void answer_errors(net::http_response& response, Stage stage)
+{
+    try {
+        stage();
+    } catch (const caller_error& failure) {
+        send_error(response, failure);
+    }
+}
+
+std::int64_t epoch_seconds()
+{
+    return std::chrono::duration_cast<std::chrono::seconds>(wall_clock_now()).count();
+}
+
+} // namespace
+
+callers_server::callers_server(context environment)
+    : context_(std::move(environment)),
+      server_(context_.dispatch.loop,
+              {.max_body_bytes = server_body_limit, .idle_timeout = idle_connection_timeout})
+{
+    server_.route(
+        "POST", "/v1/chat/completions",
+        [this](const auto& request, const auto& response) { take(request, response, take_chat); });
+    server_.route(
+        "*", std::string(services_prefix) + "*",
+        [this](const auto& request, const auto& response) { take(request, response, take_call); });
+    server_.route("GET", "/v1/models", [this](const auto& request, const auto& response) {
+        answer_errors(*response, [&] {
+            net::send_json(*response, 200, list_models(*require_ready(), request).dump());
+        });
+    });
+    server_.route("*", "*", [](const auto& request, const auto& response) {
+        send_error(*response, {error_code::unknown_route,
+                               "no such route: " + request.method + " " + request.path});
+    });
+}
+
+void callers_server::stop()
+{
+    stopped_ = true;
+    server_.stop_listening();
+}
+
+config::snapshot_ptr callers_server::require_ready() const
+{
+    if (stopped_) {
+        throw caller_error(error_code::leaving, "this router is stopping");
+    }
+    if (const auto reason = context_.not_ready_reason(); !reason.empty()) {
+        throw caller_error(error_code::not_ready, "this router is not ready: " + reason);
+    }
+    return context_.dispatch.configuration();
+}
+
+void callers_server::take(const net::http_request& request, const response_ptr& response,
+                          intake_stage stage)
+{
+    answer_errors(*response, [&] {
+        const auto configuration = require_ready();
+        dispatch(stage({*configuration, request, steady_now(), context_.dispatch.random}),
+                 response);
+    });
+}
+
+void callers_server::dispatch(job accepted, const response_ptr& response)
+{
+    answer reply = make_answer(accepted, response, epoch_seconds());
+    run_idempotent(std::move(accepted), std::move(reply), response);
+}
+
+void callers_server::run_idempotent(job accepted, answer reply, const response_ptr& response)
+{
+    auto finished = begin_request(accepted.service);
+    auto run = std::make_shared<request_run>(context_.dispatch, std::move(accepted),
+                                             std::move(reply), std::move(finished));
+    response->on_close([weak = std::weak_ptr(run)] {
+        if (const auto open = weak.lock()) {
+            open->caller_gone();
+        }
+    });
+    run->start();
+}
+
+std::function<void(const caller_error*)> callers_server::begin_request(const std::string& service)
+{
+    context_.counters.set_in_progress(++in_progress_);
+    return [this, service, started = steady_now()](const caller_error* failure) {
+        context_.counters.set_in_progress(--in_progress_);
+        context_.counters.count_request(
+            service, failure == nullptr ? "ok" : std::string(to_string(failure->code())),
+            steady_now() - started);
+    };
+}
+
+} // namespace dotterelport::router
--- a/src/dotterelport/router/request_run.cpp
+++ b/src/dotterelport/router/request_run.cpp
@@ -250,6 +250,7 @@
 {
     if (outcome == verdict::not_run && reserved_ && !may_have_run_) {
         context_.release(job_.key, job_.budget);
+        context_.recent.forget(job_.key);
         reserved_ = false;
     }
 }
