Add the platform's object store and its client

The other modules need the platform's semantics (versions, conditional updates, listings with removals, watches) in memory for tests, and a client for its HTTP API. The client keeps its counters in shared state, because an answer may arrive after the client is gone.

--- a/include/dotterelport/platform/client.hpp
+++ b/include/dotterelport/platform/client.hpp
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -105,10 +106,12 @@
     [[nodiscard]] std::uint64_t calls() const;
 
 private:
-    net::http_client& http_;
-    net::endpoint address_;
-    std::uint64_t calls_ = 0;
-    std::optional<milliseconds> trouble_since_;
+    struct state;
+
+    void send(net::client_request request, milliseconds waiting,
+              std::function<void(const net::client_answer&)> done);
+
+    std::shared_ptr<state> state_;
 };
 
 } // namespace dotterelport::platform
--- /dev/null
+++ b/include/dotterelport/platform/store.hpp
@@ -0,0 +1,79 @@
+#ifndef DOTTERELPORT_PLATFORM_STORE_HPP
+#define DOTTERELPORT_PLATFORM_STORE_HPP
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+
+#include "dotterelport/platform/client.hpp"
+
+namespace dotterelport::platform {
+
+/// Largest value that the platform accepts.
+inline constexpr std::size_t max_value_bytes = 1'000'000;
+
+/// Identifies a waiting watch; 0 is never used.
+using watch_id = std::uint64_t;
+
+/// Objects in memory with the platform's semantics: versions are revisions of the whole store,
+/// updates can be conditional, and changes can be listed and watched from a revision on. Does no
+/// I/O; tests and the stand-in for the platform use it.
+class store {
+public:
+    [[nodiscard]] read_result read(const std::string& key) const;
+
+    /// @param if_version 0 to create only if absent; nothing to write in any case
+    write_result write(const std::string& key, const std::string& value,
+                       std::optional<version> if_version);
+
+    /// @brief Removes an object that has a given version. An absent object is a conflict.
+    write_result remove(const std::string& key, version if_version);
+
+    /// @brief Lists the objects under a prefix that changed after a revision, and the keys that
+    /// were removed after it. With revision 0, all objects and no removals.
+    [[nodiscard]] listing list(const std::string& prefix, version since) const;
+
+    /// @brief Calls a function once, when something under a prefix has changed after a revision;
+    /// at once if that is so already.
+    /// @return identifier for cancel(), or 0 if the function was called
+    watch_id watch(const std::string& prefix, version since,
+                   std::function<void(const listing&)> function);
+
+    /// @brief Ends a watch without calling its function; an unknown one is ignored.
+    void cancel(watch_id watch);
+
+    [[nodiscard]] version revision() const { return revision_; }
+    [[nodiscard]] std::size_t size() const { return objects_.size(); }
+
+private:
+    struct entry {
+        version at;
+        std::string value;
+    };
+    struct waiting {
+        std::string prefix;
+        version since;
+        std::function<void(const listing&)> function;
+    };
+
+    [[nodiscard]] version version_of(const std::string& key) const;
+    void record_change(const std::string& key, version previous);
+    void notify(const std::string& key);
+
+    version revision_ = 0;
+    std::map<std::string, entry> objects_;
+    /// Keys of removed objects with the revision of their removal.
+    std::unordered_map<std::string, version> removed_;
+    /// Last change of each key, present or removed.
+    std::map<version, std::string> changes_;
+    watch_id last_watch_ = 0;
+    std::map<watch_id, waiting> watches_;
+};
+
+} // namespace dotterelport::platform
+
+#endif
