--- /dev/null
+++ b/src/dotterelport/request/messages_test.cpp
@@ -0,0 +1,86 @@
+#include <catch2/catch.hpp>
+
+#include "dotterelport/base/error.hpp"
+#include "dotterelport/request/messages.hpp"
+
+namespace dotterelport::request {
+namespace {
+
+admission sample_admission()
+{
+    return {.key = {"depot", "k1"},
+            .attempt = 2,
+            .agent = {"agent-1", 3},
+            .holder = {"router-a", 5},
+            .holder_address = "127.0.0.1:7101",
+            .budget = "depot-main",
+            .upper_tokens = 600,
+            .generation = 12,
+            .deadline = milliseconds{30'000},
+            .priority = priority::interactive,
+            .service = "coal-llm",
+            .kind = request_kind::call,
+            .idempotent = true,
+            .digest = "ab",
+            .offset = 7,
+            .join_only = true,
+            .payload = {{"method", "GET"}}};
+}
+
+TEST_CASE("A message that loses or renames a field breaks the agreement between processes")
+{
+    const json form = to_json(sample_admission());
+    CHECK(form.at("deadline_ms") == 30'000);
+    CHECK(form.at("agent") == "agent-1#3");
+    CHECK(to_json(parse_admission(form)) == form);
+    const outcome result{{"depot", "k1"},
+                         2,
+                         "depot-main",
+                         {"router-a", 5},
+                         verdict::may_have_run,
+                         600,
+                         20,
+                         100,
+                         "coal-llm",
+                         {"agent-1", 3}};
+    CHECK(to_json(result).at("tokens") == 600);
+    CHECK(to_json(parse_outcome(to_json(result))) == to_json(result));
+}
+
+TEST_CASE("An admission without a required field, or with a wrong type, is rejected")
+{
+    json form = to_json(sample_admission());
+    const std::string field = GENERATE("workspace", "key", "agent", "holder", "upper_tokens",
+                                       "priority", "kind", "digest", "payload", "generation");
+    SECTION("missing")
+    {
+        form.erase(field);
+        CHECK_THROWS_AS(parse_admission(form), format_error);
+    }
+    SECTION("negative or of another type")
+    {
+        form[field] = -1;
+        if (field != "payload") {
+            CHECK_THROWS_AS(parse_admission(form), format_error);
+        }
+    }
+}
+
+TEST_CASE("Frames survive formatting, and a broken line is an error instead of a frame")
+{
+    const frame value = GENERATE(
+        frame{admitted_frame{1, true}}, frame{chunk_frame{2, 9, {{"text", "a\nb"}}}},
+        frame{end_frame{1, verdict::ran, 20, 100}},
+        frame{error_frame{3, verdict::not_run, failure_reason::key_reused, "another digest"}});
+    const std::string line = format_frame(value);
+    CHECK(line.find('\n') == std::string::npos);
+    CHECK(format_frame(parse_frame(line)) == line);
+    CHECK(parse_frame(line).index() == value.index());
+    const std::string broken =
+        GENERATE("", "{", "[]", R"({"type":"other","attempt":1})", R"({"type":"end","attempt":1})",
+                 R"({"type":"chunk","attempt":-1,"sequence":0,"data":{}})");
+    CHECK_THROWS_AS(parse_frame(broken), format_error);
+}
+
+} // namespace
+} // namespace dotterelport::request
