Add the membership module

Cause: routers and agents need to know each other, and a dead router's grants need one closer. Change: node records with rendezvous hashing, a pure view of all nodes with rules for silence, loss and closing, and the directory that registers this node and polls the platform. The record of a router's earlier incarnation moves to node/<name>#<epoch> before the next one registers. A router is closed by its own failure domain after 5 s; other domains wait 30 s and do so only if no record of that domain changed in the platform, so that a partition does not make both sides close each other. Conclusion: interfaces are ready for the router and the agent.

--- a/include/dotterelport/membership/directory.hpp
+++ b/include/dotterelport/membership/directory.hpp
@@ -4,62 +4,22 @@
 #include <functional>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
 #include "dotterelport/base/identifiers.hpp"
 #include "dotterelport/base/json.hpp"
-#include "dotterelport/net/endpoint.hpp"
+#include "dotterelport/membership/node_record.hpp"
+#include "dotterelport/membership/rendezvous.hpp"
 #include "dotterelport/net/event_loop.hpp"
 #include "dotterelport/platform/client.hpp"
 
 namespace dotterelport::membership {
 
-/// Role of a node.
-enum class node_role {
-    router,
-    agent,
-};
-
-/// State of a node's record in the platform.
-enum class node_state {
-    live,
-    leaving,
-    /// Another router is closing this incarnation's grants.
-    closing,
-    /// Nothing of this incarnation is open any more.
-    closed,
-};
-
-/// Record of a node in the platform, object "node/<name>".
-struct node_record {
-    incarnation id;
-    node_role role = node_role::router;
-    node_state state = node_state::live;
-    std::string vm;
-    std::string region;
-    std::string failure_domain;
-    /// Agents only: the service of the backend server.
-    std::string service;
-    net::endpoint peers;
-    /// Routers only: agent incarnations that may run work under this incarnation's grants.
-    std::set<incarnation> agents;
-};
-
-json to_json(const node_record& value);
-
-/// @throws format_error if the text is not a node record
-node_record parse_node_record(const std::string& text);
-
-/// @brief Picks one of several names for a key so that few keys move when names come and go.
-/// @return index into names, or nothing if there are none
-std::optional<std::size_t> rendezvous(const std::vector<std::string>& names, std::string_view key);
-
 /// Registers this node in the platform and follows the records of all nodes and the VM list.
 class directory {
 public:
-    directory(net::event_loop& loop, platform::client& platform, node_record self);
+    directory(net::event_loop& loop, platform::client& platform, const node_record& self);
     ~directory();
     directory(const directory&) = delete;
     directory& operator=(const directory&) = delete;
@@ -113,6 +73,10 @@
     /// @brief Routers that did not answer for long and whose grants should be closed by this node.
     [[nodiscard]] std::vector<incarnation> routers_to_close() const;
 
+    /// @brief Routers that this node probes (about once a second, with report_contact() after each
+    /// answer), so that a silent router is noticed without every router probing every other.
+    [[nodiscard]] std::vector<node_record> routers_to_probe() const;
+
     /// @brief Router of this node's failure domain, or of another, that owns a budget shard.
     [[nodiscard]] std::optional<node_record> shard_owner(std::uint32_t shard,
                                                          const std::string& failure_domain) const;
--- /dev/null
+++ b/include/dotterelport/membership/node_view.hpp
@@ -0,0 +1,149 @@
+#ifndef DOTTERELPORT_MEMBERSHIP_NODE_VIEW_HPP
+#define DOTTERELPORT_MEMBERSHIP_NODE_VIEW_HPP
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "dotterelport/base/clock.hpp"
+#include "dotterelport/base/json.hpp"
+#include "dotterelport/membership/node_record.hpp"
+#include "dotterelport/platform/client.hpp"
+
+namespace dotterelport::membership {
+
+/// Times that decide when a node counts as silent, gone or to be closed. They only decide when
+/// closing is attempted; the proof that closing rests on does not depend on them.
+struct view_timing {
+    /// A node is silent after this many failures in a row over at least this time.
+    int failures_until_silent = 3;
+    milliseconds failing_until_silent{2'000};
+    /// A silent node counts again after this many answers in a row.
+    int answers_until_heard = 2;
+    /// A silent node that nobody tries any more counts as live again after this time.
+    milliseconds silence_expiry{30'000};
+    /// A VM that was listed is gone after this many lists without it.
+    int lists_until_gone = 2;
+    /// A VM that was never listed is gone after this time; the list lags behind new VMs.
+    milliseconds unlisted_until_gone{30'000};
+    /// A router of its own failure domain closes a silent router after this time.
+    milliseconds silent_until_closed{5'000};
+    /// A router of another failure domain waits longer, and closes only if nothing in the
+    /// platform shows that the domain is alive: else a partition between domains would make
+    /// both sides close each other.
+    milliseconds domain_silent_until_closed{30'000};
+    /// Further delay for each router that is preferred to this one as the closer.
+    milliseconds closer_stagger{5'000};
+    /// The same where the preferred closer is not known to be silent.
+    milliseconds takeover_stagger{30'000};
+    /// A gap between listings after which the absence of changes proves nothing.
+    milliseconds listing_gap{5'000};
+};
+
+/// Merges what is known of all nodes: their records, the VM list, answers to calls and what nodes
+/// say of themselves. Makes no calls; times are passed in.
+class node_view {
+public:
+    explicit node_view(node_record self, view_timing timing = {});
+
+    /// @brief Takes this node's record after its own write.
+    void update_self(const node_record& self, platform::version at, milliseconds now);
+
+    /// @brief Takes changed and deleted objects under "node/". Records that cannot be read are
+    /// ignored.
+    /// @return number of objects that were not records
+    int apply(const platform::listing& changes, milliseconds now);
+
+    /// @brief Takes the platform's list of VMs.
+    void apply(const platform::vm_listing& list, milliseconds now);
+
+    /// @brief Takes the result of a call to a node.
+    void report_contact(const std::string& node, bool answered, milliseconds now);
+
+    /// @brief Marks the present incarnation of a node as leaving.
+    void report_leaving(const std::string& node);
+
+    [[nodiscard]] std::vector<node_record> nodes() const;
+    [[nodiscard]] std::vector<node_record> live_nodes(node_role role, milliseconds now) const;
+    [[nodiscard]] std::optional<node_record> find(const std::string& node) const;
+    [[nodiscard]] bool is_silent(const std::string& node, milliseconds now) const;
+    [[nodiscard]] bool is_gone(const incarnation& other, milliseconds now) const;
+    [[nodiscard]] std::vector<incarnation> routers_to_close(milliseconds now) const;
+    [[nodiscard]] std::vector<node_record> routers_to_probe(milliseconds now) const;
+    [[nodiscard]] std::optional<node_record>
+    shard_owner(std::uint32_t shard, const std::string& failure_domain, milliseconds now) const;
+    [[nodiscard]] std::vector<std::string> failure_domains(milliseconds now) const;
+
+    /// @brief Tells whether this node keeps its failure domain's sign of life in the platform.
+    [[nodiscard]] bool is_domain_representative(milliseconds now) const;
+
+    /// @brief Revision up to which listings were applied.
+    [[nodiscard]] platform::version revision() const { return revision_; }
+
+    [[nodiscard]] json dump(milliseconds now) const;
+
+private:
+    struct entry {
+        node_record record;
+        platform::version at = 0;
+        milliseconds first_seen{0};
+        milliseconds changed{0};
+    };
+
+    struct contact {
+        std::uint64_t epoch = 0;
+        int failures = 0;
+        int answers = 0;
+        bool silent = false;
+        bool leaving = false;
+        milliseconds first_failure{0};
+        milliseconds last_report{0};
+    };
+
+    struct absence {
+        milliseconds since{0};
+        int lists = 0;
+    };
+
+    using entry_map = std::map<std::string, entry>;
+
+    void take(const std::string& key, node_record record, platform::version at, milliseconds now);
+    [[nodiscard]] const entry* find_entry(const std::string& node) const;
+    contact& contact_with(const std::string& node);
+    [[nodiscard]] const contact* current_contact(const node_record& record) const;
+    [[nodiscard]] std::optional<milliseconds> silent_since(const node_record& record,
+                                                           milliseconds now) const;
+    [[nodiscard]] std::optional<milliseconds> vm_gone_since(const std::string& vm,
+                                                            milliseconds now) const;
+    [[nodiscard]] bool is_live(const node_record& record, milliseconds now) const;
+    [[nodiscard]] std::vector<std::string> live_router_names(milliseconds now) const;
+    [[nodiscard]] std::vector<std::string> live_router_names_in(const std::string& domain,
+                                                                milliseconds now) const;
+    [[nodiscard]] std::vector<std::string> live_router_names_outside(const std::string& domain,
+                                                                     milliseconds now) const;
+    [[nodiscard]] bool domain_shows_life(const std::string& domain, milliseconds now) const;
+    [[nodiscard]] std::optional<milliseconds>
+    closing_due(const std::string& key, const entry& value, milliseconds now) const;
+    [[nodiscard]] std::optional<milliseconds> silence_due(const node_record& record,
+                                                          milliseconds now) const;
+
+    view_timing timing_;
+    node_record self_;
+    /// By object key without the prefix: "<name>", or "<name>#<epoch>" for earlier incarnations.
+    entry_map entries_;
+    std::map<std::string, contact> contacts_;
+    bool vms_known_ = false;
+    std::map<std::string, platform::vm_state> vms_;
+    std::set<std::string> vms_seen_;
+    std::map<std::string, absence> vms_absent_;
+    platform::version revision_ = 0;
+    milliseconds listing_run_start_{0};
+    std::optional<milliseconds> last_listing_;
+};
+
+} // namespace dotterelport::membership
+
+#endif
--- /dev/null
+++ b/src/dotterelport/membership/own_record.cpp
@@ -0,0 +1,322 @@
+#include "own_record.hpp"
+
+#include <algorithm>
+#include <array>
+#include <random>
+#include <utility>
+
+#include "dotterelport/base/error.hpp"
+#include "dotterelport/base/hash.hpp"
+#include "events.hpp"
+
+namespace dotterelport::membership {
+namespace {
+
+constexpr milliseconds first_retry_delay{200};
+constexpr milliseconds longest_retry_delay{2'000};
+/// Conflicts and lost answers in a row after which a change is reported as not written.
+constexpr int change_attempts = 4;
+
+std::string random_token()
+{
+    std::random_device device;
+    std::string bytes;
+    for (int i = 0; i < 4; ++i) {
+        bytes += std::to_string(device());
+    }
+    return hash128_hex(bytes);
+}
+
+} // namespace
+
+own_record::own_record(net::event_loop& loop, platform::client& platform, node_record self)
+    : loop_(loop), platform_(platform), record_(std::move(self)), retry_delay_(first_retry_delay)
+{}
+
+void own_record::start(listener functions)
+{
+    listener_ = std::move(functions);
+    rejoin();
+}
+
+void own_record::rejoin()
+{
+    if (registered_ || registering_ || ended_) {
+        return;
+    }
+    registering_ = true;
+    retry_delay_ = first_retry_delay;
+    record_.token = random_token();
+    record_.state = node_state::live;
+    record_.agents.clear();
+    doubtful_.reset();
+    register_next();
+}
+
+void own_record::retry_registration(const char* step)
+{
+    log(event_registration_delayed, {{"node", record_.id.node}, {"step", step}});
+    loop_.schedule(retry_delay_, [this, alive = std::weak_ptr(alive_)] {
+        if (!alive.expired()) {
+            register_next();
+        }
+    });
+    retry_delay_ = std::min(retry_delay_ * 2, longest_retry_delay);
+}
+
+void own_record::register_next()
+{
+    platform_.read(node_key(record_.id.node), guarded([this](const platform::read_result& result) {
+                       if (result.status == platform::read_status::unavailable) {
+                           retry_registration("read");
+                           return;
+                       }
+                       if (result.status == platform::read_status::absent) {
+                           write_registration(std::nullopt, 0);
+                           return;
+                       }
+                       node_record previous;
+                       try {
+                           previous = parse_node_record(result.value.value);
+                       } catch (const error& failure) {
+                           log(event_own_record_unreadable, {{"error", failure.what()}});
+                           retry_registration("parse");
+                           return;
+                       }
+                       if (previous.token == record_.token) {
+                           adopt_registration(previous, result.value.at);
+                       } else if (previous.role == node_role::router &&
+                                  previous.state != node_state::closed) {
+                           keep_previous(previous, result.value.at);
+                       } else {
+                           write_registration(previous, result.value.at);
+                       }
+                   }));
+}
+
+// The record of the previous incarnation lists the agents that its grants depend on. It moves to
+// a key of its own before the next incarnation takes its place. Several processes may do so at
+// once: agents are only added and the state only moves forward, so no order of writes loses any.
+void own_record::keep_previous(const node_record& previous, platform::version previous_at)
+{
+    const std::string key = earlier_incarnation_key(previous.id);
+    platform_.read(
+        key, guarded([this, key, previous, previous_at](const platform::read_result& result) {
+            node_record merged = previous;
+            platform::version at = 0;
+            if (result.status == platform::read_status::unavailable) {
+                retry_registration("read_previous");
+                return;
+            }
+            if (result.status == platform::read_status::found) {
+                at = result.value.at;
+                try {
+                    const node_record kept = parse_node_record(result.value.value);
+                    merged.agents.insert(kept.agents.begin(), kept.agents.end());
+                    merged.state = std::max(merged.state, kept.state);
+                } catch (const error& failure) {
+                    log(event_own_record_unreadable, {{"key", key}, {"error", failure.what()}});
+                }
+            }
+            const std::string value = to_json(merged).dump();
+            if (at != 0 && value == result.value.value) {
+                write_registration(previous, previous_at);
+                return;
+            }
+            platform_.write(
+                key, value, at,
+                guarded([this, previous, previous_at](const platform::write_result& written) {
+                    if (written.status == platform::write_status::applied) {
+                        write_registration(previous, previous_at);
+                    } else {
+                        retry_registration("keep_previous");
+                    }
+                }));
+        }));
+}
+
+void own_record::write_registration(std::optional<node_record> previous,
+                                    platform::version previous_at)
+{
+    record_.id.epoch = previous ? previous->id.epoch + 1 : 1;
+    platform_.write(node_key(record_.id.node), to_json(record_).dump(), previous_at,
+                    guarded([this](const platform::write_result& written) {
+                        if (written.status == platform::write_status::applied) {
+                            adopt_registration(record_, written.at);
+                        } else {
+                            // Reading tells by the token whether the write took effect.
+                            retry_registration("write");
+                        }
+                    }));
+}
+
+void own_record::adopt_registration(const node_record& registered, platform::version at)
+{
+    registering_ = false;
+    record_ = registered;
+    at_ = at;
+    if (record_.state > node_state::leaving) {
+        // Closed again before this process learnt that it was registered.
+        listener_.on_lost();
+        return;
+    }
+    registered_ = true;
+    log(event_registered, {{"incarnation", to_string(record_.id)}});
+    listener_.on_written();
+    listener_.on_registered();
+}
+
+bool own_record::is_own(const node_record& seen) const
+{
+    return seen.token == record_.token && seen.state <= node_state::leaving;
+}
+
+void own_record::observe(const node_record& seen, platform::version at)
+{
+    if (!registered_ || at <= at_ || !in_flight_.empty()) {
+        return;
+    }
+    if (!is_own(seen)) {
+        lose();
+        return;
+    }
+    record_ = seen;
+    at_ = at;
+}
+
+void own_record::lose()
+{
+    registered_ = false;
+    log(event_incarnation_lost, {{"incarnation", to_string(record_.id)}});
+    answer_in_flight(false);
+    in_flight_ = std::exchange(waiting_, {});
+    answer_in_flight(false);
+    listener_.on_lost();
+}
+
+void own_record::change(change_function function, bool always, std::function<void(bool)> done)
+{
+    waiting_.push_back({std::move(function), always, std::move(done)});
+    loop_.post([this, alive = std::weak_ptr(alive_)] {
+        if (!alive.expired()) {
+            write_changes();
+        }
+    });
+}
+
+void own_record::answer_in_flight(bool written)
+{
+    for (const auto& item : std::exchange(in_flight_, {})) {
+        item.done(written);
+    }
+}
+
+void own_record::write_changes()
+{
+    if (!in_flight_.empty() || waiting_.empty()) {
+        return;
+    }
+    in_flight_ = std::exchange(waiting_, {});
+    if (!registered_) {
+        answer_in_flight(false);
+        return;
+    }
+    node_record next = record_;
+    bool needed = is_doubtful();
+    for (auto& item : in_flight_) {
+        item.function(next);
+        needed = needed || item.always;
+        ++item.attempts;
+    }
+    const std::string value = to_json(next).dump();
+    if (!needed && value == to_json(record_).dump()) {
+        answer_in_flight(true);
+        return;
+    }
+    platform_.write(node_key(record_.id.node), value, at_,
+                    guarded([this, next](const platform::write_result& result) {
+                        switch (result.status) {
+                        case platform::write_status::applied:
+                            record_ = next;
+                            at_ = result.at;
+                            if (record_.state > node_state::leaving) {
+                                ended_ = true;
+                                registered_ = false;
+                            }
+                            listener_.on_written();
+                            answer_in_flight(true);
+                            write_changes();
+                            return;
+                        case platform::write_status::unknown:
+                            doubtful_ = at_;
+                            resolve_by_reading();
+                            return;
+                        case platform::write_status::conflict:
+                            resolve_by_reading();
+                            return;
+                        case platform::write_status::unavailable:
+                        case platform::write_status::too_large:
+                            answer_in_flight(false);
+                            write_changes();
+                            return;
+                        }
+                    }));
+}
+
+void own_record::resolve_by_reading()
+{
+    platform_.read(node_key(record_.id.node), guarded([this](const platform::read_result& result) {
+                       if (result.status == platform::read_status::unavailable) {
+                           answer_in_flight(false);
+                           write_changes();
+                           return;
+                       }
+                       resolve(result);
+                   }));
+}
+
+void own_record::resolve(const platform::read_result& result)
+{
+    node_record seen;
+    try {
+        seen = parse_node_record(result.value.value);
+    } catch (const error& failure) {
+        log(event_own_record_unreadable, {{"error", failure.what()}});
+    }
+    if (is_own(seen)) {
+        record_ = seen;
+        at_ = result.value.at;
+        retry_in_flight();
+        return;
+    }
+    node_record intended = record_;
+    for (const auto& item : in_flight_) {
+        item.function(intended);
+    }
+    if (seen.token == record_.token && seen.state == intended.state) {
+        // This node's own change to a final state took effect, or a closer made the same one.
+        ended_ = true;
+        registered_ = false;
+        record_ = seen;
+        at_ = result.value.at;
+        listener_.on_written();
+        answer_in_flight(true);
+        write_changes();
+        return;
+    }
+    lose();
+}
+
+void own_record::retry_in_flight()
+{
+    for (auto& item : std::exchange(in_flight_, {})) {
+        if (item.attempts >= change_attempts) {
+            item.done(false);
+        } else {
+            waiting_.push_back(std::move(item));
+        }
+    }
+    write_changes();
+}
+
+} // namespace dotterelport::membership
--- /dev/null
+++ b/src/dotterelport/membership/own_record.hpp
@@ -0,0 +1,102 @@
+#ifndef DOTTERELPORT_MEMBERSHIP_OWN_RECORD_HPP
+#define DOTTERELPORT_MEMBERSHIP_OWN_RECORD_HPP
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include "dotterelport/membership/node_record.hpp"
+#include "dotterelport/net/event_loop.hpp"
+#include "dotterelport/platform/client.hpp"
+
+namespace dotterelport::membership {
+
+/// Registers this node in the platform and changes its record by conditional updates.
+class own_record {
+public:
+    /// Changes a record; may be applied more than once.
+    using change_function = std::function<void(node_record&)>;
+
+    struct listener {
+        std::function<void()> on_registered;
+        /// Called after each change of the record that the platform confirmed.
+        std::function<void()> on_written;
+        /// Called when another process has closed or replaced this incarnation.
+        std::function<void()> on_lost;
+    };
+
+    own_record(net::event_loop& loop, platform::client& platform, node_record self);
+
+    /// @brief Registers with the next epoch; tries until it succeeds.
+    void start(listener functions);
+
+    /// @brief Registers a new incarnation if the present one was lost.
+    void rejoin();
+
+    /// @brief Changes the record.
+    /// @param always write even if the change leaves the record as it is
+    /// @param done false if the change may not be in the platform
+    void change(change_function function, bool always, std::function<void(bool)> done);
+
+    /// @brief Takes this node's record as a listing shows it.
+    void observe(const node_record& seen, platform::version at);
+
+    [[nodiscard]] bool is_registered() const { return registered_; }
+    [[nodiscard]] const node_record& record() const { return record_; }
+    [[nodiscard]] platform::version at() const { return at_; }
+
+private:
+    struct pending_change {
+        change_function function;
+        bool always = false;
+        std::function<void(bool)> done;
+        int attempts = 0;
+    };
+
+    void register_next();
+    void retry_registration(const char* step);
+    void keep_previous(const node_record& previous, platform::version previous_at);
+    void write_registration(std::optional<node_record> previous, platform::version previous_at);
+    void adopt_registration(const node_record& registered, platform::version at);
+
+    void write_changes();
+    void resolve_by_reading();
+    void resolve(const platform::read_result& result);
+    void retry_in_flight();
+    void answer_in_flight(bool written);
+    void lose();
+    [[nodiscard]] bool is_own(const node_record& seen) const;
+    [[nodiscard]] bool is_doubtful() const { return doubtful_ && *doubtful_ == at_; }
+
+    /// @brief Wraps a platform callback so that it does nothing after destruction.
+    template<typename Function> auto guarded(Function function)
+    {
+        return [alive = std::weak_ptr(alive_), function = std::move(function)](const auto& result) {
+            if (!alive.expired()) {
+                function(result);
+            }
+        };
+    }
+
+    net::event_loop& loop_;
+    platform::client& platform_;
+    node_record record_;
+    platform::version at_ = 0;
+    listener listener_;
+    bool registered_ = false;
+    bool registering_ = false;
+    /// Closed by its own word; never registers again.
+    bool ended_ = false;
+    milliseconds retry_delay_;
+    std::vector<pending_change> waiting_;
+    std::vector<pending_change> in_flight_;
+    /// Version that a write with a lost answer was conditional on. While the record has this
+    /// version, that write may still take effect.
+    std::optional<platform::version> doubtful_;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+} // namespace dotterelport::membership
+
+#endif
