Add the budget ledger, grants, sizing, bills and the shard session

Cause: routers need one set of rules for prepaid budgets that daemons, tests and embedding programs share. Change: ledger shard, grant holder, sizing policies, bill batches, and a session that decides the platform reads and writes of one holder, also after lost answers. shared_budgets embeds them without daemons. Conclusion: base for the property tests and the router's budget service.

--- /dev/null
+++ b/examples/budget.cpp
@@ -0,0 +1,103 @@
+// Two processes share one prepaid budget through an object store. Here both live in one program
+// and the store is a map; a real program would use its platform's conditional writes.
+
+#include <iostream>
+#include <map>
+#include <string>
+
+#include "dotterelport/budget/shared_budgets.hpp"
+
+using namespace dotterelport;
+
+namespace {
+
+/// Object store with conditional writes.
+class memory_store {
+public:
+    budget::object_store functions()
+    {
+        return {.read = [this](const std::string& key) { return read(key); },
+                .write = [this](const std::string& key, const std::string& value,
+                                platform::version at) { return write(key, value, at); }};
+    }
+
+private:
+    platform::read_result read(const std::string& key)
+    {
+        const auto found = objects_.find(key);
+        if (found == objects_.end()) {
+            return {.status = platform::read_status::absent, .value = {}};
+        }
+        return {.status = platform::read_status::found, .value = found->second};
+    }
+
+    platform::write_result write(const std::string& key, const std::string& value,
+                                 platform::version if_version)
+    {
+        auto& object = objects_[key];
+        if (object.at != if_version) {
+            return {.status = platform::write_status::conflict, .at = object.at};
+        }
+        object = {.key = key, .at = ++revision_, .value = value};
+        return {.status = platform::write_status::applied, .at = object.at};
+    }
+
+    std::map<std::string, platform::object> objects_;
+    platform::version revision_ = 0;
+};
+
+/// Runs one request and tells whether it was allowed.
+bool run_request(budget::shared_budgets& process, int number, milliseconds now)
+{
+    constexpr tokens upper_bound = 500;
+    constexpr tokens used = 300;
+    const request_key key{"depot", "request-" + std::to_string(number)};
+    const incarnation worker{"worker", 1};
+    const auto result = process.reserve({.key = key,
+                                         .budget = "depot-main",
+                                         .upper = upper_bound,
+                                         .agent = worker,
+                                         .digest = "",
+                                         .router = "",
+                                         .now = now});
+    if (result != budget::reserve_outcome::reserved) {
+        return false;
+    }
+    request::outcome outcome;
+    outcome.key = key;
+    outcome.budget = "depot-main";
+    outcome.agent = worker;
+    outcome.charged = used;
+    process.settle(outcome);
+    return true;
+}
+
+} // namespace
+
+int main()
+{
+    constexpr tokens prepaid = 10'000;
+    memory_store store;
+    budget::shared_budgets first(store.functions(), 0, {"first", 1}, budget::thin_budgets());
+    budget::shared_budgets second(store.functions(), 0, {"second", 1}, budget::thin_budgets());
+    first.declare({.generation = 1, .budgets = {{"depot", "depot-main", prepaid}}},
+                  milliseconds{0});
+
+    int allowed = 0;
+    int refused = 0;
+    milliseconds now{0};
+    for (int number = 0; number < 50; ++number) {
+        now += milliseconds{100};
+        auto& process = number % 2 == 0 ? first : second;
+        ++(run_request(process, number, now) ? allowed : refused);
+        process.flush(now);
+    }
+    first.drain(now);
+    second.drain(now);
+
+    const auto& ledger = *second.session().ledger();
+    const auto& entry = ledger.budgets().at("depot-main");
+    std::cout << "allowed " << allowed << ", refused " << refused << ", billed " << entry.settled
+              << " of " << entry.prepaid << " tokens\n";
+    return entry.settled <= prepaid && allowed > 0 && refused > 0 ? 0 : 1;
+}
--- /dev/null
+++ b/include/dotterelport/budget/bill.hpp
@@ -0,0 +1,97 @@
+#ifndef DOTTERELPORT_BUDGET_BILL_HPP
+#define DOTTERELPORT_BUDGET_BILL_HPP
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "dotterelport/base/identifiers.hpp"
+#include "dotterelport/base/json.hpp"
+#include "dotterelport/base/tokens.hpp"
+
+namespace dotterelport::budget {
+
+/// One billed request.
+struct bill_line {
+    request_key key;
+    std::string budget;
+    tokens charged = 0;
+    tokens prompt_tokens = 0;
+    tokens completion_tokens = 0;
+    std::string service;
+    incarnation agent;
+
+    bool operator==(const bill_line&) const = default;
+};
+
+/// Tokens that may have been used by a request, but that no bill line covers. An empty key stands
+/// for a part of a grant that no request can be named for.
+struct unproved_use {
+    request_key key;
+    std::string budget;
+    tokens amount = 0;
+    incarnation agent;
+
+    bool operator==(const unproved_use&) const = default;
+};
+
+/// Lines that a holder writes as one object. Numbers count from 1 without gaps, so an object that
+/// exists already proves that another router closed the holder.
+struct bill_batch {
+    std::uint32_t shard = 0;
+    incarnation holder;
+    std::uint64_t number = 0;
+    std::vector<bill_line> lines;
+    std::vector<unproved_use> unproved;
+
+    bool operator==(const bill_batch&) const = default;
+};
+
+/// A line that the audit took back, because another line bills the same key.
+struct voided_line {
+    request_key key;
+    std::string budget;
+    tokens charged = 0;
+    incarnation holder;
+    std::uint64_t batch = 0;
+
+    bool operator==(const voided_line&) const = default;
+};
+
+/// Lines that one run of the audit took back, written as one object.
+struct void_batch {
+    std::uint32_t shard = 0;
+    std::uint64_t number = 0;
+    /// Platform revision up to which bill batches were audited.
+    std::uint64_t cursor = 0;
+    std::vector<voided_line> lines;
+};
+
+/// @brief Object key "budget/<shard>".
+std::string shard_object_key(std::uint32_t shard);
+
+/// @brief Prefix "bill/<shard>/" of all batches of a shard.
+std::string bill_prefix(std::uint32_t shard);
+
+/// @brief Prefix "bill/<shard>/<holder>/" of the batches of a holder.
+std::string bill_prefix(std::uint32_t shard, const incarnation& holder);
+
+/// @brief Object key "bill/<shard>/<holder>/<batch>".
+std::string bill_object_key(std::uint32_t shard, const incarnation& holder, std::uint64_t batch);
+
+/// @brief Object key "void/<shard>/<number>".
+std::string void_object_key(std::uint32_t shard, std::uint64_t number);
+
+json to_json(const bill_batch& value);
+json to_json(const void_batch& value);
+
+/// @throws format_error if the text is not a bill batch
+bill_batch parse_bill_batch(std::string_view text);
+
+/// @throws format_error if the text is not a batch of voided lines
+void_batch parse_void_batch(std::string_view text);
+
+} // namespace dotterelport::budget
+
+#endif
--- /dev/null
+++ b/include/dotterelport/budget/grant_holder.hpp
@@ -0,0 +1,209 @@
+#ifndef DOTTERELPORT_BUDGET_GRANT_HOLDER_HPP
+#define DOTTERELPORT_BUDGET_GRANT_HOLDER_HPP
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "dotterelport/base/clock.hpp"
+#include "dotterelport/base/identifiers.hpp"
+#include "dotterelport/base/tokens.hpp"
+#include "dotterelport/budget/bill.hpp"
+#include "dotterelport/request/messages.hpp"
+
+namespace dotterelport::budget {
+
+/// What a holder knows about its part of one budget.
+struct holder_account {
+    std::string budget;
+    /// Amount of the grant in the ledger, as last confirmed.
+    tokens amount = 0;
+    /// Least amount that an unconfirmed change of the ledger may have left.
+    std::optional<tokens> least_amount;
+    /// Billed or unproved since the grant was opened, applied in the ledger or not.
+    tokens accounted = 0;
+    tokens reserved = 0;
+    /// Upper bounds of requests that wait for room.
+    tokens wanted = 0;
+    /// Another holder asked for the unused part.
+    bool recalled = false;
+    /// The removal of the grant was written and may not be confirmed yet.
+    bool removing = false;
+    tokens largest_request = 0;
+    /// Spent since the last measurement of the demand.
+    tokens spent_in_period = 0;
+    milliseconds period_start{0};
+    double tokens_per_second = 0;
+    milliseconds last_used{0};
+
+    /// @brief Tokens that new requests can reserve.
+    [[nodiscard]] tokens available() const
+    {
+        const tokens usable =
+            least_amount.has_value() && *least_amount < amount ? *least_amount : amount;
+        return usable - accounted - reserved;
+    }
+};
+
+/// Reservation or finished request as the holder remembers it.
+struct known_request {
+    std::uint32_t account = 0;
+    bool finished = false;
+    tokens upper = 0;
+    incarnation agent;
+    std::string digest;
+    /// Router that asked for the reservation.
+    std::string router;
+    /// When the reservation was made or last confirmed at the agent.
+    milliseconds since{0};
+    /// Finished requests: batch that bills it.
+    std::uint64_t batch = 0;
+    /// Finished requests: the next one that finished.
+    const request_key* next_finished = nullptr;
+};
+
+/// Parameters of a reservation.
+struct reservation {
+    const request_key& key;
+    std::string_view budget;
+    tokens upper = 0;
+    const incarnation& agent;
+    std::string_view digest;
+    std::string_view router;
+    milliseconds now{0};
+};
+
+/// Result of grant_holder::reserve().
+enum class reserve_outcome {
+    reserved,
+    /// The key is reserved for another router's attempt, or has finished; nothing changed.
+    known,
+    /// The grant has no room.
+    no_room,
+};
+
+/// Result of grant_holder::settle().
+enum class settle_outcome {
+    settled,
+    /// The outcome was counted before, or is not expected.
+    ignored,
+};
+
+/// The grants of one holder incarnation in one shard and the reservations under them. Tokens are
+/// reserved only from confirmed grants, so that available() is never negative.
+class grant_holder {
+public:
+    struct options {
+        /// Space prepared for reservations, so that they cause no allocation.
+        std::size_t expected_reservations = 1024;
+        /// Finished requests remembered, to answer retries and repeated outcomes.
+        std::size_t remembered_requests = 16'384;
+        /// Greatest number of lines in a bill batch; keeps it below the platform's value limit.
+        std::size_t lines_per_batch = 2'000;
+    };
+
+    grant_holder();
+    explicit grant_holder(const options& settings);
+
+    /// @brief Reserves the upper bound of a request. Repeating it for the same key, agent and
+    /// router changes nothing.
+    reserve_outcome reserve(const reservation& request);
+
+    /// @brief Moves a reservation to another agent.
+    /// @param previous_not_run whether the previous agent will certainly not run the request;
+    /// otherwise the tokens stay reserved there too, until that agent reports an outcome
+    reserve_outcome move(const reservation& request, bool previous_not_run);
+
+    /// @brief Counts an agent's outcome of a request.
+    settle_outcome settle(const request::outcome& outcome);
+
+    /// @brief Gives a reservation back; only for a request that will certainly not run.
+    /// @return whether there was one
+    bool release(const request_key& key);
+
+    /// @brief Moves everything reserved at an agent that cannot run or report any more to
+    /// unproved.
+    void agent_gone(const incarnation& agent);
+
+    /// @brief Tells whether an agent may forget an outcome.
+    [[nodiscard]] bool is_durable(const request::outcome& outcome) const;
+
+    [[nodiscard]] const known_request* find(const request_key& key) const;
+
+    /// @brief Reservations older than a time, whose agents should be asked about them.
+    [[nodiscard]] std::vector<std::pair<request_key, incarnation>>
+    reserved_before(milliseconds time, std::size_t limit) const;
+    /// @brief Notes that the agent still runs a request.
+    void confirm(const request_key& key, milliseconds now);
+
+    /// @brief Takes the open bill lines as the next batch; nothing if there are none.
+    std::optional<bill_batch> seal(std::uint32_t shard, const incarnation& self);
+    /// @brief Notes that the platform has the batches up to a number.
+    void mark_durable(std::uint64_t batch);
+    [[nodiscard]] std::uint64_t last_batch() const { return last_batch_; }
+    [[nodiscard]] bool has_open_lines() const;
+
+    /// @brief Account of a budget; made if there is none.
+    holder_account& account(std::string_view budget);
+    [[nodiscard]] const holder_account* find_account(std::string_view budget) const;
+    [[nodiscard]] std::vector<holder_account>& accounts() { return accounts_; }
+    [[nodiscard]] const std::vector<holder_account>& accounts() const { return accounts_; }
+
+    [[nodiscard]] std::size_t reservation_count() const { return reservation_count_; }
+    [[nodiscard]] tokens total_reserved() const;
+
+private:
+    struct text_hash {
+        using is_transparent = void;
+        std::size_t operator()(std::string_view text) const noexcept;
+    };
+
+    using request_table = std::unordered_map<request_key, known_request>;
+
+    /// An attempt whose request was since moved, or that may have run.
+    struct other_attempt {
+        std::uint32_t account = 0;
+        incarnation agent;
+        /// Still reserved, if the outcome is not known.
+        tokens upper = 0;
+        /// Batch that counts the outcome; 0 while it is not known.
+        std::uint64_t batch = 0;
+    };
+
+    reserve_outcome insert(const reservation& request);
+    std::uint32_t account_index(std::string_view budget);
+    void take_out(request_table::iterator entry);
+    void remember_finished(request_table::iterator entry);
+    /// @return number of the batch that will have the line
+    std::uint64_t add_line(const request::outcome& outcome, std::uint32_t account, tokens charged);
+    void add_unproved(const request_key& key, std::uint32_t account, const incarnation& agent,
+                      tokens amount);
+    settle_outcome settle_other(const request::outcome& outcome);
+
+    options options_;
+    std::vector<holder_account> accounts_;
+    std::unordered_map<std::string, std::uint32_t, text_hash, std::equal_to<>> account_of_;
+    request_table requests_;
+    /// Nodes taken out of the table, used again with the memory of their strings.
+    std::vector<request_table::node_type> spare_;
+    std::unordered_multimap<request_key, other_attempt> other_attempts_;
+    const request_key* first_finished_ = nullptr;
+    known_request* last_finished_ = nullptr;
+    std::size_t finished_count_ = 0;
+    std::size_t reservation_count_ = 0;
+    std::vector<bill_line> lines_;
+    /// Lines in use; later elements of lines_ keep their memory for the next batch.
+    std::size_t line_count_ = 0;
+    std::vector<unproved_use> unproved_;
+    std::uint64_t last_batch_ = 0;
+    std::uint64_t durable_batch_ = 0;
+};
+
+} // namespace dotterelport::budget
+
+#endif
--- /dev/null
+++ b/include/dotterelport/budget/ledger_shard.hpp
@@ -0,0 +1,145 @@
+#ifndef DOTTERELPORT_BUDGET_LEDGER_SHARD_HPP
+#define DOTTERELPORT_BUDGET_LEDGER_SHARD_HPP
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "dotterelport/base/identifiers.hpp"
+#include "dotterelport/base/json.hpp"
+#include "dotterelport/base/tokens.hpp"
+#include "dotterelport/budget/bill.hpp"
+
+namespace dotterelport::budget {
+
+/// Part of a budget that one holder incarnation may spend.
+struct grant {
+    tokens amount = 0;
+    /// Billed or unproved under this grant.
+    tokens settled = 0;
+    /// Last bill batch of the holder that is counted in settled.
+    std::uint64_t applied_batch = 0;
+
+    /// @brief Tokens that the holder may still spend.
+    [[nodiscard]] tokens open() const { return amount > settled ? amount - settled : 0; }
+
+    bool operator==(const grant&) const = default;
+};
+
+/// State of one budget in the ledger.
+struct ledger_entry {
+    std::string workspace;
+    tokens prepaid = 0;
+    /// Configuration generation that declared prepaid.
+    std::uint64_t generation = 0;
+    /// Limit of total(): prepaid, or what was already used or granted when prepaid was lowered.
+    tokens ceiling = 0;
+    /// Billed, less what the audit took back.
+    tokens settled = 0;
+    /// May have been used, cannot be billed, counts as spent.
+    tokens unproved = 0;
+    /// Taken back by the audit, for information.
+    tokens voided = 0;
+    /// The invariant was found violated: nothing more is granted.
+    bool stopped = false;
+    std::map<incarnation, grant> grants;
+
+    [[nodiscard]] tokens open() const;
+    [[nodiscard]] tokens total() const { return settled + unproved + open(); }
+
+    /// @brief Tokens that can still be granted.
+    [[nodiscard]] tokens room() const;
+
+    bool operator==(const ledger_entry&) const = default;
+};
+
+/// Budgets of a shard as one configuration generation declares them.
+struct declaration {
+    struct item {
+        std::string workspace;
+        std::string budget;
+        tokens prepaid = 0;
+    };
+
+    std::uint64_t generation = 0;
+    std::vector<item> budgets;
+};
+
+/// Value of one object "budget/<shard>". Each change checks settled + unproved + open <= ceiling;
+/// a violation is logged and stops the budget.
+class ledger_shard {
+public:
+    explicit ledger_shard(std::uint32_t shard) : shard_(shard) {}
+
+    /// @brief Sets the prepaid amounts, if the generation is newer than the last declared one.
+    /// Budgets that the generation lacks get a prepaid amount of 0.
+    /// @return whether anything changed
+    bool declare(const declaration& value);
+
+    /// @brief Sets the amount of a grant; opens the grant if needed. Growth is limited by the room
+    /// of the budget, and the amount never falls below what is settled under the grant.
+    /// @param last_batch number of the holder's last bill batch, for a grant that is opened
+    /// @return the amount after the change
+    tokens set_grant(const std::string& budget, const incarnation& holder, tokens amount,
+                     std::uint64_t last_batch);
+
+    /// @brief Closes a grant; returns what is open under it to the budget.
+    /// @return whether there was one
+    bool remove_grant(const std::string& budget, const incarnation& holder);
+
+    /// @brief Counts a bill batch, once. A budget in which the holder has no grant has counted it
+    /// before.
+    /// @return whether anything changed
+    bool apply_batch(const bill_batch& batch);
+
+    /// @brief Tells whether all of a written batch is counted.
+    [[nodiscard]] bool is_applied(const bill_batch& batch) const;
+
+    /// @brief Counts the result of an audit, once.
+    /// @return whether anything changed
+    bool apply_voids(const void_batch& batch);
+
+    /// @brief Moves the audit cursor forward, after an audit that found nothing.
+    bool advance_cursor(std::uint64_t cursor);
+
+    /// @brief Bars a holder incarnation, and earlier ones of its node, from opening grants.
+    /// @return whether anything changed
+    bool mark_closed(const incarnation& holder);
+    [[nodiscard]] bool is_closed(const incarnation& holder) const;
+
+    [[nodiscard]] std::uint32_t shard() const { return shard_; }
+    [[nodiscard]] std::uint64_t generation() const { return generation_; }
+    [[nodiscard]] std::uint64_t audit_cursor() const { return audit_cursor_; }
+    [[nodiscard]] std::uint64_t last_void_batch() const { return last_void_batch_; }
+    [[nodiscard]] const std::map<std::string, ledger_entry>& budgets() const { return budgets_; }
+    [[nodiscard]] const ledger_entry* find(const std::string& budget) const;
+    [[nodiscard]] const grant* find_grant(const std::string& budget,
+                                          const incarnation& holder) const;
+
+    bool operator==(const ledger_shard&) const = default;
+
+private:
+    friend json to_json(const ledger_shard& value);
+    friend ledger_shard parse_ledger_shard(std::string_view text);
+
+    void check(const std::string& name, ledger_entry& entry);
+
+    std::uint32_t shard_;
+    std::uint64_t generation_ = 0;
+    std::uint64_t audit_cursor_ = 0;
+    std::uint64_t last_void_batch_ = 0;
+    /// Highest closed epoch of each router.
+    std::map<std::string, std::uint64_t> closed_;
+    std::map<std::string, ledger_entry> budgets_;
+};
+
+json to_json(const ledger_shard& value);
+
+/// @throws format_error if the text is not a ledger shard
+ledger_shard parse_ledger_shard(std::string_view text);
+
+} // namespace dotterelport::budget
+
+#endif
--- /dev/null
+++ b/src/dotterelport/budget/grant_holder.cpp
@@ -0,0 +1,397 @@
+#include "dotterelport/budget/grant_holder.hpp"
+
+#include <algorithm>
+
+#include "dotterelport/base/hash.hpp"
+#include "dotterelport/budget/events.hpp"
+
+namespace dotterelport::budget {
+namespace {
+
+/// @brief Limits a charge to what was reserved for it.
+tokens limited_charge(const request::outcome& outcome, tokens upper)
+{
+    if (outcome.charged > upper) {
+        log(events::charge_above_reservation, {{"workspace", outcome.key.workspace},
+                                               {"key", outcome.key.key},
+                                               {"charged", outcome.charged},
+                                               {"reserved", upper}});
+    }
+    return std::clamp<tokens>(outcome.charged, 0, upper);
+}
+
+} // namespace
+
+std::size_t grant_holder::text_hash::operator()(std::string_view text) const noexcept
+{
+    return hash64(text);
+}
+
+grant_holder::grant_holder() : grant_holder(options{}) {}
+
+grant_holder::grant_holder(const options& settings) : options_(settings)
+{
+    requests_.reserve(options_.expected_reservations + options_.remembered_requests);
+    spare_.reserve(options_.expected_reservations);
+    lines_.reserve(options_.expected_reservations);
+}
+
+std::uint32_t grant_holder::account_index(std::string_view budget)
+{
+    const auto found = account_of_.find(budget);
+    if (found != account_of_.end()) {
+        return found->second;
+    }
+    const auto index = static_cast<std::uint32_t>(accounts_.size());
+    accounts_.emplace_back().budget = budget;
+    account_of_.emplace(std::string(budget), index);
+    return index;
+}
+
+holder_account& grant_holder::account(std::string_view budget)
+{
+    return accounts_[account_index(budget)];
+}
+
+const holder_account* grant_holder::find_account(std::string_view budget) const
+{
+    const auto found = account_of_.find(budget);
+    return found == account_of_.end() ? nullptr : &accounts_[found->second];
+}
+
+const known_request* grant_holder::find(const request_key& key) const
+{
+    const auto found = requests_.find(key);
+    return found == requests_.end() ? nullptr : &found->second;
+}
+
+reserve_outcome grant_holder::insert(const reservation& request)
+{
+    const std::uint32_t index = account_index(request.budget);
+    auto& owner = accounts_[index];
+    owner.largest_request = std::max(owner.largest_request, request.upper);
+    if (request.upper < 0 || owner.available() < request.upper) {
+        return reserve_outcome::no_room;
+    }
+    owner.reserved += request.upper;
+    ++reservation_count_;
+    known_request* entry = nullptr;
+    if (spare_.empty()) {
+        entry = &requests_[request.key];
+    } else {
+        auto node = std::move(spare_.back());
+        spare_.pop_back();
+        node.key().workspace.assign(request.key.workspace);
+        node.key().key.assign(request.key.key);
+        entry = &requests_.insert(std::move(node)).position->second;
+    }
+    entry->account = index;
+    entry->finished = false;
+    entry->upper = request.upper;
+    entry->agent.node.assign(request.agent.node);
+    entry->agent.epoch = request.agent.epoch;
+    entry->digest.assign(request.digest);
+    entry->router.assign(request.router);
+    entry->since = request.now;
+    entry->batch = 0;
+    entry->next_finished = nullptr;
+    return reserve_outcome::reserved;
+}
+
+reserve_outcome grant_holder::reserve(const reservation& request)
+{
+    const auto found = requests_.find(request.key);
+    if (found == requests_.end()) {
+        return insert(request);
+    }
+    const auto& entry = found->second;
+    const bool repeated =
+        !entry.finished && entry.agent == request.agent && entry.router == request.router;
+    return repeated ? reserve_outcome::reserved : reserve_outcome::known;
+}
+
+reserve_outcome grant_holder::move(const reservation& request, bool previous_not_run)
+{
+    const auto found = requests_.find(request.key);
+    if (found == requests_.end()) {
+        return insert(request);
+    }
+    auto& entry = found->second;
+    if (entry.finished) {
+        return reserve_outcome::known;
+    }
+    if (entry.agent == request.agent) {
+        return reserve_outcome::reserved;
+    }
+    auto& owner = accounts_[entry.account];
+    const auto [first, last] = other_attempts_.equal_range(request.key);
+    const auto earlier = std::find_if(first, last, [&](const auto& item) {
+        return item.second.agent == request.agent && item.second.batch == 0;
+    });
+    if (earlier != last) {
+        // The request goes back to an agent that still has tokens reserved for it.
+        if (previous_not_run) {
+            owner.reserved -= entry.upper;
+            --reservation_count_;
+            entry.upper = earlier->second.upper;
+            other_attempts_.erase(earlier);
+        } else {
+            std::swap(entry.agent, earlier->second.agent);
+            std::swap(entry.upper, earlier->second.upper);
+        }
+    } else if (!previous_not_run) {
+        if (owner.available() < entry.upper) {
+            return reserve_outcome::no_room;
+        }
+        owner.reserved += entry.upper;
+        ++reservation_count_;
+        other_attempts_.emplace(
+            request.key,
+            other_attempt{.account = entry.account, .agent = entry.agent, .upper = entry.upper});
+    }
+    entry.agent = request.agent;
+    entry.router.assign(request.router);
+    entry.since = request.now;
+    return reserve_outcome::reserved;
+}
+
+void grant_holder::take_out(request_table::iterator entry)
+{
+    spare_.push_back(requests_.extract(entry));
+}
+
+void grant_holder::remember_finished(request_table::iterator entry)
+{
+    if (last_finished_ == nullptr) {
+        first_finished_ = &entry->first;
+    } else {
+        last_finished_->next_finished = &entry->first;
+    }
+    last_finished_ = &entry->second;
+    ++finished_count_;
+    while (finished_count_ > options_.remembered_requests) {
+        const auto oldest = requests_.find(*first_finished_);
+        if (oldest->second.batch > durable_batch_) {
+            break;
+        }
+        first_finished_ = oldest->second.next_finished;
+        if (first_finished_ == nullptr) {
+            last_finished_ = nullptr;
+        }
+        --finished_count_;
+        take_out(oldest);
+    }
+}
+
+std::uint64_t grant_holder::add_line(const request::outcome& outcome, std::uint32_t account,
+                                     tokens charged)
+{
+    if (line_count_ == lines_.size()) {
+        lines_.emplace_back();
+    }
+    auto& line = lines_[line_count_];
+    line.key.workspace.assign(outcome.key.workspace);
+    line.key.key.assign(outcome.key.key);
+    line.budget.assign(accounts_[account].budget);
+    line.charged = charged;
+    line.prompt_tokens = outcome.prompt_tokens;
+    line.completion_tokens = outcome.completion_tokens;
+    line.service.assign(outcome.service);
+    line.agent.node.assign(outcome.agent.node);
+    line.agent.epoch = outcome.agent.epoch;
+    accounts_[account].accounted += charged;
+    accounts_[account].spent_in_period += charged;
+    return last_batch_ + 1 + line_count_++ / options_.lines_per_batch;
+}
+
+void grant_holder::add_unproved(const request_key& key, std::uint32_t account,
+                                const incarnation& agent, tokens amount)
+{
+    if (amount > 0) {
+        accounts_[account].accounted += amount;
+        unproved_.push_back(
+            {.key = key, .budget = accounts_[account].budget, .amount = amount, .agent = agent});
+    }
+}
+
+settle_outcome grant_holder::settle(const request::outcome& outcome)
+{
+    const auto found = requests_.find(outcome.key);
+    if (found == requests_.end() || found->second.finished ||
+        found->second.agent != outcome.agent) {
+        return settle_other(outcome);
+    }
+    auto& entry = found->second;
+    const std::uint32_t account = entry.account;
+    accounts_[account].reserved -= entry.upper;
+    --reservation_count_;
+    const tokens charged = limited_charge(outcome, entry.upper);
+    switch (outcome.verdict) {
+    case verdict::ran:
+        entry.finished = true;
+        entry.batch = add_line(outcome, account, charged);
+        remember_finished(found);
+        break;
+    case verdict::may_have_run:
+        // The key stays free for another attempt, whose line then bills it.
+        add_unproved(outcome.key, account, outcome.agent, charged);
+        other_attempts_.emplace(outcome.key, other_attempt{.account = account,
+                                                           .agent = outcome.agent,
+                                                           .upper = 0,
+                                                           .batch = last_batch_ + 1});
+        take_out(found);
+        break;
+    case verdict::not_run:
+        take_out(found);
+        break;
+    }
+    return settle_outcome::settled;
+}
+
+settle_outcome grant_holder::settle_other(const request::outcome& outcome)
+{
+    const auto [first, last] = other_attempts_.equal_range(outcome.key);
+    const auto other = std::find_if(
+        first, last, [&](const auto& item) { return item.second.agent == outcome.agent; });
+    if (other != last) {
+        auto& attempt = other->second;
+        if (attempt.batch != 0) {
+            return settle_outcome::ignored;
+        }
+        accounts_[attempt.account].reserved -= attempt.upper;
+        --reservation_count_;
+        const tokens charged =
+            outcome.verdict == verdict::not_run ? 0 : limited_charge(outcome, attempt.upper);
+        add_unproved(outcome.key, attempt.account, outcome.agent, charged);
+        attempt.upper = 0;
+        attempt.batch = last_batch_ + 1;
+        return settle_outcome::settled;
+    }
+    const auto* entry = find(outcome.key);
+    const bool repeated = entry != nullptr && entry->finished && entry->agent == outcome.agent;
+    if (!repeated && outcome.verdict != verdict::not_run) {
+        log(events::unexpected_outcome, {{"workspace", outcome.key.workspace},
+                                         {"key", outcome.key.key},
+                                         {"agent", to_string(outcome.agent)},
+                                         {"charged", outcome.charged}});
+    }
+    return settle_outcome::ignored;
+}
+
+bool grant_holder::release(const request_key& key)
+{
+    const auto found = requests_.find(key);
+    if (found == requests_.end() || found->second.finished) {
+        return false;
+    }
+    accounts_[found->second.account].reserved -= found->second.upper;
+    --reservation_count_;
+    take_out(found);
+    return true;
+}
+
+void grant_holder::agent_gone(const incarnation& agent)
+{
+    for (auto entry = requests_.begin(); entry != requests_.end();) {
+        const auto current = entry++;
+        const auto& request = current->second;
+        if (!request.finished && request.agent == agent) {
+            accounts_[request.account].reserved -= request.upper;
+            --reservation_count_;
+            add_unproved(current->first, request.account, agent, request.upper);
+            take_out(current);
+        }
+    }
+    std::erase_if(other_attempts_, [&](const auto& item) {
+        const auto& attempt = item.second;
+        if (attempt.agent != agent) {
+            return false;
+        }
+        if (attempt.batch == 0) {
+            accounts_[attempt.account].reserved -= attempt.upper;
+            --reservation_count_;
+            add_unproved(item.first, attempt.account, agent, attempt.upper);
+        }
+        return true;
+    });
+}
+
+bool grant_holder::is_durable(const request::outcome& outcome) const
+{
+    const auto [first, last] = other_attempts_.equal_range(outcome.key);
+    const auto other = std::find_if(
+        first, last, [&](const auto& item) { return item.second.agent == outcome.agent; });
+    if (other != last) {
+        return other->second.batch != 0 && other->second.batch <= durable_batch_;
+    }
+    const auto* entry = find(outcome.key);
+    if (entry == nullptr || entry->agent != outcome.agent) {
+        return true;
+    }
+    return entry->finished && entry->batch <= durable_batch_;
+}
+
+std::vector<std::pair<request_key, incarnation>>
+grant_holder::reserved_before(milliseconds time, std::size_t limit) const
+{
+    std::vector<std::pair<request_key, incarnation>> result;
+    for (const auto& [key, entry] : requests_) {
+        if (result.size() >= limit) {
+            break;
+        }
+        if (!entry.finished && entry.since < time) {
+            result.emplace_back(key, entry.agent);
+        }
+    }
+    return result;
+}
+
+void grant_holder::confirm(const request_key& key, milliseconds now)
+{
+    const auto found = requests_.find(key);
+    if (found != requests_.end()) {
+        found->second.since = now;
+    }
+}
+
+bool grant_holder::has_open_lines() const
+{
+    return line_count_ > 0 || !unproved_.empty();
+}
+
+std::optional<bill_batch> grant_holder::seal(std::uint32_t shard, const incarnation& self)
+{
+    if (!has_open_lines()) {
+        return std::nullopt;
+    }
+    const auto taken = std::min(line_count_, options_.lines_per_batch);
+    const auto end = lines_.begin() + static_cast<std::ptrdiff_t>(taken);
+    bill_batch result{.shard = shard,
+                      .holder = self,
+                      .number = ++last_batch_,
+                      .lines = {lines_.begin(), end},
+                      .unproved = std::move(unproved_)};
+    unproved_.clear();
+    std::rotate(lines_.begin(), end, lines_.begin() + static_cast<std::ptrdiff_t>(line_count_));
+    line_count_ -= taken;
+    return result;
+}
+
+void grant_holder::mark_durable(std::uint64_t batch)
+{
+    durable_batch_ = batch;
+    std::erase_if(other_attempts_, [&](const auto& item) {
+        return item.second.batch != 0 && item.second.batch <= durable_batch_;
+    });
+}
+
+tokens grant_holder::total_reserved() const
+{
+    tokens result = 0;
+    for (const auto& owner : accounts_) {
+        result += owner.reserved;
+    }
+    return result;
+}
+
+} // namespace dotterelport::budget
--- /dev/null
+++ b/src/dotterelport/budget/sizing.cpp
@@ -0,0 +1,83 @@
+#include "dotterelport/budget/sizing.hpp"
+
+#include <algorithm>
+#include <chrono>
+
+namespace dotterelport::budget {
+namespace {
+
+using seconds = std::chrono::duration<double>;
+
+tokens target(const equal_split& policy, const sizing_input& input)
+{
+    const auto holders = static_cast<tokens>(std::max<std::size_t>(1, policy.holders));
+    return input.prepaid / holders - input.accounted;
+}
+
+tokens target(const demand_share& policy, const sizing_input& input)
+{
+    const double horizon = seconds(policy.horizon).count() +
+                           seconds(input.platform_trouble).count() * policy.trouble_factor;
+    const tokens largest = std::max(input.largest_request, policy.assumed_request);
+    const double wanted =
+        input.tokens_per_second * horizon + static_cast<double>(largest) * policy.reserve_requests;
+    const auto remaining = static_cast<double>(input.remaining);
+    const double near_end = static_cast<double>(input.prepaid) * policy.near_end;
+    const double factor =
+        near_end > 0 ? std::clamp(remaining / near_end, policy.least_factor, 1.0) : 1.0;
+    const double share = policy.largest_share * factor /
+                         static_cast<double>(std::max<std::size_t>(1, input.failure_domains));
+    return input.reserved + static_cast<tokens>(std::min(wanted, remaining * share));
+}
+
+} // namespace
+
+demand_share thin_budgets()
+{
+    return {.horizon = milliseconds{2'000},
+            .trouble_factor = 1.0,
+            .reserve_requests = 2.0,
+            .largest_share = 0.6,
+            .near_end = 0.2,
+            .least_factor = 0.2,
+            .assumed_request = 0,
+            .open_early = false,
+            .idle_limit = milliseconds{120'000}};
+}
+
+demand_share small_requests()
+{
+    return {.horizon = milliseconds{30'000},
+            .trouble_factor = 3.0,
+            .reserve_requests = 16.0,
+            .largest_share = 0.9,
+            .near_end = 0.05,
+            .least_factor = 0.25,
+            .assumed_request = 1'000,
+            .open_early = true,
+            .idle_limit = milliseconds{3'600'000}};
+}
+
+tokens target_open(const sizing_policy& policy, const sizing_input& input)
+{
+    return std::visit([&](const auto& chosen) { return target(chosen, input); }, policy);
+}
+
+milliseconds idle_limit(const sizing_policy& policy)
+{
+    const auto* chosen = std::get_if<demand_share>(&policy);
+    return chosen == nullptr ? milliseconds::max() : chosen->idle_limit;
+}
+
+bool opens_early(const sizing_policy& policy)
+{
+    const auto* chosen = std::get_if<demand_share>(&policy);
+    return chosen == nullptr || chosen->open_early;
+}
+
+bool moves_tokens(const sizing_policy& policy)
+{
+    return std::holds_alternative<demand_share>(policy);
+}
+
+} // namespace dotterelport::budget
