--- /dev/null
+++ b/src/dotterelport/standin/run_counters.hpp
@@ -0,0 +1,36 @@
+#ifndef DOTTERELPORT_STANDIN_RUN_COUNTERS_HPP
+#define DOTTERELPORT_STANDIN_RUN_COUNTERS_HPP
+
+#include <cstdint>
+#include <string>
+#include <unordered_map>
+
+#include "dotterelport/base/json.hpp"
+#include "dotterelport/base/tokens.hpp"
+
+namespace dotterelport::standin {
+
+/// What a stand-in truly ran, by request key, so that tests can compare it with bills and verdicts.
+class run_counters {
+public:
+    struct entry {
+        std::uint64_t runs = 0;
+        std::uint64_t finished = 0;
+        std::uint64_t cancelled = 0;
+        tokens prompt_tokens = 0;
+        tokens completion_tokens = 0;
+    };
+
+    /// @brief Entry of a key; created if absent.
+    entry& of(const std::string& key) { return entries_[key]; }
+
+    /// @brief Form of GET /standin/counters.
+    [[nodiscard]] json to_json() const;
+
+private:
+    std::unordered_map<std::string, entry> entries_;
+};
+
+} // namespace dotterelport::standin
+
+#endif
