--- a/src/dotterelport/router/agent_pool.cpp
+++ b/src/dotterelport/router/agent_pool.cpp
@@ -69,7 +69,10 @@
             best_rank = rank;
         }
     }
-    return best == nullptr ? std::nullopt : std::optional(best->record);
+    if (best == nullptr) {
+        return std::nullopt;
+    }
+    return best->record;
 }
 
 agent_pool::lease agent_pool::begin(const incarnation& agent)
--- a/src/dotterelport/router/crash_guard.cpp
+++ b/src/dotterelport/router/crash_guard.cpp
@@ -19,10 +19,11 @@
 void crash_guard::serve(net::rpc_server& server)
 {
     server.add("crash_report", [this](const json& parameters) {
-        const request_key key{parameters.at("workspace").get<std::string>(),
-                              parameters.at("key").get<std::string>()};
-        const auto& known = note(parameters.at("digest").get<std::string>(), key,
-                                 parameters.at("agent").get<std::string>());
+        const auto& known = note({parameters.at("digest").get<std::string>(),
+                                  {parameters.at("workspace").get<std::string>(),
+                                   parameters.at("key").get<std::string>()},
+                                  parameters.value("attempt", 1U),
+                                  parameters.at("agent").get<std::string>()});
         return json{{"crashes", known.crashes}};
     });
 }
@@ -61,19 +62,23 @@
     return found != records_.end() && found->second.keys.contains(key);
 }
 
-crash_guard::record& crash_guard::note(const std::string& digest, const request_key& key,
-                                       const std::string& agent)
+crash_guard::record& crash_guard::note(const crash& seen)
 {
-    auto& known = records_[digest];
-    known.keys.insert(key);
+    auto& known = records_[seen.digest];
+    known.keys.insert(seen.key);
+    const std::string identity =
+        json::array({seen.agent, seen.key.workspace, seen.key.key, seen.attempt}).dump();
+    if (!known.reports.insert(identity).second) {
+        return known;
+    }
     const auto now = steady_now();
-    const auto last = known.last_crash.find(agent);
+    const auto last = known.last_crash.find(seen.agent);
     if (last == known.last_crash.end() || now - last->second > same_crash_window) {
         ++known.crashes;
-        known.last_crash[agent] = now;
+        known.last_crash[seen.agent] = now;
     }
     if (known.crashes >= crash_limit) {
-        store(digest, known);
+        store(seen.digest, known);
     }
     return known;
 }
@@ -93,20 +98,20 @@
                             [](const platform::write_result&) {});
 }
 
-void crash_guard::report(const std::string& digest, const request_key& key,
-                         const incarnation& agent, std::function<void()> done)
+void crash_guard::report(const crash& seen, std::function<void()> done)
 {
-    note(digest, key, to_string(agent));
+    note(seen);
     const auto routers = context_.other_routers();
     if (routers.empty()) {
         done();
         return;
     }
     auto waiting = std::make_shared<std::size_t>(routers.size());
-    const json parameters = {{"digest", digest},
-                             {"workspace", key.workspace},
-                             {"key", key.key},
-                             {"agent", to_string(agent)}};
+    const json parameters = {{"digest", seen.digest},
+                             {"workspace", seen.key.workspace},
+                             {"key", seen.key.key},
+                             {"attempt", seen.attempt},
+                             {"agent", seen.agent}};
     for (const auto& router : routers) {
         context_.rpc.call(router, "crash_report", parameters, report_timeout,
                           [waiting, done](const net::rpc_result&) {
--- a/src/dotterelport/router/crash_guard.hpp
+++ b/src/dotterelport/router/crash_guard.hpp
@@ -15,6 +15,16 @@
 
 namespace dotterelport::router {
 
+/// A backend server that went down while it ran a request.
+struct crash {
+    /// Hash of the content.
+    std::string digest;
+    request_key key;
+    std::uint32_t attempt = 1;
+    /// Agent incarnation beside the backend server.
+    std::string agent;
+};
+
 /// Keeps contents that crash backend servers away from further ones: counts crashes by content
 /// digest, tells the other routers, and stores quarantined digests in the platform.
 class crash_guard {
@@ -45,21 +55,22 @@
     /// @brief Counts a crash and tells the other routers.
     /// @param done called once they have answered or the time for it has passed, so that a retry
     /// finds them informed
-    void report(const std::string& digest, const request_key& key, const incarnation& agent,
-                std::function<void()> done);
+    void report(const crash& seen, std::function<void()> done);
 
     [[nodiscard]] json dump() const;
 
 private:
     struct record {
         std::size_t crashes = 0;
+        /// Crashes reported so far, so that a report that arrives twice counts once.
+        std::set<std::string> reports;
         /// Time of the last crash that was counted, by agent incarnation.
         std::map<std::string, milliseconds> last_crash;
         std::set<request_key> keys;
         bool stored = false;
     };
 
-    record& note(const std::string& digest, const request_key& key, const std::string& agent);
+    record& note(const crash& seen);
     void store(const std::string& digest, record& value);
 
     context context_;
--- a/src/dotterelport/router/failure_policy.cpp
+++ b/src/dotterelport/router/failure_policy.cpp
@@ -15,7 +15,7 @@
     {failure_reason::wrong_incarnation, error_code::backend_error, true, true, false},
     {failure_reason::quarantined, error_code::quarantined, false, false, false},
     {failure_reason::busy, error_code::busy, true, false, false},
-    {failure_reason::refused_key, error_code::backend_error, true, true, false},
+    {failure_reason::refused_key, error_code::backend_error, true, true, true},
     {failure_reason::unknown_key, error_code::replay_gone, false, false, false},
     {failure_reason::replay_gone, error_code::replay_gone, false, false, false},
     {failure_reason::backend_unreachable, error_code::backend_error, true, false, false},
--- a/src/dotterelport/router/request_run.cpp
+++ b/src/dotterelport/router/request_run.cpp
@@ -238,7 +238,7 @@
         retry_or_fail(agent, failure);
         return;
     }
-    context_.crashes.report(job_.digest, job_.key, agent.id,
+    context_.crashes.report({job_.digest, job_.key, failure.attempt, to_string(agent.id)},
                             [self = shared_from_this(), agent, failure] {
                                 if (!self->finished_) {
                                     self->retry_or_fail(agent, failure);
