Print the counters of the stand-ins as they exit

Cause: the fault run compares bills with what engines ran, also in processes that it ended. Change: standin-engine and standin-service print their counters at the end.

--- a/scripts/fleet/checks.py
+++ b/scripts/fleet/checks.py
@@ -38,7 +38,7 @@
         status, text = http("GET", node.backend_server, "/standin/counters")
         live = [json.loads(text)] if status == 200 else []
         for counters in live + list(printed_counters(fleet, node)):
-            for key, entry in counters.get("requests", {}).items():
+            for key, entry in counters.get("keys", {}).items():
                 for name, value in entry.items():
                     merged[key][name] += value
     return merged
--- a/scripts/fleet/faults.py
+++ b/scripts/fleet/faults.py
@@ -140,7 +140,7 @@
         return json.loads(text) if status == 200 else {}
 
     def runs_at(self, node):
-        return sum(entry["runs"] for entry in self.counters(node).get("requests", {}).values())
+        return sum(entry["runs"] for entry in self.counters(node).get("keys", {}).values())
 
     async def kill_engine(self):
         """Ends a backend server at once. The stand-in prints its counters as it exits."""
--- a/src/programs/standin-engine.cpp
+++ b/src/programs/standin-engine.cpp
@@ -61,11 +61,19 @@
     configure_logging("-", verbose.getValue() ? severity::debug : severity::info, "standin-engine");
     net::event_loop loop;
     standin::engine engine(loop, options);
-    engine.on_crash([] { std::_Exit(EXIT_FAILURE); });
+    // Printed at every end but SIGKILL, so that a test can count what ran in earlier processes.
+    const auto print_counters = [&] {
+        std::cout << json{{"counters", engine.counters().to_json()}} << std::endl;
+    };
+    engine.on_crash([&] {
+        print_counters();
+        std::_Exit(EXIT_FAILURE);
+    });
     const auto address = engine.listen(net::parse_endpoint(listen.getValue()));
     log(standin::events::standin_listening, {{"address", to_string(address)}});
     loop.on_terminate([&] { loop.stop(); });
     loop.run();
+    print_counters();
     return EXIT_SUCCESS;
 }
 
--- a/src/programs/standin-service.cpp
+++ b/src/programs/standin-service.cpp
@@ -31,11 +31,19 @@
                       "standin-service");
     net::event_loop loop;
     standin::service service(loop, options);
-    service.on_crash([] { std::_Exit(EXIT_FAILURE); });
+    // Printed at every end but SIGKILL, so that a test can count what ran in earlier processes.
+    const auto print_counters = [&] {
+        std::cout << json{{"counters", service.counters().to_json()}} << std::endl;
+    };
+    service.on_crash([&] {
+        print_counters();
+        std::_Exit(EXIT_FAILURE);
+    });
     const auto address = service.listen(net::parse_endpoint(listen.getValue()));
     log(standin::events::standin_listening, {{"address", to_string(address)}});
     loop.on_terminate([&] { loop.stop(); });
     loop.run();
+    print_counters();
     return EXIT_SUCCESS;
 }
 
