Add the stand-ins for the platform and for links between failure domains

Cause: the failures to survive include outages, slow periods and lost answers of the platform and partitions between failure domains, which must be produced on loopback. Change: HTTP server of the platform API with rate limits, faults, counters and a lagging VM list; TCP relay whose links can be refused, swallowed or frozen; http_response::abort() before the start of an answer now closes the connection instead of answering 500, so that a lost answer can be shown.

--- a/src/dotterelport/net/http_server.cpp
+++ b/src/dotterelport/net/http_server.cpp
@@ -168,10 +168,6 @@
     if (!is_open() || native_->final_sent) {
         return;
     }
-    if (!native_->started) {
-        send(500, {}, "");
-        return;
-    }
     if (native_->may_send) {
         native_->finished = true;
         native_->final_sent = true;
@@ -180,6 +176,10 @@
     }
     auto* socket = native_->request->conn->callbacks->get_socket(native_->request->conn);
     ::shutdown(h2o_socket_get_fd(socket), SHUT_RDWR);
+    if (!native_->started) {
+        // h2o frees the request after this answer has failed on the closed socket.
+        send(500, {}, "");
+    }
 }
 
 bool http_response::is_open() const
--- a/src/dotterelport/net/net_test.cpp
+++ b/src/dotterelport/net/net_test.cpp
@@ -92,6 +92,8 @@
 {
     fixture net;
     net.server.route("GET", "/silent", [](const http_request&, const auto&) {});
+    net.server.route("GET", "/dropped",
+                     [](const http_request&, const auto& response) { response->abort(); });
     net.server.route("GET", "/cut", [&](const http_request&, const auto& response) {
         response->start(200, {});
         response->write("half");
@@ -103,9 +105,9 @@
         bool listening;
         failure_stage stage;
     };
-    const auto [path, listening, stage] = GENERATE(row{"/x", false, failure_stage::connect},
-                                                   row{"/silent", true, failure_stage::sent},
-                                                   row{"/cut", true, failure_stage::answering});
+    const auto [path, listening, stage] = GENERATE(
+        row{"/x", false, failure_stage::connect}, row{"/silent", true, failure_stage::sent},
+        row{"/dropped", true, failure_stage::sent}, row{"/cut", true, failure_stage::answering});
     const endpoint to = listening ? net.address : endpoint{"127.0.0.1", 1};
     const auto answer = net.fetch({.to = to, .path = path, .answer_timeout = milliseconds{200}});
     CHECK(answer.failed());
--- /dev/null
+++ b/src/dotterelport/standin/platform_server.hpp
@@ -0,0 +1,100 @@
+#ifndef DOTTERELPORT_STANDIN_PLATFORM_SERVER_HPP
+#define DOTTERELPORT_STANDIN_PLATFORM_SERVER_HPP
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "dotterelport/net/http_server.hpp"
+#include "dotterelport/platform/store.hpp"
+#include "dotterelport/standin/call_counters.hpp"
+#include "dotterelport/standin/token_bucket.hpp"
+#include "dotterelport/standin/vm_list.hpp"
+
+namespace dotterelport::standin {
+
+/// Faults that the stand-in for the platform shows on request.
+struct platform_faults {
+    /// Every call is answered with 503.
+    bool outage = false;
+    /// Delay before each call takes effect.
+    milliseconds slow{0};
+    /// Number of writes and removals still to come that take effect while the connection is closed
+    /// without an answer.
+    std::uint64_t lose_answers = 0;
+};
+
+/// Stand-in for the platform: object API with rate limits, faults and counters, and a VM list.
+class platform_server {
+public:
+    struct options {
+        net::endpoint address{"127.0.0.1", 0};
+        double writes_per_second = 500;
+        double reads_per_second = 2'000;
+        /// Time until the VM list shows a change.
+        milliseconds vm_lag{0};
+    };
+
+    platform_server(net::event_loop& loop, const options& settings);
+
+    /// @brief Address that the server listens on.
+    [[nodiscard]] const net::endpoint& address() const { return address_; }
+
+    /// @brief Sets the faults; an outage also ends the waiting watches.
+    void set_faults(const platform_faults& faults);
+
+    [[nodiscard]] platform::store& objects() { return objects_; }
+    [[nodiscard]] vm_list& vms() { return vms_; }
+    [[nodiscard]] const call_counters& counters() const { return counters_; }
+
+private:
+    using response_ptr = std::shared_ptr<net::http_response>;
+
+    /// One call to the API.
+    struct call {
+        call_kind kind;
+        /// Key, or prefix of a listing or watch.
+        std::string key;
+        net::http_request request;
+        response_ptr response;
+    };
+
+    struct waiting_watch {
+        call item;
+        platform::watch_id watch;
+        net::timer_id timer;
+    };
+
+    void add_api_routes();
+    void add_control_routes();
+    void add_call(const std::string& method, const std::string& path, call_kind kind);
+    void accept(const call& item);
+    void execute(const call& item);
+    void answer(const call& item, int status, const json& body);
+    void answer_write(const call& item, const platform::write_result& result);
+    void read(const call& item);
+    void write(const call& item);
+    void remove(const call& item);
+    void list(const call& item);
+    void watch(const call& item);
+    void finish_watch(std::uint64_t id, int status, const json& body);
+    json change_faults(const json& changes);
+    json change_vm(const json& change);
+
+    net::event_loop& loop_;
+    net::http_server server_;
+    platform::store objects_;
+    vm_list vms_;
+    token_bucket writes_;
+    token_bucket reads_;
+    platform_faults faults_;
+    call_counters counters_;
+    std::uint64_t last_watch_ = 0;
+    std::map<std::uint64_t, waiting_watch> watches_;
+    net::endpoint address_;
+};
+
+} // namespace dotterelport::standin
+
+#endif
--- /dev/null
+++ b/src/dotterelport/standin/vm_list.hpp
@@ -0,0 +1,38 @@
+#ifndef DOTTERELPORT_STANDIN_VM_LIST_HPP
+#define DOTTERELPORT_STANDIN_VM_LIST_HPP
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "dotterelport/platform/client.hpp"
+
+namespace dotterelport::standin {
+
+/// The platform's list of VMs, which shows each change only after a lag.
+class vm_list {
+public:
+    explicit vm_list(milliseconds lag) : lag_(lag) {}
+
+    /// @brief Changes the state of a VM.
+    /// @param state nothing if the VM is gone
+    void set(const std::string& vm, std::optional<platform::vm_state> state, milliseconds now);
+
+    /// @brief The list as the platform shows it at a time.
+    platform::vm_listing visible(milliseconds now);
+
+private:
+    struct change {
+        milliseconds visible_at;
+        std::string vm;
+        std::optional<platform::vm_state> state;
+    };
+
+    milliseconds lag_;
+    std::vector<change> pending_;
+    platform::vm_listing shown_{.available = true, .vms = {}};
+};
+
+} // namespace dotterelport::standin
+
+#endif
