--- /dev/null
+++ b/include/dotterelport/request/replay_buffer.hpp
@@ -0,0 +1,94 @@
+#ifndef DOTTERELPORT_REQUEST_REPLAY_BUFFER_HPP
+#define DOTTERELPORT_REQUEST_REPLAY_BUFFER_HPP
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <list>
+#include <string>
+#include <unordered_map>
+
+#include "dotterelport/base/identifiers.hpp"
+
+namespace dotterelport::request {
+
+/// What a reader gets at its position in a stream.
+struct replay_part {
+    enum class status {
+        /// The stream or this part of it is not kept any more.
+        gone,
+        /// The lines are all there is so far.
+        waiting,
+        /// The lines were cut at the size that was asked for.
+        more,
+        /// The lines end with the last frame of the stream.
+        ended,
+    };
+
+    status state = status::gone;
+    /// Formatted frames, each with its line end.
+    std::string lines;
+    /// Position after the lines.
+    std::uint64_t next = 0;
+};
+
+/// Keeps the frames of requests so that readers can join at any position. The memory is bounded: a
+/// stream over its limit loses its first frames, and the oldest finished streams are dropped when
+/// the sum is over the limit.
+class replay_buffer {
+public:
+    struct limits {
+        std::size_t stream_bytes = std::size_t{4} << 20U;
+        std::size_t total_bytes = std::size_t{32} << 20U;
+    };
+
+    replay_buffer() : replay_buffer(limits{}) {}
+    explicit replay_buffer(const limits& bounds) : limits_(bounds) {}
+
+    /// @brief Starts a stream; replaces the finished stream of an earlier attempt.
+    void open(const request_key& key);
+
+    /// @brief Appends the next chunk frame.
+    /// @param line formatted frame without line end
+    void append(const request_key& key, const std::string& line);
+
+    /// @brief Ends a stream with its last frame, which has no position of its own.
+    void finish(const request_key& key, const std::string& line);
+
+    /// @brief Reads from a position.
+    /// @param max_bytes size after which the part is cut, between frames
+    [[nodiscard]] replay_part read(const request_key& key, std::uint64_t position,
+                                   std::size_t max_bytes) const;
+
+    /// @brief Position of the next chunk of a stream, 0 if the stream is not kept.
+    [[nodiscard]] std::uint64_t end_position(const request_key& key) const;
+
+    [[nodiscard]] std::size_t bytes() const { return bytes_; }
+    [[nodiscard]] std::size_t streams() const { return streams_.size(); }
+    /// @brief Tells whether the running streams alone take up the memory.
+    [[nodiscard]] bool is_full() const { return bytes_ >= limits_.total_bytes; }
+
+private:
+    struct stream {
+        std::deque<std::string> frames;
+        std::uint64_t first_position = 0;
+        std::size_t bytes = 0;
+        bool is_finished = false;
+        std::string last_frame;
+        std::list<request_key>::iterator order;
+    };
+
+    void add_bytes(stream& item, std::size_t count);
+    void drop(const request_key& key);
+    void drop_finished();
+
+    limits limits_;
+    std::unordered_map<request_key, stream> streams_;
+    /// Finished streams, the oldest first.
+    std::list<request_key> finished_;
+    std::size_t bytes_ = 0;
+};
+
+} // namespace dotterelport::request
+
+#endif
--- /dev/null
+++ b/src/dotterelport/request/retry_budget.cpp
@@ -0,0 +1,31 @@
+#include "dotterelport/request/retry_budget.hpp"
+
+#include <algorithm>
+
+namespace dotterelport::request {
+
+void retry_budget::note_first_attempt()
+{
+    saved_ = std::min(saved_ + settings_.share, settings_.max_saved);
+}
+
+bool retry_budget::try_retry()
+{
+    if (saved_ < 1.0) {
+        return false;
+    }
+    saved_ -= 1.0;
+    return true;
+}
+
+milliseconds retry_budget::delay(std::uint32_t retry, std::mt19937_64& generator) const
+{
+    // Doubling beyond this reaches max_delay for any base_delay of at least 1 ms.
+    constexpr std::uint32_t max_doublings = 16;
+    const std::uint32_t doublings = std::min(std::max(retry, 1U) - 1, max_doublings);
+    const auto step = std::min<std::int64_t>(settings_.base_delay.count() << doublings,
+                                             settings_.max_delay.count());
+    return milliseconds{std::uniform_int_distribution<std::int64_t>(step / 2, step)(generator)};
+}
+
+} // namespace dotterelport::request
