--- a/examples/budget.cpp
+++ b/examples/budget.cpp
@@ -1,50 +1,22 @@
 // Two processes share one prepaid budget through an object store. Here both live in one program
-// and the store is a map; a real program would use its platform's conditional writes.
+// and the store is in memory; a real program would use its platform's conditional writes.
 
 #include <iostream>
-#include <map>
 #include <string>
 
 #include "dotterelport/budget/shared_budgets.hpp"
+#include "dotterelport/platform/store.hpp"
 
 using namespace dotterelport;
 
 namespace {
 
-/// Object store with conditional writes.
-class memory_store {
-public:
-    budget::object_store functions()
-    {
-        return {.read = [this](const std::string& key) { return read(key); },
-                .write = [this](const std::string& key, const std::string& value,
-                                platform::version at) { return write(key, value, at); }};
-    }
-
-private:
-    platform::read_result read(const std::string& key)
-    {
-        const auto found = objects_.find(key);
-        if (found == objects_.end()) {
-            return {.status = platform::read_status::absent, .value = {}};
-        }
-        return {.status = platform::read_status::found, .value = found->second};
-    }
-
-    platform::write_result write(const std::string& key, const std::string& value,
-                                 platform::version if_version)
-    {
-        auto& object = objects_[key];
-        if (object.at != if_version) {
-            return {.status = platform::write_status::conflict, .at = object.at};
-        }
-        object = {.key = key, .at = ++revision_, .value = value};
-        return {.status = platform::write_status::applied, .at = object.at};
-    }
-
-    std::map<std::string, platform::object> objects_;
-    platform::version revision_ = 0;
-};
+budget::object_store functions_of(platform::store& store)
+{
+    return {.read = [&store](const std::string& key) { return store.read(key); },
+            .write = [&store](const std::string& key, const std::string& value,
+                              platform::version at) { return store.write(key, value, at); }};
+}
 
 /// Runs one request and tells whether it was allowed.
 bool run_request(budget::shared_budgets& process, int number, milliseconds now)
@@ -77,9 +49,9 @@
 int main()
 {
     constexpr tokens prepaid = 10'000;
-    memory_store store;
-    budget::shared_budgets first(store.functions(), 0, {"first", 1}, budget::thin_budgets());
-    budget::shared_budgets second(store.functions(), 0, {"second", 1}, budget::thin_budgets());
+    platform::store store;
+    budget::shared_budgets first(functions_of(store), 0, {"first", 1}, budget::thin_budgets());
+    budget::shared_budgets second(functions_of(store), 0, {"second", 1}, budget::thin_budgets());
     first.declare({.generation = 1, .budgets = {{"depot", "depot-main", prepaid}}},
                   milliseconds{0});
 
