Serve chat completions, models and idempotent calls in the router

Cause: callers need the chat-completions protocol, checked requests, and answers that survive broken connections to agents. Change: stages that check a request, one run per request (choice, reservation, admission, relay with joins and verdict-driven retries), crash counting, the daemon's wiring with drain and status polls. Conclusion: the common path is complete but for bookings; the daemon is compiled and not run.

--- a/src/dotterelport/router/answer.cpp
+++ b/src/dotterelport/router/answer.cpp
@@ -52,18 +52,25 @@
     context.response->write(net::format_sse(data.dump()));
 }
 
+bool is_whole_in_each_chunk(std::string_view name)
+{
+    return name == "role" || name == "index" || name == "id" || name == "type";
+}
+
 /// Text of later chunks is appended; other fields are replaced.
 void merge_fields(json& target, const json& delta)
 {
     for (const auto& [name, value] : delta.items()) {
-        if (name == "role" || name == "index" || name == "id" || name == "type") {
-            target[name] = value;
-        } else if (value.is_string() && target.contains(name) && target[name].is_string()) {
-            target[name].get_ref<std::string&>() += value.get_ref<const std::string&>();
-        } else if (value.is_object() && target.contains(name) && target[name].is_object()) {
-            merge_fields(target[name], value);
-        } else if (!value.is_null()) {
-            target[name] = value;
+        if (value.is_null()) {
+            continue;
+        }
+        json& present = target[name];
+        if (present.is_string() && value.is_string() && !is_whole_in_each_chunk(name)) {
+            present.get_ref<std::string&>() += value.get_ref<const std::string&>();
+        } else if (present.is_object() && value.is_object()) {
+            merge_fields(present, value);
+        } else {
+            present = value;
         }
     }
 }
--- a/src/dotterelport/router/crash_guard.cpp
+++ b/src/dotterelport/router/crash_guard.cpp
@@ -98,7 +98,7 @@
                             [](const platform::write_result&) {});
 }
 
-void crash_guard::report(const crash& seen, std::function<void()> done)
+void crash_guard::report(const crash& seen, const std::function<void()>& done)
 {
     note(seen);
     const auto routers = context_.other_routers();
--- a/src/dotterelport/router/crash_guard.hpp
+++ b/src/dotterelport/router/crash_guard.hpp
@@ -55,7 +55,7 @@
     /// @brief Counts a crash and tells the other routers.
     /// @param done called once they have answered or the time for it has passed, so that a retry
     /// finds them informed
-    void report(const crash& seen, std::function<void()> done);
+    void report(const crash& seen, const std::function<void()>& done);
 
     [[nodiscard]] json dump() const;
 
--- /dev/null
+++ b/src/dotterelport/router/node_poller.cpp
@@ -0,0 +1,60 @@
+#include "node_poller.hpp"
+
+#include "events.hpp"
+
+namespace dotterelport::router {
+namespace {
+
+/// One agent is asked each time, 10 a second at most. With about 700 bytes for a status this keeps
+/// the polls of a router below the limit of 9 KB/s for control traffic, however many agents its
+/// failure domain has.
+constexpr milliseconds agent_poll_interval{100};
+constexpr std::size_t agents_per_poll = 1;
+
+constexpr milliseconds router_poll_interval{1'000};
+constexpr milliseconds status_timeout{1'000};
+
+} // namespace
+
+node_poller::node_poller(net::event_loop& loop, net::rpc_client& rpc, membership::directory& nodes,
+                         agent_pool& agents)
+    : rpc_(rpc), nodes_(nodes), agents_(agents),
+      agents_timer_(loop, agent_poll_interval, [this] { poll_agents(); }),
+      routers_timer_(loop, router_poll_interval, [this] {
+          // Nodes fall silent by the passing of time alone, which the directory does not announce.
+          agents_.update(nodes_.live_nodes(membership::node_role::agent));
+          for (const auto& router : nodes_.routers_to_probe()) {
+              poll(router);
+          }
+      })
+{}
+
+void node_poller::poll_agents()
+{
+    for (const auto& agent : agents_.due_for_status(steady_now(), agents_per_poll)) {
+        poll(agent);
+    }
+}
+
+void node_poller::poll(const membership::node_record& node)
+{
+    rpc_.call(node.peers, "status", json::object(), status_timeout,
+              [this, node](const net::rpc_result& result) { take_status(node, result); });
+}
+
+void node_poller::take_status(const membership::node_record& node, const net::rpc_result& result)
+{
+    nodes_.report_contact(node.id.node, result.ok());
+    if (!result.ok() || !result.value.is_object()) {
+        return;
+    }
+    agents_.take_status(node.id, result.value);
+    if (result.value.value("leaving", false) &&
+        result.value.value("incarnation", to_string(node.id)) == to_string(node.id)) {
+        log(events::agent_leaving, {{"agent", to_string(node.id)}});
+        agents_.mark_leaving(node.id);
+        nodes_.report_leaving(node.id.node);
+    }
+}
+
+} // namespace dotterelport::router
--- /dev/null
+++ b/src/dotterelport/router/router_daemon.cpp
@@ -0,0 +1,241 @@
+#include "router_daemon.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "events.hpp"
+
+namespace dotterelport::router {
+namespace {
+
+constexpr std::size_t remembered_keys = 16'384;
+
+/// Routers of a failure domain that watch the platform's manifest; the others ask them.
+constexpr int watchers_per_domain = 2;
+constexpr std::string_view watcher_choice_key = "config/manifest";
+
+constexpr milliseconds drain_poll_interval{50};
+
+/// Limit for giving back grants when the platform does not answer.
+constexpr milliseconds grant_return_limit{15'000};
+
+/// Limit for writing the last state of this node's record.
+constexpr milliseconds record_limit{3'000};
+
+membership::node_record own_record(const process::settings& settings)
+{
+    membership::node_record record;
+    record.id.node = settings.name;
+    record.role = membership::node_role::router;
+    record.vm = settings.vm;
+    record.region = settings.region;
+    record.failure_domain = settings.failure_domain;
+    record.peers = settings.peers;
+    return record;
+}
+
+/// Runs a function once, however many of its copies are called.
+std::function<void()> once(std::function<void()> function)
+{
+    auto shared = std::make_shared<std::function<void()>>(std::move(function));
+    return [shared] {
+        if (const auto call = std::exchange(*shared, nullptr)) {
+            call();
+        }
+    };
+}
+
+} // namespace
+
+router_daemon::router_daemon(net::event_loop& loop, const process::settings& settings)
+    : loop_(loop), settings_(settings), http_(loop, settings.overrides), rpc_(http_),
+      platform_(http_, settings.platform), nodes_(loop, platform_, own_record(settings)),
+      configuration_(loop, platform_, rpc_,
+                     {.is_watcher = [this] { return watches_platform(); },
+                      .routers = [this] { return routers_of_own_domain(); }}),
+      budgets_({loop, platform_, rpc_, nodes_, configuration_}), agents_(settings.failure_domain),
+      crashes_({rpc_, platform_, [this] { return other_routers(); }}), recent_(remembered_keys),
+      random_(std::random_device{}()),
+      operators_(loop, {.address = settings.operators,
+                        .not_ready_reason = [this] { return not_ready_reason(); },
+                        .dump = [this] { return dump(); }}),
+      metrics_(operators_.metrics()), dispatch_(make_dispatch()),
+      callers_({dispatch_, metrics_, [this] { return not_ready_reason(); }}), peers_(loop),
+      peers_rpc_(peers_), poller_(loop, rpc_, nodes_, agents_)
+{
+    peers_rpc_.add("status", [this](const json&) { return status(); });
+    configuration_.serve(peers_rpc_);
+    budgets_.serve(peers_rpc_);
+    crashes_.serve(peers_rpc_);
+    peers_.listen(settings_.peers);
+    callers_.listen(settings_.callers.value());
+    nodes_.start(
+        [this] {
+            crashes_.load();
+            note_ready();
+        },
+        [this] { agents_.update(nodes_.live_nodes(membership::node_role::agent)); });
+    configuration_.start([this](const config::snapshot_ptr&) { note_ready(); });
+}
+
+router_daemon::~router_daemon() = default;
+
+dispatch_context router_daemon::make_dispatch()
+{
+    return {
+        .loop = loop_,
+        .http = http_,
+        .rpc = rpc_,
+        .platform = platform_,
+        .agents = agents_,
+        .crashes = crashes_,
+        .recent = recent_,
+        .random = random_,
+        .configuration = [this] { return configuration_.current(); },
+        .refresh_configuration =
+            [this] { configuration_.hint(configuration_.current()->generation() + 1); },
+        .reserve = [this](const reserve_request& request,
+                          auto done) { budgets_.reserve(request, std::move(done)); },
+        .release = [this](const request_key& key,
+                          const std::string& budget) { budgets_.release(key, budget); },
+        .is_gone = [this](const incarnation& agent) { return nodes_.is_gone(agent); },
+        .report_contact = [this](const std::string& node,
+                                 bool answered) { nodes_.report_contact(node, answered); },
+        .report_leaving = [this](const std::string& node) { nodes_.report_leaving(node); },
+        .note_first_attempt =
+            [this](const std::string& service) { retries_[service].note_first_attempt(); },
+        .take_retry = [this](const std::string& service) { return take_retry(service); },
+    };
+}
+
+bool router_daemon::take_retry(const std::string& service)
+{
+    const bool taken = retries_[service].try_retry();
+    if (taken) {
+        metrics_.count_retry(service);
+    }
+    return taken;
+}
+
+std::string router_daemon::not_ready_reason() const
+{
+    if (draining_) {
+        return "stopping";
+    }
+    if (!configuration_.current()) {
+        return "the platform has not confirmed a configuration yet";
+    }
+    return nodes_.is_registered() ? "" : "not registered at the platform";
+}
+
+void router_daemon::note_ready()
+{
+    if (!was_ready_ && not_ready_reason().empty()) {
+        was_ready_ = true;
+        log(events::ready, {{"incarnation", to_string(nodes_.self().id)},
+                            {"generation", configuration_.current()->generation()}});
+    }
+}
+
+bool router_daemon::watches_platform() const
+{
+    std::vector<std::string> names{settings_.name};
+    for (const auto& router : nodes_.live_nodes(membership::node_role::router)) {
+        if (router.failure_domain == settings_.failure_domain && router.id.node != settings_.name) {
+            names.push_back(router.id.node);
+        }
+    }
+    for (int i = 0; i < watchers_per_domain; ++i) {
+        const auto chosen = membership::rendezvous(names, watcher_choice_key);
+        if (!chosen) {
+            return false;
+        }
+        if (names[*chosen] == settings_.name) {
+            return true;
+        }
+        names.erase(names.begin() + static_cast<std::ptrdiff_t>(*chosen));
+    }
+    return false;
+}
+
+std::vector<net::endpoint> router_daemon::routers_of_own_domain() const
+{
+    std::vector<net::endpoint> result;
+    for (const auto& router : nodes_.live_nodes(membership::node_role::router)) {
+        if (router.failure_domain == settings_.failure_domain && router.id.node != settings_.name) {
+            result.push_back(router.peers);
+        }
+    }
+    return result;
+}
+
+std::vector<net::endpoint> router_daemon::other_routers() const
+{
+    std::vector<net::endpoint> result;
+    for (const auto& router : nodes_.live_nodes(membership::node_role::router)) {
+        if (router.id.node != settings_.name) {
+            result.push_back(router.peers);
+        }
+    }
+    return result;
+}
+
+json router_daemon::status() const
+{
+    const auto configuration = configuration_.current();
+    return {{"node", settings_.name},
+            {"incarnation", to_string(nodes_.self().id)},
+            {"leaving", draining_},
+            {"generation", configuration ? configuration->generation() : 0},
+            {"requests_in_progress", callers_.requests_in_progress()}};
+}
+
+json router_daemon::dump() const
+{
+    json result = status();
+    result["not_ready_reason"] = not_ready_reason();
+    result["agents"] = agents_.dump();
+    result["quarantine"] = crashes_.dump();
+    result["nodes"] = nodes_.dump();
+    result["budgets"] = budgets_.dump();
+    result["platform_calls"] = platform_.calls();
+    return result;
+}
+
+void router_daemon::drain()
+{
+    if (std::exchange(draining_, true)) {
+        return;
+    }
+    log(events::drain_started, {{"requests", callers_.requests_in_progress()}});
+    drain_until_ = steady_now() + settings_.drain_timeout;
+    callers_.stop();
+    nodes_.set_state(membership::node_state::leaving, [](bool) {});
+    finish_drain();
+}
+
+void router_daemon::finish_drain()
+{
+    const auto open = callers_.requests_in_progress();
+    if (open > 0 && steady_now() < drain_until_) {
+        loop_.schedule(drain_poll_interval, [this] { finish_drain(); });
+        return;
+    }
+    if (open > 0) {
+        log(events::drain_timeout, {{"requests", open}});
+    }
+    const auto stop_once = once([this] { stop(); });
+    budgets_.drain(stop_once);
+    loop_.schedule(grant_return_limit, stop_once);
+}
+
+void router_daemon::stop()
+{
+    log(events::drained, {{"budgets", budgets_.dump()}});
+    const auto stop_loop = once([this] { loop_.stop(); });
+    // Closing the record is left to the routers that stay: they verify that no grant is open.
+    nodes_.set_state(membership::node_state::leaving, [stop_loop](bool) { stop_loop(); });
+    loop_.schedule(record_limit, stop_loop);
+}
+
+} // namespace dotterelport::router
--- a/src/dotterelport/router/router_fixture.hpp
+++ b/src/dotterelport/router/router_fixture.hpp
@@ -59,7 +59,8 @@
                             const json& body = nullptr, const net::header_list& headers = {});
     net::client_answer call_text(const std::string& method, const std::string& path,
                                  const std::string& body, net::header_list headers);
-    net::client_answer chat(json changes = json::object(), const net::header_list& headers = {});
+    net::client_answer chat(const json& changes = json::object(),
+                            const net::header_list& headers = {});
 
     net::event_loop loop;
     net::http_client http{loop};
--- a/src/dotterelport/router/router_fixture_test.cpp
+++ b/src/dotterelport/router/router_fixture_test.cpp
@@ -10,20 +10,32 @@
 config::document test_document()
 {
     config::document result;
-    config::service model{.name = "coal-llm", .models = {"ember-7b"}, .max_output_tokens = 512};
-    config::service hidden{.name = "lot-llm", .models = {"slate-3b"}, .max_output_tokens = 64};
-    config::service dispatch{.name = "dispatch", .kind = config::service_kind::application};
+    result.services.resize(3);
+    auto& model = result.services[0];
+    model.name = "coal-llm";
+    model.models = {"ember-7b"};
+    model.max_output_tokens = 512;
+    auto& other_model = result.services[1];
+    other_model.name = "lot-llm";
+    other_model.models = {"slate-3b"};
+    other_model.max_output_tokens = 64;
+    auto& dispatch = result.services[2];
+    dispatch.name = "dispatch";
+    dispatch.kind = config::service_kind::application;
     dispatch.tokens_per_call = 1;
     dispatch.routes = {{"POST", "/bookings", false, priority::interactive},
                        {"GET", "/stock/*", true, std::nullopt}};
     dispatch.lookup = "/bookings/{key}";
-    result.services = {model, hidden, dispatch};
-    config::workspace depot{.name = "depot", .services = {"coal-llm", "dispatch"}};
+    result.workspaces.resize(2);
+    auto& depot = result.workspaces[0];
+    depot.name = "depot";
+    depot.services = {"coal-llm", "dispatch"};
     depot.key_hashes = {sha256_hex("depot-key")};
     depot.budgets = {{"depot-main", {"*"}, 200'000}};
-    config::workspace yard{.name = "yard", .services = {"coal-llm"}};
+    auto& yard = result.workspaces[1];
+    yard.name = "yard";
+    yard.services = {"coal-llm"};
     yard.key_hashes = {sha256_hex("yard-key")};
-    result.workspaces = {depot, yard};
     return result;
 }
 
@@ -184,7 +196,7 @@
     return call_text(method, path, body.is_null() ? "" : body.dump(), headers);
 }
 
-net::client_answer router_fixture::chat(json changes, const net::header_list& headers)
+net::client_answer router_fixture::chat(const json& changes, const net::header_list& headers)
 {
     json body = {{"model", "ember-7b"},
                  {"messages", {{{"role", "user"}, {"content", "review the lot"}}}}};
