Book non-idempotent calls through records in the platform

Cause: bookings must run at most once, also when routers, agents or the platform fail between the steps.

--- a/src/dotterelport/router/agent_pool.cpp
+++ b/src/dotterelport/router/agent_pool.cpp
@@ -75,6 +75,17 @@
     return best->record;
 }
 
+std::vector<membership::node_record> agent_pool::agents_of(const std::string& service) const
+{
+    std::vector<membership::node_record> result;
+    for (const auto& [id, entry] : agents_) {
+        if (entry->record.service == service) {
+            result.push_back(entry->record);
+        }
+    }
+    return result;
+}
+
 agent_pool::lease agent_pool::begin(const incarnation& agent)
 {
     const auto found = agents_.find(agent);
--- a/src/dotterelport/router/agent_pool.hpp
+++ b/src/dotterelport/router/agent_pool.hpp
@@ -51,6 +51,9 @@
     [[nodiscard]] std::optional<membership::node_record>
     choose(const std::string& service, const std::set<incarnation>& tried) const;
 
+    /// @brief Live agents of a service.
+    [[nodiscard]] std::vector<membership::node_record> agents_of(const std::string& service) const;
+
     /// @brief Counts a request at an agent until the lease is dropped.
     [[nodiscard]] lease begin(const incarnation& agent);
 
--- a/src/dotterelport/router/callers_server.cpp
+++ b/src/dotterelport/router/callers_server.cpp
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "booking_run.hpp"
+
 namespace dotterelport::router {
 namespace {
 
@@ -80,7 +82,14 @@
 void callers_server::dispatch(job accepted, const response_ptr& response)
 {
     answer reply = make_answer(accepted, response, epoch_seconds());
-    run_idempotent(std::move(accepted), std::move(reply), response);
+    if (accepted.idempotent) {
+        run_idempotent(std::move(accepted), std::move(reply), response);
+        return;
+    }
+    auto finished = begin_request(accepted.service);
+    std::make_shared<booking_run>(context_.dispatch, std::move(accepted), std::move(reply),
+                                  std::move(finished))
+        ->start();
 }
 
 void callers_server::run_idempotent(job accepted, answer reply, const response_ptr& response)
--- a/src/dotterelport/router/intake.cpp
+++ b/src/dotterelport/router/intake.cpp
@@ -211,15 +211,28 @@
     }
 }
 
-std::string fill_lookup(const std::string& pattern, const std::string& key)
+/// Percent-encodes text that must stay one segment of a path.
+std::string encode_segment(const std::string& text)
+{
+    std::string result;
+    for (const char character : net::percent_encode(text)) {
+        result += character == '/' ? "%2F" : std::string(1, character);
+    }
+    return result;
+}
+
+/// Agents give services the key with its workspace before it, so that the keys of two workspaces
+/// cannot meet.
+std::string fill_lookup(const std::string& pattern, const request_key& key)
 {
     constexpr std::string_view placeholder = "{key}";
     const auto position = pattern.find(placeholder);
     if (position == std::string::npos) {
         return pattern;
     }
+    const std::string text = encode_segment(key.workspace) + "%2F" + encode_segment(key.key);
     std::string result = pattern;
-    return result.replace(position, placeholder.size(), net::percent_encode(key));
+    return result.replace(position, placeholder.size(), text);
 }
 
 } // namespace
@@ -300,7 +313,7 @@
     check_text(result.payload);
     result.digest = hash128_hex(json::array({request.method, full_path, request.body}).dump());
     if (!target->lookup.empty()) {
-        result.lookup_path = fill_lookup(target->lookup, result.key.key);
+        result.lookup_path = fill_lookup(target->lookup, result.key);
     }
     return result;
 }
--- a/src/dotterelport/router/request_run.cpp
+++ b/src/dotterelport/router/request_run.cpp
@@ -161,7 +161,7 @@
 void request_run::join_known(const reserve_result& result)
 {
     may_have_run_ = true;
-    if (const auto agent = context_.agents.find(result.agent)) {
+    if (const auto agent = context_.find_agent(result.agent)) {
         admit(*agent, result);
         return;
     }
@@ -180,7 +180,8 @@
     auto reservation = result;
     reservation.agent = agent.id;
     auto admission = make_admission(job_, reservation, configuration->generation());
-    admission.attempt = static_cast<std::uint32_t>(++attempts_);
+    ++attempts_;
+    admission.attempt = ++attempt_number_;
     if (job_.caller_key) {
         context_.recent.note(job_.key, agent.id);
     }
@@ -224,6 +225,7 @@
                    {"verdict", to_string(failure.verdict)},
                    {"message", failure.message}});
     log(events::attempt_failed, fields);
+    attempt_number_ = std::max(attempt_number_, failure.attempt);
     may_have_run_ = may_have_run_ || failure.verdict != verdict::not_run;
     context_.report_contact(agent.id.node, failure.reason != failure_reason::backend_unreachable);
     give_back_if_not_run(failure.verdict);
--- a/src/dotterelport/router/request_run.hpp
+++ b/src/dotterelport/router/request_run.hpp
@@ -37,12 +37,16 @@
     std::function<void(const request_key&, const std::string& budget)> release;
     /// Tells whether an agent incarnation can never run anything again.
     std::function<bool(const incarnation&)> is_gone;
+    /// Record of an agent incarnation, also of one that is leaving; nothing if it is not known.
+    std::function<std::optional<membership::node_record>(const incarnation&)> find_agent;
     std::function<void(const std::string& node, bool answered)> report_contact;
     std::function<void(const std::string& node)> report_leaving;
     /// Counts a first attempt for the retry budget of a service.
     std::function<void(const std::string& service)> note_first_attempt;
     /// Takes a retry from the budget of a service; false if there is none left.
     std::function<bool(const std::string& service)> take_retry;
+    /// Bookings that run in this router.
+    std::set<request_key> open_bookings = {};
 };
 
 /// @brief Fields of an admission that do not change between the attempts of a request.
@@ -90,6 +94,8 @@
     agent_pool::lease lease_;
     std::set<incarnation> tried_;
     int attempts_ = 0;
+    /// Number of the last attempt, this request's own or one that it joined.
+    std::uint32_t attempt_number_ = 0;
     /// This request made the reservation that is open now.
     bool reserved_ = false;
     /// An attempt was sent and not proved "not run".
--- a/src/dotterelport/router/router_daemon.cpp
+++ b/src/dotterelport/router/router_daemon.cpp
@@ -99,6 +99,13 @@
         .release = [this](const request_key& key,
                           const std::string& budget) { budgets_.release(key, budget); },
         .is_gone = [this](const incarnation& agent) { return nodes_.is_gone(agent); },
+        .find_agent = [this](const incarnation& agent) -> std::optional<membership::node_record> {
+            auto record = nodes_.find(agent.node);
+            if (!record || record->id != agent) {
+                return std::nullopt;
+            }
+            return record;
+        },
         .report_contact = [this](const std::string& node,
                                  bool answered) { nodes_.report_contact(node, answered); },
         .report_leaving = [this](const std::string& node) { nodes_.report_leaving(node); },
--- a/src/dotterelport/router/router_fixture.hpp
+++ b/src/dotterelport/router/router_fixture.hpp
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -74,6 +75,7 @@
     std::vector<net::endpoint> other_routers;
     reserve_result reservation;
     std::vector<reserve_request> reservations;
+    std::set<incarnation> gone;
     int released = 0;
     int retries_left = 100;
     int refreshes = 0;
--- a/src/dotterelport/router/router_fixture_test.cpp
+++ b/src/dotterelport/router/router_fixture_test.cpp
@@ -144,7 +144,8 @@
                 loop.post([done, result] { done(result); });
             },
         .release = [this](const auto&, const auto&) { ++released; },
-        .is_gone = [](const auto&) { return false; },
+        .is_gone = [this](const incarnation& agent) { return gone.contains(agent); },
+        .find_agent = [this](const incarnation& agent) { return agents.find(agent); },
         .report_contact = [](const auto&, bool) {},
         .report_leaving = [](const auto&) {},
         .note_first_attempt = [](const auto&) {},
--- /dev/null
+++ b/src/dotterelport/router/service_lookup.cpp
@@ -0,0 +1,122 @@
+#include "service_lookup.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "dotterelport/base/hash.hpp"
+
+namespace dotterelport::router {
+namespace {
+
+constexpr std::size_t max_candidates = 3;
+constexpr milliseconds lookup_limit{3'000};
+constexpr int status_ok = 200;
+
+/// The call that asks about a booking. It costs nothing: the caller did not ask for it.
+job make_lookup(const job& booking, std::mt19937_64& random)
+{
+    job result = booking;
+    result.key.key = "lookup-" + hash128_hex(booking.key.key + std::to_string(random()));
+    result.caller_key = false;
+    result.idempotent = true;
+    result.upper_tokens = 0;
+    result.payload = {{"method", "GET"},
+                      {"path", booking.lookup_path},
+                      {"headers", json::object()},
+                      {"body", ""}};
+    result.digest = hash128_hex(result.payload.dump());
+    result.deadline = steady_now() + lookup_limit;
+    return result;
+}
+
+/// A service may answer 200 in any case and tell by a field "ran".
+bool says_ran(const json& data)
+{
+    if (!data.is_object() || data.value("status", 0) != status_ok) {
+        return false;
+    }
+    const json body = json::parse(data.value("body", std::string()), nullptr, false);
+    return !body.is_object() || body.value("ran", json(true)) != json(false);
+}
+
+} // namespace
+
+service_lookup::service_lookup(dispatch_context& context, const job& booking,
+                               std::function<void(const std::optional<json>&)> done)
+    : context_(context), job_(make_lookup(booking, context.random)), done_(std::move(done))
+{}
+
+void service_lookup::start(const incarnation& former)
+{
+    candidates_ = context_.agents.agents_of(job_.service);
+    std::stable_sort(candidates_.begin(), candidates_.end(),
+                     [&](const auto& left, const auto& right) {
+                         return (left.id.node == former.node) > (right.id.node == former.node);
+                     });
+    candidates_.resize(std::min(candidates_.size(), max_candidates));
+    std::reverse(candidates_.begin(), candidates_.end());
+    ask_next();
+}
+
+void service_lookup::ask_next()
+{
+    if (candidates_.empty()) {
+        finish(std::nullopt);
+        return;
+    }
+    const auto agent = candidates_.back();
+    candidates_.pop_back();
+    const reserve_request request{.key = job_.key,
+                                  .budget = job_.budget,
+                                  .upper_tokens = 0,
+                                  .agent = agent.id,
+                                  .digest = job_.digest,
+                                  .caller_key = false};
+    context_.reserve(request, [self = shared_from_this(), agent](const reserve_result& result) {
+        if (result.status != reserve_status::reserved) {
+            self->finish(std::nullopt);
+            return;
+        }
+        self->send(agent, result);
+    });
+}
+
+void service_lookup::send(const membership::node_record& agent, const reserve_result& reservation)
+{
+    auto admission = make_admission(job_, reservation, context_.configuration()->generation());
+    admission.agent = agent.id;
+    data_ = nullptr;
+    attempt_handler handler;
+    handler.on_chunk = [self = shared_from_this()](const json& data) { self->data_ = data; };
+    handler.on_done = [self = shared_from_this()](const attempt_result& result) {
+        self->take(result);
+    };
+    attempt_ = std::make_shared<agent_attempt>(
+        agent_attempt::context{context_.loop, context_.http, context_.rpc, context_.is_gone},
+        std::move(admission), agent.peers, std::move(handler));
+    attempt_->start();
+}
+
+void service_lookup::take(const attempt_result& result)
+{
+    attempt_ = nullptr;
+    if (std::holds_alternative<request::end_frame>(result) && says_ran(data_)) {
+        finish(data_);
+        return;
+    }
+    const auto* failure = std::get_if<request::error_frame>(&result);
+    if (failure != nullptr && failure->verdict == verdict::not_run) {
+        context_.release(job_.key, job_.budget);
+    }
+    ask_next();
+}
+
+void service_lookup::finish(const std::optional<json>& found)
+{
+    attempt_ = nullptr;
+    if (const auto done = std::exchange(done_, nullptr)) {
+        done(found);
+    }
+}
+
+} // namespace dotterelport::router
