Add the agent without its daemon

Cause: requests need a process beside each backend server that runs them once, keeps their frames and outcomes, and refuses what must not run. Each run has a connection of its own, so that a connect failure proves that nothing was sent.

--- a/include/dotterelport/request/outcome_list.hpp
+++ b/include/dotterelport/request/outcome_list.hpp
@@ -31,7 +31,9 @@
     [[nodiscard]] std::string address_of(const incarnation& holder) const;
 
     /// @brief Oldest outcomes of a holder.
-    [[nodiscard]] batch take(const incarnation& holder, std::size_t max_count) const;
+    /// @param after only outcomes with a higher number
+    [[nodiscard]] batch take(const incarnation& holder, std::size_t max_count,
+                             std::uint64_t after = 0) const;
 
     /// @brief Removes outcomes that are durable.
     /// @param last_number number of the batch that was answered; outcomes of the same keys that
--- /dev/null
+++ b/src/dotterelport/agent/backend.cpp
@@ -0,0 +1,113 @@
+#include "dotterelport/agent/backend.hpp"
+
+#include <utility>
+
+#include "dotterelport/agent/events.hpp"
+
+namespace dotterelport::agent {
+namespace {
+
+/// A process that ends closes its connections and its port one after the other.
+constexpr milliseconds probe_delay{20};
+constexpr milliseconds probe_timeout{1'000};
+
+} // namespace
+
+backend::run_entry::run_entry(request::request_kind kind, handler end_functions)
+    : functions(std::move(end_functions))
+{
+    if (kind == request::request_kind::chat) {
+        reader.emplace(std::in_place_type<chat_answer>, functions.on_chunk);
+    } else {
+        reader.emplace(std::in_place_type<call_answer>, functions.on_chunk);
+    }
+}
+
+backend::backend(net::event_loop& loop, const net::endpoint& address)
+    : loop_(loop), address_(address), client_(loop)
+{}
+
+backend::run_id backend::start(request::request_kind kind, const net::client_request& request,
+                               handler functions)
+{
+    const run_id run = ++last_run_;
+    auto entry = std::make_shared<run_entry>(kind, std::move(functions));
+    net::answer_handler answer;
+    answer.on_head = [entry](int status, const net::header_list& headers) {
+        std::visit([&](auto& reader) { reader.take_head(status, headers); }, *entry->reader);
+    };
+    answer.on_data = [entry](std::string_view data) {
+        std::visit([&](auto& reader) { reader.take_data(data); }, *entry->reader);
+    };
+    answer.on_complete = [this, entry, run] {
+        const auto result =
+            std::visit([](auto& reader) { return reader.complete(); }, *entry->reader);
+        if (result) {
+            end(run, *result);
+        } else {
+            lose_connection(run, "the answer ended early");
+        }
+    };
+    answer.on_failure = [this, run](net::failure_stage stage, const std::string& message) {
+        if (stage == net::failure_stage::connect) {
+            log(events::backend_unreachable, {{"message", message}});
+            end(run, {verdict::not_run, request::failure_reason::backend_unreachable, message, {}});
+        } else {
+            lose_connection(run, message);
+        }
+    };
+    entry->exchange = client_.start(request, std::move(answer));
+    runs_.emplace(run, std::move(entry));
+    return run;
+}
+
+void backend::cancel(run_id run)
+{
+    const auto found = runs_.find(run);
+    if (found != runs_.end()) {
+        client_.cancel(found->second->exchange);
+        runs_.erase(found);
+    }
+}
+
+void backend::end(run_id run, const backend_result& result)
+{
+    const auto found = runs_.find(run);
+    if (found == runs_.end()) {
+        return;
+    }
+    const auto entry = std::move(found->second);
+    runs_.erase(found);
+    entry->functions.on_end(result);
+}
+
+void backend::lose_connection(run_id run, const std::string& message)
+{
+    loop_.schedule(probe_delay, [this, alive = std::weak_ptr(alive_), run, message] {
+        if (!alive.expired()) {
+            check_crash(run, message);
+        }
+    });
+}
+
+void backend::check_crash(run_id run, const std::string& message)
+{
+    if (!runs_.contains(run)) {
+        return;
+    }
+    net::client_request probe;
+    probe.to = address_;
+    probe.headers = {{"connection", "close"}};
+    probe.answer_timeout = probe_timeout;
+    client_.fetch(probe, [this, run, message](const net::client_answer& answer) {
+        const bool is_down = answer.failed() && answer.stage == net::failure_stage::connect;
+        log(is_down ? events::backend_crashed : events::backend_failed, {{"message", message}});
+        end(run, {verdict::may_have_run,
+                  is_down ? request::failure_reason::backend_crashed
+                          : request::failure_reason::backend_error,
+                  message,
+                  {}});
+    });
+}
+
+} // namespace dotterelport::agent
--- /dev/null
+++ b/src/dotterelport/agent/backend.hpp
@@ -0,0 +1,64 @@
+#ifndef DOTTERELPORT_AGENT_BACKEND_HPP
+#define DOTTERELPORT_AGENT_BACKEND_HPP
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include "dotterelport/agent/answer_reader.hpp"
+#include "dotterelport/net/event_loop.hpp"
+#include "dotterelport/net/http_client.hpp"
+#include "dotterelport/request/messages.hpp"
+
+namespace dotterelport::agent {
+
+/// Runs requests at the backend server.
+class backend {
+public:
+    using run_id = std::uint64_t;
+
+    struct handler {
+        chunk_function on_chunk;
+        /// Called once, unless the run is cancelled.
+        std::function<void(const backend_result&)> on_end;
+    };
+
+    backend(net::event_loop& loop, const net::endpoint& address);
+
+    /// @brief Starts a run. Functions of the handler are never called before this returns.
+    /// @param request from make_backend_request()
+    run_id start(request::request_kind kind, const net::client_request& request, handler functions);
+
+    /// @brief Ends a run without calling any more of its functions; closes its connection, on which
+    /// the backend server frees the request's resources.
+    void cancel(run_id run);
+
+    [[nodiscard]] const net::endpoint& address() const { return address_; }
+
+private:
+    struct run_entry {
+        run_entry(request::request_kind kind, handler end_functions);
+
+        handler functions;
+        std::optional<answer_reader> reader;
+        net::exchange_id exchange = 0;
+    };
+
+    void end(run_id run, const backend_result& result);
+    void lose_connection(run_id run, const std::string& message);
+    void check_crash(run_id run, const std::string& message);
+
+    net::event_loop& loop_;
+    net::endpoint address_;
+    net::http_client client_;
+    std::unordered_map<run_id, std::shared_ptr<run_entry>> runs_;
+    run_id last_run_ = 0;
+    /// Expires with this object, so that a pending check is dropped.
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+} // namespace dotterelport::agent
+
+#endif
--- /dev/null
+++ b/src/dotterelport/agent/backend_request.cpp
@@ -0,0 +1,113 @@
+#include "dotterelport/agent/backend_request.hpp"
+
+#include <algorithm>
+#include <cctype>
+
+#include "dotterelport/base/error.hpp"
+
+namespace dotterelport::agent {
+namespace {
+
+/// The deadline of the request ends a silent exchange; this limit of the client comes after it.
+constexpr milliseconds client_timeout_margin{1'000};
+
+void require(bool condition, const std::string& path, const std::string& expected)
+{
+    if (!condition) {
+        throw format_error("admission", path, expected);
+    }
+}
+
+/// Tells whether text can stand in a header value.
+bool is_header_text(const std::string& text)
+{
+    constexpr unsigned char last_control = 0x1f;
+    constexpr unsigned char del = 0x7f;
+    return std::none_of(text.begin(), text.end(), [](unsigned char character) {
+        return (character <= last_control && character != '\t') || character == del;
+    });
+}
+
+/// Tells whether text can stand as a method or header name.
+bool is_token_text(const std::string& text)
+{
+    constexpr std::string_view marks = "!#$%&'*+-.^_`|~";
+    return !text.empty() && std::all_of(text.begin(), text.end(), [&](unsigned char character) {
+        return std::isalnum(character) != 0 ||
+               marks.find(static_cast<char>(character)) != marks.npos;
+    });
+}
+
+bool is_path_text(const std::string& text)
+{
+    return !text.empty() && text.front() == '/' && is_header_text(text) &&
+           text.find_first_of(" \t") == std::string::npos;
+}
+
+void fill_chat(net::client_request& request, const request::admission& message)
+{
+    require(message.payload.is_object(), "/payload", "expected an object");
+    json body = message.payload;
+    body["stream"] = true;
+    body["stream_options"] = {{"include_usage", true}};
+    body["priority"] = to_string(message.priority);
+    request.method = "POST";
+    request.path = "/v1/chat/completions";
+    request.headers = {{"content-type", "application/json"},
+                       {"x-request-key", backend_key(message.key)}};
+    request.body = body.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+std::string payload_text(const request::admission& message, const std::string& name)
+{
+    const auto found = message.payload.find(name);
+    require(found != message.payload.end() && found->is_string(), "/payload/" + name,
+            "expected a string");
+    return found->get<std::string>();
+}
+
+void fill_call(net::client_request& request, const request::admission& message)
+{
+    require(message.payload.is_object(), "/payload", "expected an object");
+    request.method = payload_text(message, "method");
+    request.path = payload_text(message, "path");
+    request.body = payload_text(message, "body");
+    require(is_token_text(request.method), "/payload/method", "expected a method");
+    require(is_path_text(request.path), "/payload/path", "expected a path");
+    const json headers = message.payload.value("headers", json::object());
+    require(headers.is_object(), "/payload/headers", "expected an object");
+    for (const auto& [name, value] : headers.items()) {
+        require(is_token_text(name) && value.is_string() && is_header_text(value),
+                "/payload/headers", "expected names with text");
+        request.headers.emplace_back(name, value.get<std::string>());
+    }
+    request.headers.emplace_back("idempotency-key", backend_key(message.key));
+}
+
+} // namespace
+
+std::string backend_key(const request_key& key)
+{
+    return key.workspace + "/" + key.key;
+}
+
+net::client_request make_backend_request(const request::admission& message,
+                                         const net::endpoint& backend_server)
+{
+    require(is_header_text(backend_key(message.key)), "/key", "expected printable text");
+    net::client_request request;
+    request.to = backend_server;
+    if (message.kind == request::request_kind::chat) {
+        fill_chat(request, message);
+    } else {
+        fill_call(request, message);
+    }
+    // A kept-alive connection that the backend server has closed would turn "nothing was sent" into
+    // "may have run", so each run has a connection of its own.
+    request.headers.emplace_back("connection", "close");
+    request.answer_timeout = message.deadline + client_timeout_margin;
+    request.idle_timeout = message.deadline + client_timeout_margin;
+    return request;
+}
+
+} // namespace dotterelport::agent
--- /dev/null
+++ b/src/dotterelport/agent/outcome_pusher.cpp
@@ -0,0 +1,110 @@
+#include "dotterelport/agent/outcome_pusher.hpp"
+
+#include <algorithm>
+
+#include "dotterelport/agent/events.hpp"
+#include "dotterelport/base/clock.hpp"
+#include "dotterelport/base/error.hpp"
+
+namespace dotterelport::agent {
+namespace {
+
+constexpr std::size_t max_batch = 500;
+constexpr milliseconds push_timeout{2'000};
+constexpr milliseconds max_backoff{5'000};
+
+/// @brief Reads the keys of the "durable" answer; entries of another form are skipped.
+std::vector<request_key> durable_keys(const json& answer)
+{
+    std::vector<request_key> keys;
+    const json list = answer.is_object() ? answer.value("durable", json::array()) : json::array();
+    for (const json& item : list) {
+        if (item.is_object() && item.value("workspace", json()).is_string() &&
+            item.value("key", json()).is_string()) {
+            keys.push_back({item["workspace"], item["key"]});
+        }
+    }
+    return keys;
+}
+
+} // namespace
+
+outcome_pusher::outcome_pusher(net::event_loop& loop, net::rpc_client& rpc,
+                               request::outcome_list& outcomes, std::uint64_t seed)
+    : rpc_(rpc), outcomes_(outcomes), generator_(seed),
+      timer_(loop, push_interval, [this] { push_all(); })
+{}
+
+void outcome_pusher::push_all()
+{
+    if (self_.node.empty()) {
+        return;
+    }
+    const auto present = outcomes_.holders();
+    std::erase_if(holders_, [&](const auto& item) {
+        return !item.second.in_flight &&
+               !std::binary_search(present.begin(), present.end(), item.first);
+    });
+    for (const incarnation& holder : present) {
+        holder_state& state = holders_[holder];
+        if (!state.in_flight && steady_now() >= state.next_push) {
+            push(holder, state);
+        }
+    }
+}
+
+void outcome_pusher::push(const incarnation& holder, holder_state& state)
+{
+    auto batch = outcomes_.take(holder, max_batch, state.sent_up_to);
+    if (batch.outcomes.empty()) {
+        if (steady_now() < state.next_repeat) {
+            return;
+        }
+        state.next_repeat = steady_now() + repeat_interval;
+        batch = outcomes_.take(holder, max_batch);
+    }
+    state.sent_up_to = batch.last_number;
+    net::endpoint address;
+    try {
+        address = net::parse_endpoint(outcomes_.address_of(holder));
+    } catch (const error& failure) {
+        take_answer(holder, {net::rpc_result::status::not_sent, nullptr, failure.what()}, 0);
+        return;
+    }
+    json list = json::array();
+    for (const request::outcome& item : batch.outcomes) {
+        list.push_back(to_json(item));
+    }
+    state.in_flight = true;
+    rpc_.call(address, "outcomes", {{"agent", to_string(self_)}, {"outcomes", std::move(list)}},
+              push_timeout,
+              [this, alive = std::weak_ptr(alive_), holder,
+               last_number = batch.last_number](const net::rpc_result& result) {
+                  if (!alive.expired()) {
+                      take_answer(holder, result, last_number);
+                  }
+              });
+}
+
+void outcome_pusher::take_answer(const incarnation& holder, const net::rpc_result& result,
+                                 std::uint64_t last_number)
+{
+    holder_state& state = holders_[holder];
+    state.in_flight = false;
+    if (result.ok()) {
+        state.failures = 0;
+        outcomes_.remove(holder, durable_keys(result.value), last_number);
+        return;
+    }
+    constexpr std::uint32_t max_doublings = 10;
+    const auto step = std::min(push_interval.count() << std::min(state.failures, max_doublings),
+                               max_backoff.count());
+    if (state.failures++ == 0) {
+        log(events::outcomes_not_taken,
+            {{"holder", to_string(holder)}, {"message", result.message}});
+    }
+    std::uniform_int_distribution<std::int64_t> jitter(step / 2, step);
+    state.next_push = steady_now() + milliseconds{jitter(generator_)};
+}
+
+} // namespace dotterelport::agent
--- /dev/null
+++ b/src/dotterelport/agent/request_runner.hpp
@@ -0,0 +1,104 @@
+#ifndef DOTTERELPORT_AGENT_REQUEST_RUNNER_HPP
+#define DOTTERELPORT_AGENT_REQUEST_RUNNER_HPP
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include "dotterelport/agent/backend.hpp"
+#include "dotterelport/agent/frame_reader.hpp"
+#include "dotterelport/net/event_loop.hpp"
+#include "dotterelport/net/http_server.hpp"
+#include "dotterelport/request/admission_table.hpp"
+#include "dotterelport/request/outcome_list.hpp"
+#include "dotterelport/request/replay_buffer.hpp"
+
+namespace dotterelport::agent {
+
+/// Counts for metrics; they only grow.
+struct runner_counts {
+    std::uint64_t started = 0;
+    std::uint64_t joined = 0;
+    std::uint64_t refused = 0;
+    std::uint64_t ran = 0;
+    std::uint64_t not_run = 0;
+    std::uint64_t may_have_run = 0;
+    std::uint64_t crashes = 0;
+    std::uint64_t chunks = 0;
+    std::uint64_t charged_tokens = 0;
+};
+
+/// Admits requests, runs them at the backend server, serves their frames and collects their
+/// outcomes. A reader that goes away does not end a run.
+class request_runner {
+public:
+    struct options {
+        std::string service;
+        /// Requests that may be at the backend server at once, queued there or running.
+        std::size_t max_running = 1024;
+        request::replay_buffer::limits replay = {};
+        std::size_t max_unsettled = request::max_unsettled_outcomes;
+    };
+
+    /// @param conditions state of the agent for each admission; the runner adds its own limits
+    request_runner(net::event_loop& loop, backend& server, options settings,
+                   std::function<request::admission_conditions()> conditions);
+
+    /// @brief Adds POST /v1/requests.
+    void serve(net::http_server& server);
+
+    /// @brief Ends a run on request of a caller.
+    request::key_report cancel(const request_key& key);
+
+    /// @brief Sets a function that is told the generation of each admission.
+    void on_generation(std::function<void(std::uint64_t)> function)
+    {
+        on_generation_ = std::move(function);
+    }
+
+    [[nodiscard]] request::admission_table& table() { return table_; }
+    [[nodiscard]] const request::admission_table& table() const { return table_; }
+    [[nodiscard]] request::outcome_list& outcomes() { return outcomes_; }
+    [[nodiscard]] const request::outcome_list& outcomes() const { return outcomes_; }
+    [[nodiscard]] const request::replay_buffer& replay() const { return replay_; }
+    [[nodiscard]] const runner_counts& counts() const { return counts_; }
+    [[nodiscard]] std::size_t running_count() const { return runs_.size(); }
+    [[nodiscard]] std::size_t reader_count() const { return readers_.size(); }
+
+private:
+    struct run {
+        request::admission message;
+        backend::run_id at_backend = 0;
+        net::timer_id deadline_timer = 0;
+    };
+
+    void take(const net::http_request& request,
+              const std::shared_ptr<net::http_response>& response);
+    void admit(const request::admission& message, const net::client_request& prepared,
+               const std::shared_ptr<net::http_response>& response);
+    [[nodiscard]] request::admission_conditions current_conditions() const;
+    void start(const request::admission& message, const net::client_request& prepared);
+    void take_chunk(const request_key& key, const json& data);
+    void end(const request_key& key, const backend_result& result);
+    void stop(const request_key& key, request::failure_reason reason, const std::string& message);
+    void add_outcome(const run& item, const backend_result& result);
+
+    net::event_loop& loop_;
+    backend& backend_;
+    options settings_;
+    std::function<request::admission_conditions()> conditions_;
+    std::function<void(std::uint64_t)> on_generation_;
+    request::admission_table table_;
+    request::replay_buffer replay_;
+    request::outcome_list outcomes_;
+    frame_readers readers_{replay_};
+    std::unordered_map<request_key, run> runs_;
+    runner_counts counts_;
+    net::periodic_timer reader_timer_;
+};
+
+} // namespace dotterelport::agent
+
+#endif
--- a/src/dotterelport/request/outcome_list.cpp
+++ b/src/dotterelport/request/outcome_list.cpp
@@ -27,19 +27,19 @@
     return found == holders_.end() ? std::string() : found->second.address;
 }
 
-outcome_list::batch outcome_list::take(const incarnation& holder, std::size_t max_count) const
+outcome_list::batch outcome_list::take(const incarnation& holder, std::size_t max_count,
+                                       std::uint64_t after) const
 {
     batch result;
     const auto found = holders_.find(holder);
     if (found == holders_.end()) {
         return result;
     }
-    for (const auto& [number, value] : found->second.outcomes) {
-        if (result.outcomes.size() == max_count) {
-            break;
-        }
-        result.outcomes.push_back(value);
-        result.last_number = number;
+    const auto& outcomes = found->second.outcomes;
+    for (auto item = outcomes.upper_bound(after);
+         item != outcomes.end() && result.outcomes.size() < max_count; ++item) {
+        result.outcomes.push_back(item->second);
+        result.last_number = item->first;
     }
     return result;
 }
