Add the routing module

Cause: the router needs decisions on backend servers and on the order of waiting requests, free of I/O so that daemons and experiments share them. Change: a load view (late reports plus own requests, ejection with doubling, probes, silence), a prefix cache view (events with gaps, bounded memory), policies as a variant (affinity and four baselines), a balancer that joins them for a router, and a fair queue (class, starvation guard, deficit round robin, deadlines, refusal by expected wait). Conclusion: the interface is ready to be wired; the affinity parameters are not tuned yet.

--- /dev/null
+++ b/include/dotterelport/routing/balancer.hpp
@@ -0,0 +1,69 @@
+#ifndef DOTTERELPORT_ROUTING_BALANCER_HPP
+#define DOTTERELPORT_ROUTING_BALANCER_HPP
+
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string>
+#include <vector>
+
+#include "dotterelport/base/json.hpp"
+#include "dotterelport/routing/load_view.hpp"
+#include "dotterelport/routing/policy.hpp"
+#include "dotterelport/routing/prefix_view.hpp"
+
+namespace dotterelport::routing {
+
+/// Chooses backend servers for one router: the views of load and caches together with a policy.
+/// Servers are named by the node name of their agent.
+class balancer {
+public:
+    struct settings {
+        routing::policy policy = affinity_policy{};
+        load_settings load;
+        std::uint64_t seed = 1;
+    };
+
+    balancer();
+    explicit balancer(const settings& values);
+
+    /// @brief Takes the members "load" and "cache" of an agent's status.
+    void take_status(const std::string& server, const json& status, milliseconds now);
+    void take_report(const std::string& server, const load_report& report, milliseconds now);
+
+    /// @brief Forgets a server that left, or whose next incarnation registered.
+    void forget(const std::string& server);
+
+    /// @brief Chooses one of the servers that serve a request.
+    /// @return nothing if there are none
+    std::optional<std::string> choose(const choice_request& request,
+                                      std::span<const std::string> servers, milliseconds now);
+
+    /// @brief Records that a request is sent; to be followed by one of finished(), failed() and
+    /// cancelled().
+    /// @param id number that is unique among this router's requests
+    void sent(const std::string& server, std::uint64_t id, const choice_request& request,
+              milliseconds now);
+    void answered(const std::string& server, std::uint64_t id, milliseconds now);
+    /// @param units tokens generated, or 1 for a call
+    void finished(const std::string& server, std::uint64_t id, double units, milliseconds now);
+    void failed(const std::string& server, std::uint64_t id, milliseconds now);
+    void cancelled(const std::string& server, std::uint64_t id, milliseconds now);
+
+    /// @brief Tells whether some server is expected to run a further request at once.
+    [[nodiscard]] bool has_room(std::span<const std::string> servers, milliseconds now) const;
+
+    [[nodiscard]] const load_view& loads() const { return loads_; }
+    [[nodiscard]] prefix_view& prefixes() { return prefixes_; }
+    [[nodiscard]] json dump(milliseconds now) const;
+
+private:
+    policy policy_;
+    load_view loads_;
+    prefix_view prefixes_;
+    random_generator random_;
+};
+
+} // namespace dotterelport::routing
+
+#endif
--- /dev/null
+++ b/src/dotterelport/routing/load_view_test.cpp
@@ -0,0 +1,153 @@
+#include <catch2/catch.hpp>
+
+#include "dotterelport/routing/balancer.hpp"
+
+namespace dotterelport::routing {
+namespace {
+
+using namespace std::chrono_literals;
+
+// Guards against a herd: until the next report shows them, requests that were just sent must
+// count, and must not count twice once it does.
+TEST_CASE("Own requests are counted on top of a late report, once")
+{
+    load_view loads({.report_lag = 500ms});
+    loads.take_report("a", {.running = 4, .waiting = 1, .capacity = 8}, 1'000ms);
+    loads.sent("a", 1, 1'200ms);
+    loads.sent("a", 2, 1'300ms);
+    CHECK(loads.estimate("a", 1'300ms).load == 7);
+    loads.finished("a", 1, 10, 1'400ms);
+    CHECK(loads.estimate("a", 1'400ms).load == 6);
+    // This report was measured after request 1 was sent and ended, and it contains request 2.
+    loads.take_report("a", {.running = 6, .waiting = 0, .capacity = 8}, 2'000ms);
+    CHECK(loads.estimate("a", 2'000ms).load == 6);
+    loads.finished("a", 2, 10, 2'100ms);
+    CHECK(loads.estimate("a", 2'100ms).load == 5);
+    CHECK(loads.estimate("a", 2'100ms).report_age == 100ms);
+}
+
+// Guards against a report of an idle server, measured before our requests arrived there.
+TEST_CASE("The load is never less than this router's own requests")
+{
+    load_view loads;
+    for (std::uint64_t id = 0; id < 5; ++id) {
+        loads.sent("a", id, 0ms);
+    }
+    loads.take_report("a", {.running = 1}, 5'000ms);
+    CHECK(loads.estimate("a", 5'000ms).load == 5);
+}
+
+// Guards against work for a server that fails everything, and against a flapping server getting
+// work again at once each time it comes back.
+TEST_CASE("A server that fails is ejected, probed, and ejected for longer if the probe fails")
+{
+    load_view loads;
+    std::uint64_t id = 0;
+    const auto fail = [&](milliseconds now) {
+        loads.sent("a", ++id, now);
+        loads.failed("a", id, now);
+    };
+    fail(0ms);
+    fail(10ms);
+    CHECK(loads.available("a", 10ms) == availability::usable);
+    fail(20ms);
+    CHECK(loads.available("a", 30ms) == availability::ejected);
+    CHECK(loads.available("a", 2'030ms) == availability::probing);
+    loads.sent("a", ++id, 2'030ms);
+    CHECK(loads.available("a", 2'031ms) == availability::ejected);
+    loads.failed("a", id, 2'040ms);
+    CHECK(loads.available("a", 5'000ms) == availability::ejected);
+    CHECK(loads.available("a", 6'050ms) == availability::probing);
+    loads.sent("a", ++id, 6'050ms);
+    loads.answered("a", id, 6'100ms);
+    loads.finished("a", id, 10, 6'200ms);
+    CHECK(loads.available("a", 6'200ms) == availability::usable);
+    // It flaps: the next ejection continues where the last one ended.
+    fail(7'000ms);
+    fail(7'001ms);
+    fail(7'002ms);
+    CHECK(loads.available("a", 14'900ms) == availability::ejected);
+    CHECK(loads.available("a", 15'100ms) == availability::probing);
+    CHECK(loads.available("a", 19'000ms) == availability::usable);
+}
+
+// Guards against a server whose agent died silently being taken for an idle one.
+TEST_CASE("A server whose reports stop is silent")
+{
+    load_view loads;
+    loads.take_report("a", {.running = 0}, 0ms);
+    CHECK(loads.available("a", 4'000ms) == availability::usable);
+    CHECK(loads.available("a", 4'001ms) == availability::silent);
+    loads.take_report("a", {.running = 0}, 5'000ms);
+    CHECK(loads.available("a", 5'001ms) == availability::usable);
+    CHECK(loads.available("never reported", 60'000ms) == availability::usable);
+}
+
+// Guards against trust in cache contents after lost events, and in those of a restarted server.
+TEST_CASE("Cache events with a gap ask for a resync, and a restart empties the view")
+{
+    prefix_view view;
+    const std::vector<prefix_hash> prefix{11, 12, 13};
+    using kind = cache_event::kind;
+    const std::vector<cache_event> first{
+        {1, kind::stored, 11}, {2, kind::stored, 12}, {3, kind::stored, 13}};
+    CHECK(view.apply("a", 3, first));
+    CHECK(view.matched("a", prefix, 0ms) == 3);
+    const std::vector<cache_event> gap{{5, kind::evicted, 12}};
+    CHECK_FALSE(view.apply("a", 5, gap));
+    CHECK(view.needs_resync("a"));
+    CHECK(view.matched("a", prefix, 0ms) == 1);
+    view.replace("a", 6, std::vector<prefix_hash>{11, 12});
+    CHECK_FALSE(view.needs_resync("a"));
+    CHECK(view.matched("a", prefix, 0ms) == 2);
+    CHECK_FALSE(view.apply("a", 8, {}));
+    const std::vector<cache_event> restarted{{1, kind::stored, 11}};
+    CHECK(view.apply("a", 1, restarted));
+    CHECK(view.matched("a", prefix, 0ms) == 1);
+}
+
+// Guards against a burst with one prefix being spread before the first cache event arrives, and
+// against believing in that prefix for ever.
+TEST_CASE("Prefixes of sent requests are expected for a while, also across a late replacement")
+{
+    prefix_view view;
+    const std::vector<prefix_hash> prefix{1, 2};
+    view.expect("a", prefix, 0ms);
+    CHECK(view.matched("a", prefix, 1'000ms) == 2);
+    view.replace("a", 1, {});
+    CHECK(view.matched("a", prefix, 1'000ms) == 2);
+    CHECK(view.matched("a", prefix, 31'000ms) == 0);
+}
+
+// Guards against memory that grows with the number of distinct prompts.
+TEST_CASE("The prefix view is bounded over all servers")
+{
+    constexpr std::size_t limit = 1'000;
+    prefix_view view(limit);
+    for (prefix_hash hash = 0; hash < 10'000; ++hash) {
+        const std::vector<prefix_hash> prefix{hash};
+        view.expect("server-" + std::to_string(hash % 8), prefix, 0ms);
+    }
+    CHECK(view.size() <= limit + 8);
+    CHECK(view.size() > limit / 2);
+}
+
+// Guards against a status with missing or malformed members ending the router.
+TEST_CASE("The status of an agent feeds the load and prefix views")
+{
+    balancer value;
+    const json status = {
+        {"load", {{"running", 3}, {"waiting", 1}, {"capacity", 8}, {"tokens_per_second", 90.5}}},
+        {"cache", {{"sequence", 7}, {"prefixes", {"000000000000000b", "xyz"}}}}};
+    value.take_status("a", status, 0ms);
+    CHECK(value.loads().estimate("a", 0ms).load == 4);
+    CHECK(value.prefixes().matched("a", std::vector<prefix_hash>{11}, 0ms) == 1);
+    value.take_status("b", json::object(), 0ms);
+    CHECK_FALSE(value.loads().estimate("b", 0ms).report_age);
+    const std::vector<std::string> servers{"a", "b"};
+    CHECK(value.choose({}, servers, 0ms));
+    CHECK_FALSE(value.choose({}, {}, 0ms));
+}
+
+} // namespace
+} // namespace dotterelport::routing
