--- a/include/dotterelport/budget/grant_holder.hpp
+++ b/include/dotterelport/budget/grant_holder.hpp
@@ -126,6 +126,10 @@
     /// @return whether there was one
     bool release(const request_key& key);
 
+    /// @brief Gives back what is reserved for a request at one agent, which will certainly not run
+    /// it.
+    bool release_at(const request_key& key, const incarnation& agent);
+
     /// @brief Moves everything reserved at an agent that cannot run or report any more to
     /// unproved.
     void agent_gone(const incarnation& agent);
@@ -139,13 +143,14 @@
     [[nodiscard]] std::vector<std::pair<request_key, incarnation>>
     reserved_before(milliseconds time, std::size_t limit) const;
     /// @brief Notes that the agent still runs a request.
-    void confirm(const request_key& key, milliseconds now);
+    void confirm(const request_key& key, const incarnation& agent, milliseconds now);
 
     /// @brief Takes the open bill lines as the next batch; nothing if there are none.
     std::optional<bill_batch> seal(std::uint32_t shard, const incarnation& self);
     /// @brief Notes that the platform has the batches up to a number.
     void mark_durable(std::uint64_t batch);
     [[nodiscard]] std::uint64_t last_batch() const { return last_batch_; }
+    [[nodiscard]] std::uint64_t durable_batch() const { return durable_batch_; }
     [[nodiscard]] bool has_open_lines() const;
 
     /// @brief Account of a budget; made if there is none.
@@ -171,6 +176,9 @@
         incarnation agent;
         /// Still reserved, if the outcome is not known.
         tokens upper = 0;
+        milliseconds since{0};
+        /// Number of the attempt; 0 while the outcome is not known.
+        std::uint32_t attempt = 0;
         /// Batch that counts the outcome; 0 while it is not known.
         std::uint64_t batch = 0;
     };
@@ -184,6 +192,7 @@
     void add_unproved(const request_key& key, std::uint32_t account, const incarnation& agent,
                       tokens amount);
     settle_outcome settle_other(const request::outcome& outcome);
+    [[nodiscard]] const other_attempt* find_settled_other(const request::outcome& outcome) const;
 
     options options_;
     std::vector<holder_account> accounts_;
--- a/include/dotterelport/router/budget_service.hpp
+++ b/include/dotterelport/router/budget_service.hpp
@@ -8,6 +8,7 @@
 #include "dotterelport/base/identifiers.hpp"
 #include "dotterelport/base/json.hpp"
 #include "dotterelport/base/tokens.hpp"
+#include "dotterelport/budget/sizing.hpp"
 #include "dotterelport/config/follower.hpp"
 #include "dotterelport/membership/directory.hpp"
 #include "dotterelport/net/rpc.hpp"
@@ -58,6 +59,8 @@
         net::rpc_client& rpc;
         membership::directory& nodes;
         const config::follower& configuration;
+        /// Sizes of the grants that this router holds.
+        budget::sizing_policy sizing = budget::small_requests();
     };
 
     explicit budget_service(const context& environment);
@@ -83,7 +86,7 @@
     struct native;
 
 private:
-    std::unique_ptr<native> native_;
+    std::shared_ptr<native> native_;
 };
 
 } // namespace dotterelport::router
--- a/src/dotterelport/budget/grant_holder.cpp
+++ b/src/dotterelport/budget/grant_holder.cpp
@@ -8,6 +8,10 @@
 namespace dotterelport::budget {
 namespace {
 
+/// Batches for which settled attempts are remembered, so that an agent that missed the answer can
+/// report them again.
+constexpr std::uint64_t attempt_memory_batches = 1'000;
+
 /// @brief Limits a charge to what was reserved for it.
 tokens limited_charge(const request::outcome& outcome, tokens upper)
 {
@@ -145,9 +149,10 @@
         }
         owner.reserved += entry.upper;
         ++reservation_count_;
-        other_attempts_.emplace(
-            request.key,
-            other_attempt{.account = entry.account, .agent = entry.agent, .upper = entry.upper});
+        other_attempts_.emplace(request.key, other_attempt{.account = entry.account,
+                                                           .agent = entry.agent,
+                                                           .upper = entry.upper,
+                                                           .since = entry.since});
     }
     entry.agent = request.agent;
     entry.router.assign(request.router);
@@ -214,8 +219,22 @@
     }
 }
 
+const grant_holder::other_attempt*
+grant_holder::find_settled_other(const request::outcome& outcome) const
+{
+    const auto [first, last] = other_attempts_.equal_range(outcome.key);
+    const auto other = std::find_if(first, last, [&](const auto& item) {
+        return item.second.agent == outcome.agent && item.second.batch != 0 &&
+               item.second.attempt == outcome.attempt;
+    });
+    return other == last ? nullptr : &other->second;
+}
+
 settle_outcome grant_holder::settle(const request::outcome& outcome)
 {
+    if (!other_attempts_.empty() && find_settled_other(outcome) != nullptr) {
+        return settle_outcome::ignored;
+    }
     const auto found = requests_.find(outcome.key);
     if (found == requests_.end() || found->second.finished ||
         found->second.agent != outcome.agent) {
@@ -238,6 +257,7 @@
         other_attempts_.emplace(outcome.key, other_attempt{.account = account,
                                                            .agent = outcome.agent,
                                                            .upper = 0,
+                                                           .attempt = outcome.attempt,
                                                            .batch = last_batch_ + 1});
         take_out(found);
         break;
@@ -251,19 +271,18 @@
 settle_outcome grant_holder::settle_other(const request::outcome& outcome)
 {
     const auto [first, last] = other_attempts_.equal_range(outcome.key);
-    const auto other = std::find_if(
-        first, last, [&](const auto& item) { return item.second.agent == outcome.agent; });
+    const auto other = std::find_if(first, last, [&](const auto& item) {
+        return item.second.agent == outcome.agent && item.second.batch == 0;
+    });
     if (other != last) {
         auto& attempt = other->second;
-        if (attempt.batch != 0) {
-            return settle_outcome::ignored;
-        }
         accounts_[attempt.account].reserved -= attempt.upper;
         --reservation_count_;
         const tokens charged =
             outcome.verdict == verdict::not_run ? 0 : limited_charge(outcome, attempt.upper);
         add_unproved(outcome.key, attempt.account, outcome.agent, charged);
         attempt.upper = 0;
+        attempt.attempt = outcome.attempt;
         attempt.batch = last_batch_ + 1;
         return settle_outcome::settled;
     }
@@ -290,6 +309,25 @@
     return true;
 }
 
+bool grant_holder::release_at(const request_key& key, const incarnation& agent)
+{
+    const auto* entry = find(key);
+    if (entry != nullptr && !entry->finished && entry->agent == agent) {
+        return release(key);
+    }
+    const auto [first, last] = other_attempts_.equal_range(key);
+    const auto other = std::find_if(first, last, [&](const auto& item) {
+        return item.second.agent == agent && item.second.batch == 0;
+    });
+    if (other == last) {
+        return false;
+    }
+    accounts_[other->second.account].reserved -= other->second.upper;
+    --reservation_count_;
+    other_attempts_.erase(other);
+    return true;
+}
+
 void grant_holder::agent_gone(const incarnation& agent)
 {
     for (auto entry = requests_.begin(); entry != requests_.end();) {
@@ -318,11 +356,14 @@
 
 bool grant_holder::is_durable(const request::outcome& outcome) const
 {
+    if (const auto* other = find_settled_other(outcome)) {
+        return other->batch <= durable_batch_;
+    }
     const auto [first, last] = other_attempts_.equal_range(outcome.key);
-    const auto other = std::find_if(
-        first, last, [&](const auto& item) { return item.second.agent == outcome.agent; });
-    if (other != last) {
-        return other->second.batch != 0 && other->second.batch <= durable_batch_;
+    if (std::any_of(first, last, [&](const auto& item) {
+            return item.second.agent == outcome.agent && item.second.batch == 0;
+        })) {
+        return false;
     }
     const auto* entry = find(outcome.key);
     if (entry == nullptr || entry->agent != outcome.agent) {
@@ -343,15 +384,26 @@
             result.emplace_back(key, entry.agent);
         }
     }
+    for (const auto& [key, attempt] : other_attempts_) {
+        if (attempt.batch == 0 && attempt.since < time && result.size() < limit) {
+            result.emplace_back(key, attempt.agent);
+        }
+    }
     return result;
 }
 
-void grant_holder::confirm(const request_key& key, milliseconds now)
+void grant_holder::confirm(const request_key& key, const incarnation& agent, milliseconds now)
 {
     const auto found = requests_.find(key);
-    if (found != requests_.end()) {
+    if (found != requests_.end() && found->second.agent == agent) {
         found->second.since = now;
     }
+    const auto [first, last] = other_attempts_.equal_range(key);
+    for (auto other = first; other != last; ++other) {
+        if (other->second.agent == agent) {
+            other->second.since = now;
+        }
+    }
 }
 
 bool grant_holder::has_open_lines() const
@@ -381,7 +433,8 @@
 {
     durable_batch_ = batch;
     std::erase_if(other_attempts_, [&](const auto& item) {
-        return item.second.batch != 0 && item.second.batch <= durable_batch_;
+        return item.second.batch != 0 &&
+               item.second.batch + attempt_memory_batches <= durable_batch_;
     });
 }
 
--- /dev/null
+++ b/src/dotterelport/router/agent_registry.cpp
@@ -0,0 +1,126 @@
+#include "agent_registry.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "budget_events.hpp"
+
+namespace dotterelport::router {
+namespace {
+
+/// Longest wait of a request for a write of the record.
+constexpr milliseconds record_wait{1'000};
+
+} // namespace
+
+agent_registry::agent_registry(const budget_service::context& environment) : context_(environment)
+{}
+
+void agent_registry::ensure(const incarnation& agent, std::function<void(bool)> done)
+{
+    auto& nodes = context_.nodes;
+    if (!nodes.is_registered() || nodes.is_gone(agent)) {
+        done(false);
+        return;
+    }
+    if (nodes.self().agents.contains(agent)) {
+        done(true);
+        return;
+    }
+    wanted_.insert(agent);
+    auto finished = std::make_shared<bool>(false);
+    auto answer_once = [finished, done = std::move(done)](bool success) {
+        if (!std::exchange(*finished, true)) {
+            done(success);
+        }
+    };
+    context_.loop.schedule(record_wait, [answer_once] { answer_once(false); });
+    waiting_.push_back([self = shared_from_this(), agent, answer_once](bool success) {
+        answer_once(success && self->context_.nodes.self().agents.contains(agent));
+    });
+    write();
+}
+
+void agent_registry::write()
+{
+    if (wanted_.empty() || writing_) {
+        return;
+    }
+    writing_ = true;
+    const std::vector<incarnation> agents(wanted_.begin(), wanted_.end());
+    wanted_.clear();
+    context_.nodes.add_agents(
+        agents, [self = shared_from_this(), waiting = std::exchange(waiting_, {})](bool success) {
+            self->finish_write(waiting, success);
+        });
+}
+
+void agent_registry::finish_write(const std::vector<std::function<void(bool)>>& waiting,
+                                  bool success)
+{
+    writing_ = false;
+    for (const auto& function : waiting) {
+        function(success);
+    }
+    write();
+}
+
+void agent_registry::tick(const owner_list& owners)
+{
+    auto& nodes = context_.nodes;
+    if (!nodes.is_registered()) {
+        return;
+    }
+    const auto& listed = nodes.self().agents;
+    for (const auto& record : nodes.live_nodes(membership::node_role::agent)) {
+        if (!listed.contains(record.id)) {
+            wanted_.insert(record.id);
+        }
+    }
+    write();
+    take_departures(owners);
+    remove_departed();
+}
+
+void agent_registry::take_departures(const owner_list& owners)
+{
+    for (const auto& agent : context_.nodes.self().agents) {
+        if (departed_.contains(agent) || !context_.nodes.is_gone(agent)) {
+            continue;
+        }
+        log(events::agent_gone, {{"agent", to_string(agent)}});
+        auto& batches = departed_[agent];
+        for (const auto& owner : owners) {
+            auto& holder = owner->session().holder();
+            holder.agent_gone(agent);
+            batches.push_back({owner, holder.last_batch() + (holder.has_open_lines() ? 1U : 0U)});
+        }
+    }
+}
+
+void agent_registry::remove_departed()
+{
+    std::vector<incarnation> removable;
+    for (const auto& [agent, batches] : departed_) {
+        const bool durable = std::all_of(batches.begin(), batches.end(), [](const auto& item) {
+            const auto owner = item.owner.lock();
+            return owner == nullptr || owner->session().holder().durable_batch() >= item.batch;
+        });
+        if (durable) {
+            removable.push_back(agent);
+        }
+    }
+    if (removable.empty() || std::exchange(removing_, true)) {
+        return;
+    }
+    context_.nodes.remove_agents(removable, [self = shared_from_this(), removable](bool success) {
+        self->removing_ = false;
+        if (success) {
+            for (const auto& agent : removable) {
+                self->departed_.erase(agent);
+            }
+        }
+    });
+}
+
+} // namespace dotterelport::router
--- /dev/null
+++ b/src/dotterelport/router/budget_service.cpp
@@ -0,0 +1,205 @@
+#include "dotterelport/router/budget_service.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "budget_events.hpp"
+#include "budget_service_native.hpp"
+#include "dotterelport/base/hash.hpp"
+
+namespace dotterelport::router {
+namespace {
+
+/// Used until a configuration is in force.
+constexpr milliseconds default_flush_interval{500};
+
+/// Interval of work that is not urgent: closing, audit, old reservations.
+constexpr milliseconds slow_interval{2'000};
+
+constexpr milliseconds drain_poll_interval{100};
+
+/// @brief Goes on with a drain until nothing is reserved or open.
+void drain_step(const std::shared_ptr<budget_service::native>& service,
+                const std::function<void()>& done)
+{
+    bool settled = true;
+    for (const auto& owner : service->all_owners()) {
+        owner->session().set_draining();
+        owner->tick();
+        settled = settled && (owner->session().is_settled() || owner->session().is_closed());
+    }
+    if (settled) {
+        done();
+        return;
+    }
+    service->environment.loop.schedule(drain_poll_interval,
+                                       [service, done] { drain_step(service, done); });
+}
+
+} // namespace
+
+budget_service::native::native(const context& context)
+    : environment(context), agents(std::make_shared<agent_registry>(context))
+{}
+
+void budget_service::native::start()
+{
+    const auto snapshot = environment.configuration.current();
+    const auto interval =
+        snapshot == nullptr ? default_flush_interval : snapshot->settings().flush_interval;
+    random.seed(hash64(environment.nodes.self().id.node));
+    timer = std::make_unique<net::periodic_timer>(environment.loop, interval, [this] { tick(); });
+    slow_timer = std::make_unique<net::periodic_timer>(environment.loop, slow_interval,
+                                                       [this] { slow_tick(); });
+}
+
+void budget_service::native::follow_incarnation()
+{
+    const auto& self = environment.nodes.self().id;
+    if (environment.nodes.is_registered() && self != current) {
+        owners.clear();
+        current = self;
+    }
+}
+
+void budget_service::native::rejoin_if_closed()
+{
+    const bool closed = std::any_of(owners.begin(), owners.end(), [](const auto& item) {
+        return item.second->session().is_closed();
+    });
+    if (closed && environment.nodes.self().id == current) {
+        log(events::incarnation_replaced, {{"incarnation", to_string(current)}});
+        owners.clear();
+        environment.nodes.rejoin();
+    }
+}
+
+std::uint32_t budget_service::native::shard_of(const std::string& workspace) const
+{
+    const auto snapshot = environment.configuration.current();
+    return snapshot == nullptr ? 0 : config::shard_of(workspace, snapshot->settings());
+}
+
+std::shared_ptr<shard_owner> budget_service::native::owner_of(std::uint32_t shard)
+{
+    const auto snapshot = environment.configuration.current();
+    follow_incarnation();
+    if (snapshot == nullptr || !environment.nodes.is_registered()) {
+        return nullptr;
+    }
+    auto& owner = owners[shard];
+    if (owner == nullptr) {
+        log(events::session_opened, {{"shard", shard}, {"holder", to_string(current)}});
+        owner = std::make_shared<shard_owner>(environment, shard, current);
+        if (draining) {
+            owner->session().set_draining();
+        }
+        owner->configure(declaration_of(*snapshot, shard));
+    }
+    return owner;
+}
+
+std::shared_ptr<shard_owner> budget_service::native::existing_owner(std::uint32_t shard) const
+{
+    const auto found = owners.find(shard);
+    return found == owners.end() ? nullptr : found->second;
+}
+
+agent_registry::owner_list budget_service::native::all_owners() const
+{
+    agent_registry::owner_list result;
+    for (const auto& [shard, owner] : owners) {
+        result.push_back(owner);
+    }
+    return result;
+}
+
+void budget_service::native::tick()
+{
+    const auto snapshot = environment.configuration.current();
+    if (snapshot == nullptr || !environment.nodes.is_registered()) {
+        return;
+    }
+    follow_incarnation();
+    rejoin_if_closed();
+    const auto& self = environment.nodes.self();
+    for (std::uint32_t shard = 0; shard < snapshot->settings().budget_shards && !draining;
+         ++shard) {
+        const auto record = environment.nodes.shard_owner(shard, self.failure_domain);
+        if (record.has_value() && record->id == self.id) {
+            owner_of(shard);
+        }
+    }
+    for (const auto& [shard, owner] : owners) {
+        if (snapshot->generation() != generation) {
+            owner->configure(declaration_of(*snapshot, shard));
+        } else {
+            owner->run_round([weak = weak_from_this()](budget::round_outcome) {
+                if (const auto service = weak.lock()) {
+                    service->answer_durable();
+                }
+            });
+        }
+    }
+    generation = snapshot->generation();
+    agents->tick(all_owners());
+    answer_durable();
+}
+
+void budget_service::native::slow_tick()
+{
+    if (environment.nodes.is_registered() && environment.configuration.current() != nullptr) {
+        check_old_reservations();
+    }
+}
+
+budget_service::budget_service(const context& environment)
+    : native_(std::make_shared<native>(environment))
+{
+    native_->start();
+}
+
+budget_service::~budget_service()
+{
+    native_->timer.reset();
+    native_->slow_timer.reset();
+}
+
+void budget_service::serve(net::rpc_server& server)
+{
+    native_->serve(server);
+}
+
+void budget_service::reserve(const reserve_request& request,
+                             std::function<void(const reserve_result&)> done)
+{
+    native_->reserve_at_owner(
+        {.request = request, .router = to_string(native_->environment.nodes.self().id)},
+        std::move(done));
+}
+
+void budget_service::release(const request_key& key, const std::string& /*budget*/)
+{
+    native_->release_at_owner(key);
+}
+
+void budget_service::drain(std::function<void()> done)
+{
+    native_->draining = true;
+    drain_step(native_, done);
+}
+
+json budget_service::dump() const
+{
+    json shards = json::array();
+    for (const auto& owner : native_->all_owners()) {
+        shards.push_back(owner->session().dump());
+    }
+    return {{"incarnation", to_string(native_->current)},
+            {"generation", native_->generation},
+            {"draining", native_->draining},
+            {"waiting_reports", native_->waiting.size()},
+            {"shards", std::move(shards)}};
+}
+
+} // namespace dotterelport::router
--- /dev/null
+++ b/src/dotterelport/router/budget_service_reserve.cpp
@@ -0,0 +1,153 @@
+#include <algorithm>
+#include <utility>
+
+#include "budget_events.hpp"
+#include "budget_service_native.hpp"
+#include "reservation_flow.hpp"
+
+namespace dotterelport::router {
+namespace {
+
+/// Longest time that an owner needs for a reservation: lookup, record, ledger, loans and recall.
+constexpr milliseconds reserve_timeout{4'000};
+constexpr milliseconds release_timeout{1'000};
+
+} // namespace
+
+reserve_result budget_service::native::own_result(reserve_status status,
+                                                  const incarnation& agent) const
+{
+    const auto& self = environment.nodes.self();
+    return {.status = status,
+            .holder = self.id,
+            .holder_address = net::to_string(self.peers),
+            .agent = agent};
+}
+
+std::vector<membership::node_record> budget_service::native::peers(std::uint32_t shard)
+{
+    std::vector<membership::node_record> result;
+    const auto& self = environment.nodes.self();
+    for (const auto& domain : environment.nodes.failure_domains()) {
+        auto owner = domain == self.failure_domain ? std::nullopt
+                                                   : environment.nodes.shard_owner(shard, domain);
+        if (owner.has_value()) {
+            result.push_back(std::move(*owner));
+        }
+    }
+    std::shuffle(result.begin(), result.end(), random);
+    return result;
+}
+
+void budget_service::native::call(const membership::node_record& to, const std::string& method,
+                                  const json& parameters, milliseconds timeout,
+                                  std::function<void(const net::rpc_result&)> done)
+{
+    environment.rpc.call(to.peers, method, parameters, timeout,
+                         [self = shared_from_this(), node = to.id.node,
+                          done = std::move(done)](const net::rpc_result& result) {
+                             const bool answered =
+                                 result.ok() || result.outcome == net::rpc_result::status::refused;
+                             self->environment.nodes.report_contact(node, answered);
+                             done(result);
+                         });
+}
+
+void budget_service::native::reserve_at_owner(const reserve_message& message,
+                                              std::function<void(const reserve_result&)> done)
+{
+    const auto snapshot = environment.configuration.current();
+    const auto* owner =
+        snapshot == nullptr ? nullptr : snapshot->workspace_of_budget(message.request.budget);
+    if (snapshot == nullptr || !environment.nodes.is_registered()) {
+        done(own_result(reserve_status::unavailable, {}));
+        return;
+    }
+    if (owner == nullptr || owner->name != message.request.key.workspace) {
+        done(own_result(reserve_status::exhausted, {}));
+        return;
+    }
+    const auto shard = config::shard_of(owner->name, snapshot->settings());
+    const auto& self = environment.nodes.self();
+    const auto record = environment.nodes.shard_owner(shard, self.failure_domain);
+    if (!record.has_value() || record->id == self.id) {
+        reserve_here(message, std::move(done));
+        return;
+    }
+    call(*record, "reserve", to_json(message), reserve_timeout,
+         [self = shared_from_this(), message, node = record->id.node,
+          done = std::move(done)](const net::rpc_result& result) {
+             if (result.ok()) {
+                 done(read_reserve_answer(result.value));
+                 return;
+             }
+             // Any router may hold grants, so an owner that does not answer refuses no caller.
+             log(events::owner_unreachable, {{"owner", node}, {"message", result.message}});
+             self->reserve_here(message, done);
+         });
+}
+
+void budget_service::native::reserve_here(const reserve_message& message,
+                                          std::function<void(const reserve_result&)> done)
+{
+    const auto snapshot = environment.configuration.current();
+    const bool declared =
+        snapshot != nullptr && snapshot->find_budget(message.request.budget) != nullptr;
+    const auto owner = owner_of(shard_of(message.request.key.workspace));
+    if (owner == nullptr || !declared) {
+        const bool removed = snapshot != nullptr && !declared;
+        done(own_result(removed ? reserve_status::exhausted : reserve_status::unavailable, {}));
+        return;
+    }
+    std::make_shared<reservation_flow>(*this, owner, message, std::move(done))->start();
+}
+
+bool budget_service::native::release_here(const request_key& key)
+{
+    const auto owner = existing_owner(shard_of(key.workspace));
+    return owner != nullptr && owner->session().holder().release(key);
+}
+
+void budget_service::native::release_at_owner(const request_key& key)
+{
+    if (release_here(key)) {
+        return;
+    }
+    // The reservation is at the owner of this failure domain or was borrowed from another one.
+    const auto shard = shard_of(key.workspace);
+    const auto& self = environment.nodes.self();
+    auto others = peers(shard);
+    const auto record = environment.nodes.shard_owner(shard, self.failure_domain);
+    if (!record.has_value() || record->id == self.id) {
+        for (const auto& peer : others) {
+            call(peer, "release", to_json(key), release_timeout, [](const net::rpc_result&) {});
+        }
+        return;
+    }
+    call(*record, "release", to_json(key), release_timeout,
+         [self = shared_from_this(), key,
+          others = std::move(others)](const net::rpc_result& result) {
+             if (result.ok() && result.value.value("released", false)) {
+                 return;
+             }
+             for (const auto& peer : others) {
+                 self->call(peer, "release", to_json(key), release_timeout,
+                            [](const net::rpc_result&) {});
+             }
+         });
+}
+
+json budget_service::native::lookup_here(const request_key& key) const
+{
+    const auto owner = existing_owner(shard_of(key.workspace));
+    const auto* known = owner == nullptr ? nullptr : owner->session().holder().find(key);
+    if (known == nullptr) {
+        return {{"state", "unknown"}, {"holder", ""}, {"holder_address", ""}, {"agent", ""}};
+    }
+    json result = to_json(own_result(reserve_status::known, known->agent));
+    result.erase("result");
+    result["state"] = "reserved";
+    return result;
+}
+
+} // namespace dotterelport::router
--- /dev/null
+++ b/src/dotterelport/router/reservation_flow.hpp
@@ -0,0 +1,54 @@
+#ifndef DOTTERELPORT_ROUTER_RESERVATION_FLOW_HPP
+#define DOTTERELPORT_ROUTER_RESERVATION_FLOW_HPP
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <set>
+#include <vector>
+
+#include "budget_service_native.hpp"
+
+namespace dotterelport::router {
+
+/// One reservation at the owner of a shard. Looks for the key in the other failure domains, makes
+/// sure that the agent is in this router's record, and seeks room in the order: own grant, ledger,
+/// loan from a peer, recall of the peers' unused grants.
+class reservation_flow : public std::enable_shared_from_this<reservation_flow> {
+public:
+    reservation_flow(budget_service::native& service, std::shared_ptr<shard_owner> owner,
+                     reserve_message message, std::function<void(const reserve_result&)> done);
+
+    void start();
+
+private:
+    /// Answers of several peers that are asked at the same time.
+    struct question {
+        std::size_t missing = 0;
+        bool answered = false;
+    };
+
+    void look_up_elsewhere();
+    void ensure_agent();
+    void ask_ledger(bool last);
+    void take_ledger_answer(owner_answer answer, bool last);
+    void lend_from_own_grant();
+    void borrow(std::size_t next_peer);
+    void recall();
+    void refuse();
+    void finish_known();
+    void finish(const reserve_result& result);
+
+    std::shared_ptr<budget_service::native> service_;
+    std::shared_ptr<shard_owner> owner_;
+    reserve_message message_;
+    std::function<void(const reserve_result&)> done_;
+    std::vector<membership::node_record> peers_;
+    bool ledger_reached_ = false;
+    /// Holders that took part in the search for room.
+    std::set<incarnation> asked_;
+};
+
+} // namespace dotterelport::router
+
+#endif
--- /dev/null
+++ b/src/dotterelport/router/shard_owner.cpp
@@ -0,0 +1,210 @@
+#include "shard_owner.hpp"
+
+#include <utility>
+
+#include "budget_events.hpp"
+#include "dotterelport/base/error.hpp"
+
+namespace dotterelport::router {
+namespace {
+
+/// Longest wait of a request for a larger grant. The platform answers in milliseconds when it is
+/// well; after this time peers are asked instead.
+constexpr milliseconds ledger_wait{1'000};
+
+/// Trouble for longer than this means that a request should not wait for the platform.
+constexpr milliseconds known_outage{1'500};
+
+} // namespace
+
+std::shared_ptr<const budget::declaration> declaration_of(const config::snapshot& snapshot,
+                                                          std::uint32_t shard)
+{
+    auto result = std::make_shared<budget::declaration>();
+    result->generation = snapshot.generation();
+    for (const auto& workspace : snapshot.content().workspaces) {
+        if (config::shard_of(workspace.name, snapshot.settings()) != shard) {
+            continue;
+        }
+        for (const auto& item : workspace.budgets) {
+            result->budgets.push_back({workspace.name, item.name, item.prepaid});
+        }
+    }
+    return result;
+}
+
+shard_owner::shard_owner(const budget_service::context& environment, std::uint32_t shard,
+                         const incarnation& self)
+    : context_(environment), session_(shard, self, environment.sizing)
+{}
+
+void shard_owner::configure(std::shared_ptr<const budget::declaration> value)
+{
+    session_.set_declaration(std::move(value));
+    run_round([](budget::round_outcome) {});
+}
+
+owner_answer shard_owner::try_reserve(const reserve_message& message)
+{
+    auto& holder = session_.holder();
+    const auto& request = message.request;
+    const budget::reservation wanted{.key = request.key,
+                                     .budget = request.budget,
+                                     .upper = request.upper_tokens,
+                                     .agent = request.agent,
+                                     .digest = request.digest,
+                                     .router = message.router,
+                                     .now = steady_now()};
+    const auto* known = holder.find(request.key);
+    // The router that made the reservation tries another agent. Its earlier attempt may have run,
+    // since it releases the reservation otherwise.
+    const bool moves = known != nullptr && !known->finished && known->router == message.router &&
+                       known->agent != request.agent;
+    const auto outcome = moves ? holder.move(wanted, false) : holder.reserve(wanted);
+    switch (outcome) {
+    case budget::reserve_outcome::reserved:
+        return owner_answer::reserved;
+    case budget::reserve_outcome::known:
+        return owner_answer::known;
+    case budget::reserve_outcome::no_room:
+        break;
+    }
+    return owner_answer::no_room;
+}
+
+void shard_owner::reserve(const reserve_message& message, std::function<void(owner_answer)> done)
+{
+    if (session_.is_closed()) {
+        done(owner_answer::closed);
+        return;
+    }
+    const auto answer = try_reserve(message);
+    if (answer != owner_answer::no_room) {
+        done(answer);
+        return;
+    }
+    if (context_.platform.trouble_duration() > known_outage) {
+        tick();
+        done(owner_answer::unreachable);
+        return;
+    }
+    session_.holder().account(message.request.budget).wanted += message.request.upper_tokens;
+    // The request is answered by the round or by the timer, whichever comes first.
+    auto finished = std::make_shared<bool>(false);
+    auto answer_once = [self = shared_from_this(), message, finished,
+                        done = std::move(done)](budget::round_outcome outcome) {
+        if (!std::exchange(*finished, true)) {
+            self->finish_waiting(message, outcome, done);
+        }
+    };
+    const auto timer = context_.loop.schedule(
+        ledger_wait, [answer_once] { answer_once(budget::round_outcome::unavailable); });
+    run_round([self = shared_from_this(), timer, answer_once](budget::round_outcome outcome) {
+        self->context_.loop.cancel(timer);
+        answer_once(outcome);
+    });
+}
+
+void shard_owner::finish_waiting(const reserve_message& message, budget::round_outcome outcome,
+                                 const std::function<void(owner_answer)>& done)
+{
+    session_.holder().account(message.request.budget).wanted -= message.request.upper_tokens;
+    if (session_.is_closed()) {
+        done(owner_answer::closed);
+        return;
+    }
+    const auto answer = try_reserve(message);
+    const bool reached = outcome == budget::round_outcome::complete;
+    done(answer == owner_answer::no_room && !reached ? owner_answer::unreachable : answer);
+}
+
+void shard_owner::recall(const std::vector<std::string>& budgets,
+                         std::function<void(const std::map<std::string, tokens>&)> done)
+{
+    std::map<std::string, tokens> before;
+    for (const auto& name : budgets) {
+        auto& owner = session_.holder().account(name);
+        owner.recalled = true;
+        before[name] = owner.amount;
+    }
+    run_round([self = shared_from_this(), before = std::move(before),
+               done = std::move(done)](budget::round_outcome) {
+        std::map<std::string, tokens> returned;
+        for (const auto& [name, amount] : before) {
+            const tokens now = self->session_.holder().account(name).amount;
+            if (now < amount) {
+                returned[name] = amount - now;
+            }
+        }
+        log(events::grants_recalled, {{"shard", self->session_.shard()}, {"returned", returned}});
+        done(returned);
+    });
+}
+
+void shard_owner::run_round(round_function done)
+{
+    next_.push_back(std::move(done));
+    start();
+}
+
+void shard_owner::tick()
+{
+    start();
+}
+
+void shard_owner::start()
+{
+    if (std::exchange(running_, true)) {
+        return;
+    }
+    current_ = std::exchange(next_, {});
+    go_on(session_.start({.now = steady_now(),
+                          .platform_trouble = context_.platform.trouble_duration(),
+                          .failure_domains = context_.nodes.failure_domains().size(),
+                          .flush = true}));
+}
+
+void shard_owner::go_on(std::optional<budget::io_step> step)
+{
+    if (step.has_value()) {
+        perform(*step);
+        return;
+    }
+    running_ = false;
+    const auto done = std::exchange(current_, {});
+    for (const auto& function : done) {
+        function(session_.last_outcome());
+    }
+    if (!next_.empty()) {
+        context_.loop.post([self = shared_from_this()] { self->start(); });
+    }
+}
+
+template<typename Result> void shard_owner::resume(const Result& result)
+{
+    std::optional<budget::io_step> step;
+    try {
+        step = session_.resume(result);
+    } catch (const format_error& failure) {
+        log(events::object_unreadable, {{"shard", session_.shard()}, {"message", failure.what()}});
+        step = session_.resume(platform::read_result{});
+    }
+    go_on(std::move(step));
+}
+
+void shard_owner::perform(const budget::io_step& step)
+{
+    if (step.operation == budget::io_step::kind::read) {
+        context_.platform.read(step.key,
+                               [self = shared_from_this()](const platform::read_result& result) {
+                                   self->resume(result);
+                               });
+        return;
+    }
+    context_.platform.write(step.key, step.value, step.if_version,
+                            [self = shared_from_this()](const platform::write_result& result) {
+                                self->resume(result);
+                            });
+}
+
+} // namespace dotterelport::router
