--- a/include/dotterelport/budget/bill.hpp
+++ b/include/dotterelport/budget/bill.hpp
@@ -32,6 +32,8 @@
     std::string budget;
     tokens amount = 0;
     incarnation agent;
+    /// Attempt that was reported, or 0.
+    std::uint32_t attempt = 0;
 
     bool operator==(const unproved_use&) const = default;
 };
@@ -42,6 +44,8 @@
     std::uint32_t shard = 0;
     incarnation holder;
     std::uint64_t number = 0;
+    /// Written by the router that closes the holder.
+    bool by_closer = false;
     std::vector<bill_line> lines;
     std::vector<unproved_use> unproved;
 
--- a/include/dotterelport/budget/grant_holder.hpp
+++ b/include/dotterelport/budget/grant_holder.hpp
@@ -190,7 +190,7 @@
     /// @return number of the batch that will have the line
     std::uint64_t add_line(const request::outcome& outcome, std::uint32_t account, tokens charged);
     void add_unproved(const request_key& key, std::uint32_t account, const incarnation& agent,
-                      tokens amount);
+                      std::uint32_t attempt, tokens amount);
     settle_outcome settle_other(const request::outcome& outcome);
     [[nodiscard]] const other_attempt* find_settled_other(const request::outcome& outcome) const;
 
--- a/include/dotterelport/budget/ledger_shard.hpp
+++ b/include/dotterelport/budget/ledger_shard.hpp
@@ -85,6 +85,9 @@
     tokens set_grant(const std::string& budget, const incarnation& holder, tokens amount,
                      std::uint64_t last_batch);
 
+    /// @brief Lowers the amount of a grant, also of a closed holder; not below what is settled.
+    void shrink_grant(const std::string& budget, const incarnation& holder, tokens amount);
+
     /// @brief Closes a grant; returns what is open under it to the budget.
     /// @return whether there was one
     bool remove_grant(const std::string& budget, const incarnation& holder);
--- a/src/dotterelport/budget/bill.cpp
+++ b/src/dotterelport/budget/bill.cpp
@@ -28,6 +28,13 @@
     return {value.at("workspace").get<std::string>(), value.at("key").get<std::string>()};
 }
 
+/// @brief Reads an agent; the empty text stands for none.
+incarnation read_agent(const json& value)
+{
+    const auto text = value.at("agent").get<std::string>();
+    return text.empty() ? incarnation{} : parse_incarnation(text);
+}
+
 bill_line line_from_json(const json& value)
 {
     return {.key = key_from_json(value),
@@ -44,7 +51,8 @@
     return {.key = key_from_json(value),
             .budget = value.at("budget"),
             .amount = value.at("tokens"),
-            .agent = parse_incarnation(value.at("agent").get<std::string>())};
+            .agent = read_agent(value),
+            .attempt = value.at("attempt")};
 }
 
 voided_line voided_from_json(const json& value)
@@ -99,15 +107,15 @@
     json unproved = json::array();
     for (const auto& use : value.unproved) {
         json entry = key_to_json(use.key);
-        entry.update(
-            {{"budget", use.budget}, {"tokens", use.amount}, {"agent", to_string(use.agent)}});
+        entry.update({{"budget", use.budget},
+                      {"tokens", use.amount},
+                      {"agent", use.agent.node.empty() ? std::string() : to_string(use.agent)},
+                      {"attempt", use.attempt}});
         unproved.push_back(std::move(entry));
     }
-    return {{"shard", value.shard},
-            {"holder", to_string(value.holder)},
-            {"batch", value.number},
-            {"lines", std::move(lines)},
-            {"unproved", std::move(unproved)}};
+    return {{"shard", value.shard},      {"holder", to_string(value.holder)},
+            {"batch", value.number},     {"by_closer", value.by_closer},
+            {"lines", std::move(lines)}, {"unproved", std::move(unproved)}};
 }
 
 json to_json(const void_batch& value)
@@ -133,6 +141,7 @@
         bill_batch result{.shard = document.at("shard"),
                           .holder = parse_incarnation(document.at("holder").get<std::string>()),
                           .number = document.at("batch"),
+                          .by_closer = document.at("by_closer"),
                           .lines = {},
                           .unproved = {}};
         for (const auto& line : document.at("lines")) {
--- /dev/null
+++ b/src/dotterelport/budget/bill_audit.cpp
@@ -0,0 +1,71 @@
+#include "dotterelport/budget/bill_audit.hpp"
+
+#include <algorithm>
+
+namespace dotterelport::budget {
+
+bill_audit::bill_audit(std::uint32_t shard, std::size_t remembered_keys)
+    : shard_(shard), remembered_keys_(remembered_keys)
+{}
+
+void bill_audit::read(const std::vector<platform::object>& objects, const ledger_shard& ledger)
+{
+    std::vector<const platform::object*> ordered;
+    for (const auto& object : objects) {
+        if (object.at > cursor_) {
+            ordered.push_back(&object);
+        }
+    }
+    std::sort(ordered.begin(), ordered.end(),
+              [](const auto* left, const auto* right) { return left->at < right->at; });
+    for (const auto* object : ordered) {
+        const auto batch = parse_bill_batch(object->value);
+        if (!ledger.is_applied(batch)) {
+            return;
+        }
+        read_batch(batch, object->at, ledger.audit_cursor());
+        cursor_ = object->at;
+    }
+}
+
+void bill_audit::read_batch(const bill_batch& batch, platform::version at,
+                            platform::version counted)
+{
+    for (const auto& line : batch.lines) {
+        const auto [entry, is_first] =
+            first_lines_.emplace(line.key, place{batch.holder, batch.number});
+        if (is_first) {
+            order_.push_back(line.key);
+        } else if (at > counted) {
+            findings_.push_back({.at = at,
+                                 .line = {.key = line.key,
+                                          .budget = line.budget,
+                                          .charged = line.charged,
+                                          .holder = batch.holder,
+                                          .batch = batch.number}});
+        }
+    }
+    while (order_.size() > remembered_keys_) {
+        first_lines_.erase(order_.front());
+        order_.pop_front();
+    }
+}
+
+std::optional<void_batch> bill_audit::result(const ledger_shard& ledger) const
+{
+    void_batch result{
+        .shard = shard_, .number = ledger.last_void_batch() + 1, .cursor = cursor_, .lines = {}};
+    for (const auto& item : findings_) {
+        if (item.at > ledger.audit_cursor()) {
+            result.lines.push_back(item.line);
+        }
+    }
+    return result.lines.empty() ? std::nullopt : std::optional(result);
+}
+
+void bill_audit::forget_counted(const ledger_shard& ledger)
+{
+    std::erase_if(findings_, [&](const auto& item) { return item.at <= ledger.audit_cursor(); });
+}
+
+} // namespace dotterelport::budget
--- a/src/dotterelport/budget/grant_holder.cpp
+++ b/src/dotterelport/budget/grant_holder.cpp
@@ -210,12 +210,15 @@
 }
 
 void grant_holder::add_unproved(const request_key& key, std::uint32_t account,
-                                const incarnation& agent, tokens amount)
+                                const incarnation& agent, std::uint32_t attempt, tokens amount)
 {
     if (amount > 0) {
         accounts_[account].accounted += amount;
-        unproved_.push_back(
-            {.key = key, .budget = accounts_[account].budget, .amount = amount, .agent = agent});
+        unproved_.push_back({.key = key,
+                             .budget = accounts_[account].budget,
+                             .amount = amount,
+                             .agent = agent,
+                             .attempt = attempt});
     }
 }
 
@@ -253,7 +256,7 @@
         break;
     case verdict::may_have_run:
         // The key stays free for another attempt, whose line then bills it.
-        add_unproved(outcome.key, account, outcome.agent, charged);
+        add_unproved(outcome.key, account, outcome.agent, outcome.attempt, charged);
         other_attempts_.emplace(outcome.key, other_attempt{.account = account,
                                                            .agent = outcome.agent,
                                                            .upper = 0,
@@ -280,7 +283,7 @@
         --reservation_count_;
         const tokens charged =
             outcome.verdict == verdict::not_run ? 0 : limited_charge(outcome, attempt.upper);
-        add_unproved(outcome.key, attempt.account, outcome.agent, charged);
+        add_unproved(outcome.key, attempt.account, outcome.agent, outcome.attempt, charged);
         attempt.upper = 0;
         attempt.attempt = outcome.attempt;
         attempt.batch = last_batch_ + 1;
@@ -336,7 +339,7 @@
         if (!request.finished && request.agent == agent) {
             accounts_[request.account].reserved -= request.upper;
             --reservation_count_;
-            add_unproved(current->first, request.account, agent, request.upper);
+            add_unproved(current->first, request.account, agent, 0, request.upper);
             take_out(current);
         }
     }
@@ -348,7 +351,7 @@
         if (attempt.batch == 0) {
             accounts_[attempt.account].reserved -= attempt.upper;
             --reservation_count_;
-            add_unproved(item.first, attempt.account, agent, attempt.upper);
+            add_unproved(item.first, attempt.account, agent, 0, attempt.upper);
         }
         return true;
     });
@@ -421,6 +424,7 @@
     bill_batch result{.shard = shard,
                       .holder = self,
                       .number = ++last_batch_,
+                      .by_closer = false,
                       .lines = {lines_.begin(), end},
                       .unproved = std::move(unproved_)};
     unproved_.clear();
--- /dev/null
+++ b/src/dotterelport/budget/holder_closing.cpp
@@ -0,0 +1,221 @@
+#include "dotterelport/budget/holder_closing.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace dotterelport::budget {
+namespace {
+
+/// Greatest number of entries in a batch; keeps it below the platform's value limit.
+constexpr std::size_t entries_per_batch = 2'000;
+
+bill_line line_of(const request::outcome& outcome)
+{
+    return {.key = outcome.key,
+            .budget = outcome.budget,
+            .charged = outcome.charged,
+            .prompt_tokens = outcome.prompt_tokens,
+            .completion_tokens = outcome.completion_tokens,
+            .service = outcome.service,
+            .agent = outcome.agent};
+}
+
+} // namespace
+
+holder_closing::holder_closing(std::uint32_t shard, incarnation holder,
+                               const std::set<incarnation>& agents)
+    : shard_(shard), holder_(std::move(holder)), missing_(agents)
+{}
+
+void holder_closing::add_batch(const bill_batch& batch)
+{
+    if (!batches_.emplace(batch.number, batch).second) {
+        return;
+    }
+    sealed_ = sealed_ || batch.by_closer;
+    for (const auto& line : batch.lines) {
+        billed_.emplace(line.key, line.agent);
+    }
+    for (const auto& use : batch.unproved) {
+        if (use.key.key.empty()) {
+            rest_written_ = true;
+        } else {
+            unproved_.emplace(use.key, use.agent, use.attempt);
+        }
+    }
+}
+
+void holder_closing::agent_answered(const incarnation& agent,
+                                    const std::vector<fenced_request>& running,
+                                    const std::vector<request::outcome>& outcomes)
+{
+    missing_.erase(agent);
+    running_[agent] = running;
+    for (const auto& outcome : outcomes) {
+        outcomes_.emplace(attempt_id{outcome.key, outcome.agent, outcome.attempt}, outcome);
+    }
+}
+
+void holder_closing::agent_gone(const incarnation& agent)
+{
+    if (missing_.erase(agent) > 0) {
+        gone_unheard_ = true;
+        return;
+    }
+    const auto found = running_.find(agent);
+    if (found == running_.end()) {
+        return;
+    }
+    for (const auto& request : found->second) {
+        lost_.emplace(attempt_id{request.key, agent, 0}, unproved_use{.key = request.key,
+                                                                      .budget = request.budget,
+                                                                      .amount = request.upper,
+                                                                      .agent = agent,
+                                                                      .attempt = 0});
+    }
+    running_.erase(found);
+}
+
+bool holder_closing::is_billed(const request::outcome& outcome) const
+{
+    if (outcome.verdict == verdict::not_run || outcome.charged <= 0) {
+        return outcome.verdict != verdict::ran || billed_.contains(outcome.key);
+    }
+    const auto line = billed_.find(outcome.key);
+    const bool has_line = line != billed_.end() && line->second == outcome.agent;
+    return (outcome.verdict == verdict::ran && has_line) ||
+           unproved_.contains({outcome.key, outcome.agent, outcome.attempt});
+}
+
+bool holder_closing::has_unbilled() const
+{
+    return std::any_of(outcomes_.begin(), outcomes_.end(),
+                       [&](const auto& item) { return !is_billed(item.second); }) ||
+           std::any_of(lost_.begin(), lost_.end(),
+                       [&](const auto& item) { return !unproved_.contains(item.first); });
+}
+
+bool holder_closing::needs_rest() const
+{
+    return gone_unheard_ && !rest_written_;
+}
+
+tokens holder_closing::running_under(const std::string& budget) const
+{
+    tokens result = 0;
+    for (const auto& [agent, requests] : running_) {
+        for (const auto& request : requests) {
+            result += request.budget == budget ? request.upper : 0;
+        }
+    }
+    return result;
+}
+
+bool holder_closing::add_outcomes(bill_batch& batch) const
+{
+    std::set<request_key> lines;
+    for (const auto& [id, outcome] : outcomes_) {
+        if (batch.lines.size() + batch.unproved.size() >= entries_per_batch) {
+            return true;
+        }
+        if (is_billed(outcome)) {
+            continue;
+        }
+        const bool first = !billed_.contains(outcome.key) && lines.insert(outcome.key).second;
+        if (outcome.verdict == verdict::ran && first) {
+            batch.lines.push_back(line_of(outcome));
+        } else {
+            batch.unproved.push_back({.key = outcome.key,
+                                      .budget = outcome.budget,
+                                      .amount = outcome.charged,
+                                      .agent = outcome.agent,
+                                      .attempt = outcome.attempt});
+        }
+    }
+    for (const auto& [id, use] : lost_) {
+        if (!unproved_.contains(id)) {
+            batch.unproved.push_back(use);
+        }
+    }
+    return !batch.lines.empty() || !batch.unproved.empty();
+}
+
+bool holder_closing::add_rest(bill_batch& batch, const ledger_shard& ledger) const
+{
+    for (const auto& [name, entry] : ledger.budgets()) {
+        const auto* part = ledger.find_grant(name, holder_);
+        const tokens rest = part == nullptr ? 0 : part->open() - running_under(name);
+        if (rest > 0) {
+            batch.unproved.push_back({.key = {entry.workspace, ""},
+                                      .budget = name,
+                                      .amount = rest,
+                                      .agent = {"", 0},
+                                      .attempt = 0});
+        }
+    }
+    return !batch.unproved.empty();
+}
+
+std::optional<bill_batch> holder_closing::next_batch(const ledger_shard& ledger) const
+{
+    bill_batch result{.shard = shard_,
+                      .holder = holder_,
+                      .number = batches_.empty() ? 1 : batches_.rbegin()->first + 1,
+                      .by_closer = true,
+                      .lines = {},
+                      .unproved = {}};
+    if (add_outcomes(result)) {
+        return result;
+    }
+    if (!sealed_) {
+        return result;
+    }
+    const bool counted = ledger.is_closed(holder_) &&
+                         std::all_of(batches_.begin(), batches_.end(), [&](const auto& item) {
+                             return ledger.is_applied(item.second);
+                         });
+    if (is_proved() && needs_rest() && counted && add_rest(result, ledger)) {
+        return result;
+    }
+    return std::nullopt;
+}
+
+bool holder_closing::apply(ledger_shard& ledger) const
+{
+    bool changed = ledger.mark_closed(holder_);
+    for (const auto& [number, batch] : batches_) {
+        changed |= ledger.apply_batch(batch);
+    }
+    if (!is_proved() || !sealed_ || has_unbilled()) {
+        return changed;
+    }
+    std::vector<std::string> names;
+    for (const auto& [name, entry] : ledger.budgets()) {
+        if (entry.grants.contains(holder_)) {
+            names.push_back(name);
+        }
+    }
+    for (const auto& name : names) {
+        const auto* part = ledger.find_grant(name, holder_);
+        const tokens running = running_under(name);
+        if (needs_rest() && part->open() > running) {
+            continue;
+        }
+        if (running == 0) {
+            changed |= ledger.remove_grant(name, holder_);
+        } else if (part->open() > running) {
+            ledger.shrink_grant(name, holder_, part->settled + running);
+            changed = true;
+        }
+    }
+    return changed;
+}
+
+bool holder_closing::is_finished() const
+{
+    const bool idle = std::all_of(running_.begin(), running_.end(),
+                                  [](const auto& item) { return item.second.empty(); });
+    return is_proved() && sealed_ && idle && !has_unbilled();
+}
+
+} // namespace dotterelport::budget
--- a/src/dotterelport/budget/ledger_shard.cpp
+++ b/src/dotterelport/budget/ledger_shard.cpp
@@ -161,6 +161,19 @@
     return after;
 }
 
+void ledger_shard::shrink_grant(const std::string& budget, const incarnation& holder, tokens amount)
+{
+    const auto found = budgets_.find(budget);
+    if (found == budgets_.end()) {
+        return;
+    }
+    const auto part = found->second.grants.find(holder);
+    if (part != found->second.grants.end()) {
+        part->second.amount = std::max(part->second.settled, std::min(part->second.amount, amount));
+        check(budget, found->second);
+    }
+}
+
 bool ledger_shard::remove_grant(const std::string& budget, const incarnation& holder)
 {
     const auto found = budgets_.find(budget);
--- a/src/dotterelport/router/budget_service.cpp
+++ b/src/dotterelport/router/budget_service.cpp
@@ -62,18 +62,6 @@
     }
 }
 
-void budget_service::native::rejoin_if_closed()
-{
-    const bool closed = std::any_of(owners.begin(), owners.end(), [](const auto& item) {
-        return item.second->session().is_closed();
-    });
-    if (closed && environment.nodes.self().id == current) {
-        log(events::incarnation_replaced, {{"incarnation", to_string(current)}});
-        owners.clear();
-        environment.nodes.rejoin();
-    }
-}
-
 std::uint32_t budget_service::native::shard_of(const std::string& workspace) const
 {
     const auto snapshot = environment.configuration.current();
@@ -117,11 +105,19 @@
 void budget_service::native::tick()
 {
     const auto snapshot = environment.configuration.current();
-    if (snapshot == nullptr || !environment.nodes.is_registered()) {
+    if (!environment.nodes.is_registered()) {
+        // Another router closed this incarnation; its reservations end at the agents.
+        if (!owners.empty() && !draining) {
+            log(events::incarnation_replaced, {{"incarnation", to_string(current)}});
+            owners.clear();
+            environment.nodes.rejoin();
+        }
+        return;
+    }
+    if (snapshot == nullptr) {
         return;
     }
     follow_incarnation();
-    rejoin_if_closed();
     const auto& self = environment.nodes.self();
     for (std::uint32_t shard = 0; shard < snapshot->settings().budget_shards && !draining;
          ++shard) {
--- a/src/dotterelport/router/budget_service_native.hpp
+++ b/src/dotterelport/router/budget_service_native.hpp
@@ -39,9 +39,6 @@
 
     /// @brief Replaces the owners after this router took a new incarnation.
     void follow_incarnation();
-    /// @brief Starts a new incarnation if this one was closed.
-    void rejoin_if_closed();
-
     /// @brief Own grants in a shard; null while this router is not registered or has no
     /// configuration.
     std::shared_ptr<shard_owner> owner_of(std::uint32_t shard);
@@ -62,7 +59,9 @@
     void release_at_owner(const request_key& key);
     bool release_here(const request_key& key);
     [[nodiscard]] json lookup_here(const request_key& key) const;
-    [[nodiscard]] reserve_result own_result(reserve_status status, const incarnation& agent) const;
+    /// @brief Result that names the holder an owner reserves for.
+    [[nodiscard]] reserve_result own_result(reserve_status status, const incarnation& holder,
+                                            const incarnation& agent) const;
 
     void serve(net::rpc_server& server);
     void take_outcomes(const json& parameters, net::rpc_server::reply reply);
--- a/src/dotterelport/router/budget_service_reserve.cpp
+++ b/src/dotterelport/router/budget_service_reserve.cpp
@@ -14,13 +14,12 @@
 
 } // namespace
 
-reserve_result budget_service::native::own_result(reserve_status status,
+reserve_result budget_service::native::own_result(reserve_status status, const incarnation& holder,
                                                   const incarnation& agent) const
 {
-    const auto& self = environment.nodes.self();
     return {.status = status,
-            .holder = self.id,
-            .holder_address = net::to_string(self.peers),
+            .holder = holder,
+            .holder_address = net::to_string(environment.nodes.self().peers),
             .agent = agent};
 }
 
@@ -60,11 +59,11 @@
     const auto* owner =
         snapshot == nullptr ? nullptr : snapshot->workspace_of_budget(message.request.budget);
     if (snapshot == nullptr || !environment.nodes.is_registered()) {
-        done(own_result(reserve_status::unavailable, {}));
+        done(own_result(reserve_status::unavailable, current, {}));
         return;
     }
     if (owner == nullptr || owner->name != message.request.key.workspace) {
-        done(own_result(reserve_status::exhausted, {}));
+        done(own_result(reserve_status::exhausted, current, {}));
         return;
     }
     const auto shard = config::shard_of(owner->name, snapshot->settings());
@@ -96,7 +95,8 @@
     const auto owner = owner_of(shard_of(message.request.key.workspace));
     if (owner == nullptr || !declared) {
         const bool removed = snapshot != nullptr && !declared;
-        done(own_result(removed ? reserve_status::exhausted : reserve_status::unavailable, {}));
+        done(own_result(removed ? reserve_status::exhausted : reserve_status::unavailable, current,
+                        {}));
         return;
     }
     std::make_shared<reservation_flow>(*this, owner, message, std::move(done))->start();
@@ -144,7 +144,7 @@
     if (known == nullptr) {
         return {{"state", "unknown"}, {"holder", ""}, {"holder_address", ""}, {"agent", ""}};
     }
-    json result = to_json(own_result(reserve_status::known, known->agent));
+    json result = to_json(own_result(reserve_status::known, owner->session().self(), known->agent));
     result.erase("result");
     result["state"] = "reserved";
     return result;
--- a/src/dotterelport/router/reservation_flow.cpp
+++ b/src/dotterelport/router/reservation_flow.cpp
@@ -33,6 +33,11 @@
     ensure_agent();
 }
 
+reserve_result reservation_flow::own_result(reserve_status status, const incarnation& agent) const
+{
+    return service_->own_result(status, owner_->session().self(), agent);
+}
+
 void reservation_flow::look_up_elsewhere()
 {
     auto state = std::make_shared<question>();
@@ -66,7 +71,7 @@
     }
     service_->agents->ensure(message_.request.agent, [self = shared_from_this()](bool listed) {
         if (!listed) {
-            self->finish(self->service_->own_result(reserve_status::unavailable, {}));
+            self->finish(self->own_result(reserve_status::unavailable, {}));
         } else if (self->message_.lend) {
             self->lend_from_own_grant();
         } else {
@@ -83,11 +88,11 @@
         log(events::tokens_lent, {{"budget", message_.request.budget},
                                   {"tokens", message_.request.upper_tokens},
                                   {"router", message_.router}});
-        finish(service_->own_result(reserve_status::reserved, message_.request.agent));
+        finish(own_result(reserve_status::reserved, message_.request.agent));
     } else if (answer == owner_answer::known) {
         finish_known();
     } else {
-        finish(service_->own_result(reserve_status::exhausted, {}));
+        finish(own_result(reserve_status::exhausted, {}));
     }
 }
 
@@ -105,17 +110,16 @@
     case owner_answer::reserved:
         if (service_->environment.nodes.is_gone(request.agent)) {
             owner_->session().holder().release_at(request.key, request.agent);
-            finish(service_->own_result(reserve_status::unavailable, {}));
+            finish(own_result(reserve_status::unavailable, {}));
             return;
         }
-        finish(service_->own_result(reserve_status::reserved, request.agent));
+        finish(own_result(reserve_status::reserved, request.agent));
         return;
     case owner_answer::known:
         finish_known();
         return;
     case owner_answer::closed:
-        service_->rejoin_if_closed();
-        finish(service_->own_result(reserve_status::unavailable, {}));
+        finish(own_result(reserve_status::unavailable, {}));
         return;
     case owner_answer::no_room:
         ledger_reached_ = true;
@@ -201,15 +205,14 @@
                      return item.second.open() == 0 || asked_.contains(item.first);
                  });
     }
-    finish(
-        service_->own_result(proved ? reserve_status::exhausted : reserve_status::unavailable, {}));
+    finish(own_result(proved ? reserve_status::exhausted : reserve_status::unavailable, {}));
 }
 
 void reservation_flow::finish_known()
 {
     const auto* known = owner_->session().holder().find(message_.request.key);
-    finish(service_->own_result(reserve_status::known,
-                                known == nullptr ? message_.request.agent : known->agent));
+    finish(own_result(reserve_status::known,
+                      known == nullptr ? message_.request.agent : known->agent));
 }
 
 void reservation_flow::finish(const reserve_result& result)
--- a/src/dotterelport/router/reservation_flow.hpp
+++ b/src/dotterelport/router/reservation_flow.hpp
@@ -28,6 +28,7 @@
         bool answered = false;
     };
 
+    [[nodiscard]] reserve_result own_result(reserve_status status, const incarnation& agent) const;
     void look_up_elsewhere();
     void ensure_agent();
     void ask_ledger(bool last);
