--- a/src/dotterelport/router/router_fixture.hpp
+++ b/src/dotterelport/router/router_fixture.hpp
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -59,7 +60,8 @@
                             const json& body = nullptr, const net::header_list& headers = {});
     net::client_answer call_text(const std::string& method, const std::string& path,
                                  const std::string& body, net::header_list headers);
-    net::client_answer chat(json changes = json::object(), const net::header_list& headers = {});
+    net::client_answer chat(const json& changes = json::object(),
+                            const net::header_list& headers = {});
 
     net::event_loop loop;
     net::http_client http{loop};
@@ -73,6 +75,7 @@
     std::vector<net::endpoint> other_routers;
     reserve_result reservation;
     std::vector<reserve_request> reservations;
+    std::set<incarnation> gone;
     int released = 0;
     int retries_left = 100;
     int refreshes = 0;
