--- a/include/dotterelport/membership/node_view.hpp
+++ b/include/dotterelport/membership/node_view.hpp
@@ -57,7 +57,7 @@
     /// @return number of objects that were not records
     int apply(const platform::listing& changes, milliseconds now);
 
-    /// @brief Takes the platform's list of VMs.
+    /// @brief Takes the platform's list of VMs. One that lacks this node's own VM is ignored.
     void apply(const platform::vm_listing& list, milliseconds now);
 
     /// @brief Takes the result of a call to a node.
@@ -135,7 +135,6 @@
     /// By object key without the prefix: "<name>", or "<name>#<epoch>" for earlier incarnations.
     entry_map entries_;
     std::map<std::string, contact> contacts_;
-    bool vms_known_ = false;
     std::map<std::string, platform::vm_state> vms_;
     std::set<std::string> vms_seen_;
     std::map<std::string, absence> vms_absent_;
--- a/src/dotterelport/membership/node_view.cpp
+++ b/src/dotterelport/membership/node_view.cpp
@@ -67,10 +67,11 @@
 
 void node_view::apply(const platform::vm_listing& list, milliseconds now)
 {
-    if (!list.available) {
+    // A list without this node's own VM is incomplete, so what it lacks proves nothing.
+    const bool is_complete = self_.vm.empty() ? !list.vms.empty() : list.vms.contains(self_.vm);
+    if (!list.available || !is_complete) {
         return;
     }
-    vms_known_ = true;
     vms_ = list.vms;
     for (const auto& [vm, state] : vms_) {
         vms_seen_.insert(vm);
@@ -158,7 +159,7 @@
 std::optional<milliseconds> node_view::vm_gone_since(const std::string& vm, milliseconds now) const
 {
     const auto found = vms_absent_.find(vm);
-    if (!vms_known_ || found == vms_absent_.end()) {
+    if (found == vms_absent_.end()) {
         return std::nullopt;
     }
     const absence& value = found->second;
--- a/src/dotterelport/membership/node_view_test.cpp
+++ b/src/dotterelport/membership/node_view_test.cpp
@@ -177,6 +177,17 @@
     CHECK(view.is_gone({"a9", 1}, 40s));
 }
 
+// Guards against an empty or partial list making all nodes look lost.
+TEST_CASE("A VM list without this node's own VM is ignored")
+{
+    auto nodes = two_domains();
+    nodes.list_vms(1s, "vm-a1", "vm-a3");
+    nodes.list_vms(60s, "vm-a1", "vm-a3");
+    CHECK(nodes.views.at("a1").live_nodes(node_role::router, 60s).size() == 5);
+    CHECK(nodes.views.at("a2").live_nodes(node_role::router, 60s).size() == 3);
+    CHECK(nodes.views.at("a2").is_gone({"a1", 1}, 60s));
+}
+
 // Guards against every router trying to close a dead one at the same moment, and against none.
 TEST_CASE("A silent router is closed by one router of its domain")
 {
