Choose backend servers with the routing module's balancer

Cause: the least requests in flight ignores prefix caches, slow and failing backend servers. Change: the pool keeps a balancer for each service; leases tell it the course of each request; agents without their backend server are passed over. Conclusion: choice by load, cache and health; the own failure domain comes first while it has room.

--- a/src/dotterelport/router/agent_pool.cpp
+++ b/src/dotterelport/router/agent_pool.cpp
@@ -1,8 +1,7 @@
 #include "agent_pool.hpp"
 
 #include <algorithm>
-#include <limits>
-#include <tuple>
+#include <utility>
 
 namespace dotterelport::router {
 namespace {
@@ -10,27 +9,65 @@
 constexpr milliseconds local_status_interval{500};
 constexpr milliseconds remote_status_interval{2'000};
 
-/// What is known to be in progress. Reports lag, so the larger of the two counts is used.
-int load_of(const agent_entry& entry)
+/// In a large fleet the limit on polls makes the reports of an agent up to 10 s apart. Agents that
+/// are down are known from failed calls long before.
+constexpr milliseconds silent_after{15'000};
+
+} // namespace
+
+agent_lease::~agent_lease()
 {
-    return std::max(entry.in_flight, entry.running + entry.waiting);
+    if (!ended_) {
+        pool_.balancer_of(service_).cancelled(node_, id_, steady_now());
+    }
 }
 
-bool has_room(const agent_entry& entry)
+void agent_lease::answered()
 {
-    return entry.capacity == 0 || load_of(entry) < entry.capacity;
+    if (!std::exchange(answered_, true)) {
+        pool_.balancer_of(service_).answered(node_, id_, steady_now());
+    }
 }
 
-} // namespace
+void agent_lease::finished(double units)
+{
+    if (!std::exchange(ended_, true)) {
+        pool_.balancer_of(service_).finished(node_, id_, units, steady_now());
+    }
+}
+
+void agent_lease::failed()
+{
+    if (!std::exchange(ended_, true)) {
+        pool_.balancer_of(service_).failed(node_, id_, steady_now());
+    }
+}
+
+routing::balancer& agent_pool::balancer_of(const std::string& service)
+{
+    const auto found = balancers_.find(service);
+    if (found != balancers_.end()) {
+        return found->second;
+    }
+    routing::balancer::settings settings;
+    settings.load.silent_after = silent_after;
+    settings.seed = seed_;
+    return balancers_.emplace(service, routing::balancer(settings)).first->second;
+}
 
 void agent_pool::update(const std::vector<membership::node_record>& live)
 {
-    std::map<incarnation, std::shared_ptr<agent_entry>> next;
+    std::map<incarnation, entry> next;
     for (const auto& record : live) {
         const auto known = agents_.find(record.id);
-        auto entry = known == agents_.end() ? std::make_shared<agent_entry>() : known->second;
-        entry->record = record;
-        next.emplace(record.id, std::move(entry));
+        auto& value = next[record.id];
+        value = known == agents_.end() ? entry{} : known->second;
+        value.record = record;
+    }
+    for (const auto& [id, known] : agents_) {
+        if (!next.contains(id)) {
+            balancer_of(known.record.service).forget(id.node);
+        }
     }
     agents_ = std::move(next);
     std::erase_if(leaving_, [this](const incarnation& agent) { return !agents_.contains(agent); });
@@ -39,13 +76,10 @@
 void agent_pool::take_status(const incarnation& agent, const json& status)
 {
     const auto found = agents_.find(agent);
-    const json load = status.value("load", json::object());
-    if (found == agents_.end() || !load.is_object()) {
-        return;
+    if (found != agents_.end()) {
+        found->second.backend_reachable = status.value("backend_reachable", true);
+        balancer_of(found->second.record.service).take_status(agent.node, status, steady_now());
     }
-    found->second->running = load.value("running", 0);
-    found->second->waiting = load.value("waiting", 0);
-    found->second->capacity = load.value("capacity", 0);
 }
 
 void agent_pool::mark_leaving(const incarnation& agent)
@@ -53,90 +87,102 @@
     leaving_.insert(agent);
 }
 
-std::optional<membership::node_record> agent_pool::choose(const std::string& service,
-                                                          const std::set<incarnation>& tried) const
+std::optional<membership::node_record> agent_pool::choose(const agent_request& request)
 {
-    const agent_entry* best = nullptr;
-    auto best_rank = std::make_tuple(2, 2, std::numeric_limits<int>::max());
-    for (const auto& [id, entry] : agents_) {
-        if (entry->record.service != service || tried.contains(id) || leaving_.contains(id)) {
+    std::map<std::string, const membership::node_record*> records;
+    std::vector<std::string> local;
+    std::vector<std::string> all;
+    for (const auto& [id, known] : agents_) {
+        if (known.record.service != request.service || request.tried.contains(id) ||
+            leaving_.contains(id) || !known.backend_reachable) {
             continue;
         }
-        const auto rank =
-            std::make_tuple(has_room(*entry) ? 0 : 1, is_local(*entry) ? 0 : 1, load_of(*entry));
-        if (best == nullptr || rank < best_rank) {
-            best = entry.get();
-            best_rank = rank;
+        records[id.node] = &known.record;
+        all.push_back(id.node);
+        if (is_local(known.record)) {
+            local.push_back(id.node);
         }
     }
-    if (best == nullptr) {
+    auto& balancer = balancer_of(request.service);
+    const auto now = steady_now();
+    const auto& candidates = balancer.has_room(local, now) ? local : all;
+    const auto chosen = balancer.choose(request.choice, candidates, now);
+    if (!chosen) {
         return std::nullopt;
     }
-    return best->record;
+    return *records.at(*chosen);
 }
 
 std::vector<membership::node_record> agent_pool::agents_of(const std::string& service) const
 {
     std::vector<membership::node_record> result;
-    for (const auto& [id, entry] : agents_) {
-        if (entry->record.service == service) {
-            result.push_back(entry->record);
+    for (const auto& [id, known] : agents_) {
+        if (known.record.service == service) {
+            result.push_back(known.record);
         }
     }
     return result;
 }
 
-agent_pool::lease agent_pool::begin(const incarnation& agent)
+std::unique_ptr<agent_lease> agent_pool::begin(const membership::node_record& agent,
+                                               const routing::choice_request& choice)
 {
-    const auto found = agents_.find(agent);
-    if (found == agents_.end()) {
-        return nullptr;
-    }
-    ++found->second->in_flight;
-    return {nullptr, [entry = found->second](void*) { --entry->in_flight; }};
+    const auto id = ++last_request_;
+    balancer_of(agent.service).sent(agent.id.node, id, choice, steady_now());
+    return std::make_unique<agent_lease>(*this, agent.service, agent.id.node, id);
 }
 
 std::optional<membership::node_record> agent_pool::find(const incarnation& agent) const
 {
     const auto found = agents_.find(agent);
-    return found == agents_.end() ? std::nullopt : std::optional(found->second->record);
+    if (found == agents_.end()) {
+        return std::nullopt;
+    }
+    return found->second.record;
 }
 
 std::vector<membership::node_record> agent_pool::due_for_status(milliseconds now, std::size_t limit)
 {
-    std::vector<agent_entry*> due;
-    for (const auto& [id, entry] : agents_) {
-        const auto interval = is_local(*entry) ? local_status_interval : remote_status_interval;
-        if (now - entry->asked_at >= interval) {
-            due.push_back(entry.get());
+    std::vector<entry*> due;
+    for (auto& [id, known] : agents_) {
+        const auto interval =
+            is_local(known.record) ? local_status_interval : remote_status_interval;
+        if (now - known.asked_at >= interval) {
+            due.push_back(&known);
         }
     }
-    std::sort(due.begin(), due.end(), [](const agent_entry* left, const agent_entry* right) {
+    std::sort(due.begin(), due.end(), [](const entry* left, const entry* right) {
         return left->asked_at < right->asked_at;
     });
     due.resize(std::min(due.size(), limit));
     std::vector<membership::node_record> result;
-    for (auto* entry : due) {
-        entry->asked_at = now;
-        result.push_back(entry->record);
+    for (auto* known : due) {
+        known->asked_at = now;
+        result.push_back(known->record);
     }
     return result;
 }
 
+json agent_pool::status_parameters(const membership::node_record& agent)
+{
+    return {{"cache_sequence", balancer_of(agent.service).prefixes().sequence(agent.id.node)}};
+}
+
 json agent_pool::dump() const
 {
-    json result = json::array();
-    for (const auto& [id, entry] : agents_) {
-        result.push_back({{"agent", to_string(id)},
-                          {"service", entry->record.service},
-                          {"failure_domain", entry->record.failure_domain},
-                          {"in_flight", entry->in_flight},
-                          {"running", entry->running},
-                          {"waiting", entry->waiting},
-                          {"capacity", entry->capacity},
-                          {"leaving", leaving_.contains(id)}});
+    json agents = json::array();
+    for (const auto& [id, known] : agents_) {
+        agents.push_back({{"agent", to_string(id)},
+                          {"service", known.record.service},
+                          {"failure_domain", known.record.failure_domain},
+                          {"leaving", leaving_.contains(id)},
+                          {"backend_reachable", known.backend_reachable}});
     }
-    return result;
+    json balancers = json::object();
+    for (const auto& [service, balancer] : balancers_) {
+        balancers[service] = balancer.dump(steady_now());
+    }
+    return {{"agents", agents}, {"balancers", balancers}};
 }
 
 } // namespace dotterelport::router
--- a/src/dotterelport/router/agent_pool.hpp
+++ b/src/dotterelport/router/agent_pool.hpp
@@ -1,7 +1,7 @@
 #ifndef DOTTERELPORT_ROUTER_AGENT_POOL_HPP
 #define DOTTERELPORT_ROUTER_AGENT_POOL_HPP
 
-#include <functional>
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <optional>
@@ -11,30 +11,55 @@
 
 #include "dotterelport/base/json.hpp"
 #include "dotterelport/membership/directory.hpp"
+#include "dotterelport/routing/balancer.hpp"
 
 namespace dotterelport::router {
 
-/// An agent that requests may be sent to.
-struct agent_entry {
-    membership::node_record record;
-    /// Requests of this router in progress there.
-    int in_flight = 0;
-    /// As the agent reported last.
-    int running = 0;
-    int waiting = 0;
-    int capacity = 0;
-    /// Time of the last status that was asked for.
-    milliseconds asked_at{0};
+/// A request that needs an agent.
+struct agent_request {
+    std::string service;
+    routing::choice_request choice;
+    /// Agents that have failed this request.
+    std::set<incarnation> tried;
 };
 
-/// The agents that this router knows, and the load on each.
-class agent_pool {
+class agent_pool;
+
+/// A request in progress at an agent. What becomes of it is part of the view of the agent's load;
+/// a lease that is dropped without a word says nothing about the agent.
+class agent_lease {
 public:
-    /// Counts a request against its agent for as long as it is in progress.
-    using lease = std::shared_ptr<void>;
+    agent_lease(agent_pool& pool, std::string service, std::string node, std::uint64_t id)
+        : pool_(pool), service_(std::move(service)), node_(std::move(node)), id_(id)
+    {}
+    ~agent_lease();
+    agent_lease(const agent_lease&) = delete;
+    agent_lease& operator=(const agent_lease&) = delete;
+
+    /// @brief Notes the first part of the answer; later calls have no effect.
+    void answered();
+    /// @param units tokens generated, or 1 for a call
+    void finished(double units);
+    /// @brief Notes a failure that speaks against the agent or its backend server.
+    void failed();
+
+private:
+    agent_pool& pool_;
+    std::string service_;
+    std::string node_;
+    std::uint64_t id_;
+    bool answered_ = false;
+    bool ended_ = false;
+};
 
+/// The agents that this router knows, the load on each, and the choice among them.
+class agent_pool {
+public:
     /// @param failure_domain of this router
-    explicit agent_pool(std::string failure_domain) : failure_domain_(std::move(failure_domain)) {}
+    /// @param seed of the choices
+    explicit agent_pool(std::string failure_domain, std::uint64_t seed = 1)
+        : failure_domain_(std::move(failure_domain)), seed_(seed)
+    {}
 
     /// @brief Takes over the live agents.
     void update(const std::vector<membership::node_record>& live);
@@ -45,17 +70,16 @@
     /// @brief Stops sending new requests to an agent, by its own word.
     void mark_leaving(const incarnation& agent);
 
-    /// @brief Chooses the agent for a request: of this failure domain if one has room, then the one
-    /// with the least in progress.
-    /// @param tried agents that have failed this request
-    [[nodiscard]] std::optional<membership::node_record>
-    choose(const std::string& service, const std::set<incarnation>& tried) const;
+    /// @brief Chooses the agent for a request: one of this failure domain if any has room, else one
+    /// of all.
+    [[nodiscard]] std::optional<membership::node_record> choose(const agent_request& request);
 
     /// @brief Live agents of a service.
     [[nodiscard]] std::vector<membership::node_record> agents_of(const std::string& service) const;
 
-    /// @brief Counts a request at an agent until the lease is dropped.
-    [[nodiscard]] lease begin(const incarnation& agent);
+    /// @brief Counts a request at an agent until its lease ends.
+    [[nodiscard]] std::unique_ptr<agent_lease> begin(const membership::node_record& agent,
+                                                     const routing::choice_request& choice);
 
     /// @brief Record of a live agent incarnation.
     [[nodiscard]] std::optional<membership::node_record> find(const incarnation& agent) const;
@@ -64,18 +88,34 @@
     /// @param limit most agents to return
     std::vector<membership::node_record> due_for_status(milliseconds now, std::size_t limit);
 
+    /// @brief Parameters of the RPC status: the agent leaves out the cache if it has not changed.
+    [[nodiscard]] json status_parameters(const membership::node_record& agent);
+
     [[nodiscard]] std::size_t size() const { return agents_.size(); }
     [[nodiscard]] json dump() const;
 
 private:
-    [[nodiscard]] bool is_local(const agent_entry& entry) const
+    friend class agent_lease;
+
+    struct entry {
+        membership::node_record record;
+        /// Time of the last status that was asked for.
+        milliseconds asked_at{0};
+        bool backend_reachable = true;
+    };
+
+    [[nodiscard]] bool is_local(const membership::node_record& record) const
     {
-        return entry.record.failure_domain == failure_domain_;
+        return record.failure_domain == failure_domain_;
     }
+    routing::balancer& balancer_of(const std::string& service);
 
     std::string failure_domain_;
-    std::map<incarnation, std::shared_ptr<agent_entry>> agents_;
+    std::uint64_t seed_;
+    std::map<incarnation, entry> agents_;
     std::set<incarnation> leaving_;
+    std::map<std::string, routing::balancer> balancers_;
+    std::uint64_t last_request_ = 0;
 };
 
 } // namespace dotterelport::router
--- a/src/dotterelport/router/booking_run.cpp
+++ b/src/dotterelport/router/booking_run.cpp
@@ -17,7 +17,7 @@
                          std::function<void(const caller_error*)> on_finished)
     : context_(context), job_(std::move(request)), answer_(std::move(reply)),
       on_finished_(std::move(on_finished)), object_(booking_object(job_.key)),
-      patience_until_(steady_now() + patience)
+      wanted_(make_agent_request(job_)), patience_until_(steady_now() + patience)
 {}
 
 void booking_run::start()
@@ -120,9 +120,9 @@
               had_attempt ? verdict::may_have_run : verdict::not_run});
         return;
     }
-    const auto agent = context_.agents.choose(job_.service, tried_);
+    const auto agent = context_.agents.choose(wanted_);
     if (!agent && steady_now() < patience_until_) {
-        tried_.clear();
+        wanted_.tried.clear();
         after(poll_wait, [this] { prepare_attempt(); });
         return;
     }
@@ -245,7 +245,7 @@
     admission.attempt = record_->attempt;
     admission.join_only = join_only;
     ++attempts_;
-    lease_ = context_.agents.begin(agent->id);
+    lease_ = context_.agents.begin(*agent, wanted_.choice);
     attempt_handler handler;
     handler.on_chunk = [self = shared_from_this()](const json& data) { self->data_ = data; };
     handler.on_done = [self = shared_from_this()](const attempt_result& result) {
@@ -259,7 +259,7 @@
 
 void booking_run::take_result(const attempt_result& result)
 {
-    lease_ = nullptr;
+    end_lease(lease_, result);
     attempt_ = nullptr;
     if (std::holds_alternative<request::end_frame>(result)) {
         reserved_ = false;
@@ -323,7 +323,7 @@
         return;
     }
     if (!rule.same_agent) {
-        tried_.insert(record_->agent);
+        wanted_.tried.insert(record_->agent);
     }
     after(retry_wait(attempts_, context_.random), [this] { decide(); });
 }
--- a/src/dotterelport/router/booking_run.hpp
+++ b/src/dotterelport/router/booking_run.hpp
@@ -61,8 +61,8 @@
     /// Token of the intent that this run wrote last.
     std::string token_;
     std::shared_ptr<agent_attempt> attempt_;
-    agent_pool::lease lease_;
-    std::set<incarnation> tried_;
+    std::unique_ptr<agent_lease> lease_;
+    agent_request wanted_;
     json data_;
     int attempts_ = 0;
     int asked_ = 0;
--- a/src/dotterelport/router/node_poller.cpp
+++ b/src/dotterelport/router/node_poller.cpp
@@ -38,7 +38,10 @@
 
 void node_poller::poll(const membership::node_record& node)
 {
-    rpc_.call(node.peers, "status", json::object(), status_timeout,
+    const auto parameters = node.role == membership::node_role::agent
+                                ? agents_.status_parameters(node)
+                                : json::object();
+    rpc_.call(node.peers, "status", parameters, status_timeout,
               [this, node](const net::rpc_result& result) { take_status(node, result); });
 }
 
--- a/src/dotterelport/router/request_run.cpp
+++ b/src/dotterelport/router/request_run.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "dotterelport/request/prompt.hpp"
 #include "events.hpp"
 #include "intake.hpp"
 
@@ -16,6 +17,9 @@
 
 constexpr milliseconds first_retry_wait{10};
 
+/// Blocks of a prompt that are looked up in the views of the prefix caches.
+constexpr std::size_t max_prefix_blocks = 64;
+
 json describe(const job& request)
 {
     return {{"workspace", request.key.workspace},
@@ -47,6 +51,38 @@
     return admission;
 }
 
+agent_request make_agent_request(const job& request)
+{
+    agent_request result;
+    result.service = request.service;
+    result.choice.priority = request.priority;
+    if (request.kind == request::request_kind::chat) {
+        const std::string prompt = request::prompt_text(request.payload);
+        result.choice.prompt_tokens = request::count_prompt_tokens(prompt);
+        result.choice.prefix =
+            routing::parse_prefix_hashes(request::prefix_hashes(prompt, max_prefix_blocks));
+    }
+    return result;
+}
+
+void end_lease(std::unique_ptr<agent_lease>& lease, const attempt_result& result)
+{
+    using request::failure_reason;
+    if (!lease) {
+        return;
+    }
+    if (const auto* end = std::get_if<request::end_frame>(&result)) {
+        lease->finished(std::max(1.0, static_cast<double>(end->completion_tokens)));
+    } else {
+        const auto reason = std::get<request::error_frame>(result).reason;
+        if (reason == failure_reason::backend_unreachable ||
+            reason == failure_reason::backend_crashed || reason == failure_reason::backend_error) {
+            lease->failed();
+        }
+    }
+    lease = nullptr;
+}
+
 milliseconds retry_wait(int attempt, std::mt19937_64& random)
 {
     const auto longest = first_retry_wait * (1 << std::min(attempt, max_attempts));
@@ -57,7 +93,8 @@
 request_run::request_run(dispatch_context& context, job request, answer reply,
                          std::function<void(const caller_error*)> on_finished)
     : context_(context), job_(std::move(request)), answer_(std::move(reply)),
-      on_finished_(std::move(on_finished)), patience_until_(steady_now() + patience)
+      on_finished_(std::move(on_finished)), wanted_(make_agent_request(job_)),
+      patience_until_(steady_now() + patience)
 {}
 
 void request_run::start()
@@ -87,8 +124,9 @@
               may_have_run_ ? verdict::may_have_run : verdict::not_run});
         return;
     }
-    auto agent = context_.agents.choose(job_.service, tried_);
-    if (const auto recent = context_.recent.find(job_.key); recent && !tried_.contains(*recent)) {
+    auto agent = context_.agents.choose(wanted_);
+    if (const auto recent = context_.recent.find(job_.key);
+        recent && !wanted_.tried.contains(*recent)) {
         const auto record = context_.agents.find(*recent);
         agent = record ? record : agent;
     }
@@ -102,7 +140,7 @@
 void request_run::wait_for_agent()
 {
     if (steady_now() < patience_until_) {
-        tried_.clear();
+        wanted_.tried.clear();
         after(poll_wait, &request_run::choose);
         return;
     }
@@ -185,9 +223,10 @@
     if (job_.caller_key) {
         context_.recent.note(job_.key, agent.id);
     }
-    lease_ = context_.agents.begin(agent.id);
+    lease_ = context_.agents.begin(agent, wanted_.choice);
     attempt_handler handler;
     handler.on_chunk = [self = shared_from_this()](const json& data) {
+        self->lease_->answered();
         add_chunk(self->answer_, data);
     };
     handler.on_done = [self = shared_from_this(), agent](const attempt_result& ended) {
@@ -204,7 +243,7 @@
     if (finished_) {
         return;
     }
-    lease_ = nullptr;
+    end_lease(lease_, result);
     attempt_ = nullptr;
     if (const auto* end = std::get_if<request::end_frame>(&result)) {
         context_.report_contact(agent.id.node, true);
@@ -273,7 +312,7 @@
         return;
     }
     if (!rule.same_agent) {
-        tried_.insert(agent.id);
+        wanted_.tried.insert(agent.id);
         context_.recent.forget(job_.key);
     }
     try {
--- a/src/dotterelport/router/request_run.hpp
+++ b/src/dotterelport/router/request_run.hpp
@@ -53,6 +53,12 @@
 request::admission make_admission(const job& request, const reserve_result& reservation,
                                   std::uint64_t generation);
 
+/// @brief What the choice of a backend server depends on.
+agent_request make_agent_request(const job& request);
+
+/// @brief Notes the end of an attempt in the view of the agent's load.
+void end_lease(std::unique_ptr<agent_lease>& lease, const attempt_result& result);
+
 /// @brief Wait before a further attempt, with jitter.
 milliseconds retry_wait(int attempt, std::mt19937_64& random);
 
@@ -91,8 +97,8 @@
     answer answer_;
     std::function<void(const caller_error*)> on_finished_;
     std::shared_ptr<agent_attempt> attempt_;
-    agent_pool::lease lease_;
-    std::set<incarnation> tried_;
+    std::unique_ptr<agent_lease> lease_;
+    agent_request wanted_;
     int attempts_ = 0;
     /// Number of the last attempt, this request's own or one that it joined.
     std::uint32_t attempt_number_ = 0;
