Add the config module

Cause: operators apply whole documents, of which exactly one is accepted at a time, and every process must have the accepted one in force within 5 s and never go back. Change: schema and reference checks, differences, content-addressed parts, a publisher with one conditional update, and a follower. A publisher whose answer was lost repeats the same conditional write and then looks for its own identifier in the manifest's history, because a read alone does not tell whether a delayed write still takes effect. A process is ready only on information that is known to be newer than its start; routers therefore state the age of theirs.

--- a/include/dotterelport/config/follower.hpp
+++ b/include/dotterelport/config/follower.hpp
@@ -3,9 +3,11 @@
 
 #include <functional>
 #include <memory>
+#include <string>
 #include <vector>
 
 #include "dotterelport/base/clock.hpp"
+#include "dotterelport/base/json.hpp"
 #include "dotterelport/config/snapshot.hpp"
 #include "dotterelport/net/event_loop.hpp"
 #include "dotterelport/net/rpc.hpp"
@@ -20,7 +22,8 @@
     struct options {
         /// Tells, at each poll, whether this process is one of those that watch the platform.
         std::function<bool()> is_watcher;
-        /// Routers of the failure domain to ask, without this process.
+        /// Routers to ask, without this process, in order of preference: those that watch the
+        /// platform first, then others of the failure domain, then those of other failure domains.
         std::function<std::vector<net::endpoint>()> routers;
     };
 
@@ -40,16 +43,23 @@
     /// @brief Time since the current generation came into force.
     [[nodiscard]] milliseconds in_force_for() const;
 
+    /// @brief Why there is no configuration in force, for /readyz; empty if there is one.
+    [[nodiscard]] std::string not_ready_reason() const;
+
     /// @brief Notes that another process has a generation, so that a newer one is fetched at once.
     void hint(std::uint64_t generation);
 
     /// @brief Adds the methods config_manifest and config_part, from which other processes follow.
     void serve(net::rpc_server& server);
 
+    /// @brief State for /dump.
+    [[nodiscard]] json dump() const;
+
     struct native;
 
 private:
-    std::unique_ptr<native> native_;
+    /// Also referred to, weakly, by the calls in progress.
+    std::shared_ptr<native> native_;
 };
 
 } // namespace dotterelport::config
--- /dev/null
+++ b/include/dotterelport/config/reader.hpp
@@ -0,0 +1,27 @@
+#ifndef DOTTERELPORT_CONFIG_READER_HPP
+#define DOTTERELPORT_CONFIG_READER_HPP
+
+#include <functional>
+#include <optional>
+
+#include "dotterelport/config/parts.hpp"
+#include "dotterelport/platform/client.hpp"
+
+namespace dotterelport::config {
+
+/// The accepted configuration as read from the platform.
+struct accepted_configuration {
+    /// 0 if none was accepted yet.
+    std::uint64_t generation = 0;
+    document content;
+};
+
+/// @brief Reads the accepted configuration from the platform, once.
+/// @param done receives nothing if the platform did not answer every call, or holds
+/// something else under these keys
+void read_accepted(platform::client& platform,
+                   std::function<void(const std::optional<accepted_configuration>&)> done);
+
+} // namespace dotterelport::config
+
+#endif
--- a/include/dotterelport/config/snapshot.hpp
+++ b/include/dotterelport/config/snapshot.hpp
@@ -15,6 +15,10 @@
 class snapshot {
 public:
     snapshot(std::uint64_t generation, document value);
+    ~snapshot() = default;
+    // The indexes point into the document.
+    snapshot(const snapshot&) = delete;
+    snapshot& operator=(const snapshot&) = delete;
 
     [[nodiscard]] std::uint64_t generation() const { return generation_; }
     [[nodiscard]] const document& content() const { return document_; }
--- /dev/null
+++ b/src/dotterelport/config/follower.cpp
@@ -0,0 +1,201 @@
+#include "dotterelport/config/follower.hpp"
+
+#include "dotterelport/base/error.hpp"
+#include "dotterelport/config/events.hpp"
+#include "dotterelport/config/follower_native.hpp"
+
+namespace dotterelport::config {
+namespace {
+
+constexpr milliseconds poll_interval{1'000};
+
+/// A watch that waits longer would notice a dead connection to the platform later.
+constexpr milliseconds watch_timeout{1'000};
+
+/// Information older than this makes a watcher ask routers too, and the platform be asked directly.
+constexpr milliseconds fresh_age{3'000};
+
+constexpr milliseconds warning_interval{10'000};
+
+} // namespace
+
+std::optional<milliseconds> follower::native::age() const
+{
+    return current && confirmed ? std::optional(steady_now() - *confirmed) : std::nullopt;
+}
+
+bool follower::native::is_fresh() const
+{
+    const auto present = age();
+    return present && *present <= fresh_age;
+}
+
+bool follower::native::is_watcher() const
+{
+    return settings.is_watcher && settings.is_watcher();
+}
+
+void follower::native::tick()
+{
+    const bool watcher = is_watcher();
+    if (watcher && !watching) {
+        watch();
+    }
+    if (pending && !fetching) {
+        adopt();
+    }
+    if (!current) {
+        read_platform();
+        if (steady_now() - last_warning >= warning_interval) {
+            last_warning = steady_now();
+            log(event_not_confirmed);
+        }
+    }
+    if (!watcher || !is_fresh()) {
+        poll();
+    }
+}
+
+void follower::native::watch()
+{
+    watching = true;
+    platform.watch(manifest_key, watched_revision, watch_timeout,
+                   [weak = weak_from_this(), asked = steady_now()](const auto& changes) {
+                       if (const auto self = weak.lock()) {
+                           self->take_changes(changes, asked);
+                       }
+                   });
+}
+
+void follower::native::take_changes(const platform::listing& changes, milliseconds asked)
+{
+    watching = false;
+    if (!changes.available) {
+        return;
+    }
+    watched_revision = changes.revision;
+    for (const auto& item : changes.objects) {
+        if (item.key == manifest_key) {
+            watched_generation = take_manifest_text(item.value, asked);
+        }
+    }
+    if (current && watched_generation == generation()) {
+        confirmed = asked;
+    }
+    if (is_watcher()) {
+        watch();
+    }
+}
+
+void follower::native::read_platform()
+{
+    if (reading) {
+        return;
+    }
+    reading = true;
+    platform.read(manifest_key,
+                  [weak = weak_from_this(), asked = steady_now()](const auto& result) {
+                      const auto self = weak.lock();
+                      if (!self) {
+                          return;
+                      }
+                      self->reading = false;
+                      if (result.status == platform::read_status::found) {
+                          self->hinted = 0;
+                          self->take_manifest_text(result.value.value, asked);
+                      }
+                  });
+}
+
+std::uint64_t follower::native::take_manifest_text(const std::string& text,
+                                                   milliseconds confirmed_at)
+{
+    try {
+        manifest value = parse_manifest(text, manifest_key);
+        const std::uint64_t found = value.generation;
+        consider(std::move(value), std::nullopt, confirmed_at);
+        return found;
+    } catch (const format_error& failure) {
+        log(event_manifest_unreadable, {{"reason", failure.what()}});
+        return 0;
+    }
+}
+
+follower::follower(net::event_loop& loop, platform::client& platform, net::rpc_client& rpc,
+                   options settings)
+    : native_(std::make_shared<native>(loop, platform, rpc, std::move(settings)))
+{}
+
+follower::~follower() = default;
+
+void follower::start(std::function<void(const snapshot_ptr&)> on_change)
+{
+    native_->on_change = std::move(on_change);
+    native_->started = steady_now();
+    native_->timer = std::make_unique<net::periodic_timer>(
+        native_->loop, poll_interval, [state = native_.get()] { state->tick(); });
+    native_->loop.post([weak = native_->weak_from_this()] {
+        if (const auto self = weak.lock()) {
+            self->tick();
+        }
+    });
+}
+
+snapshot_ptr follower::current() const
+{
+    return native_->current;
+}
+
+milliseconds follower::in_force_for() const
+{
+    return steady_now() - native_->in_force_since;
+}
+
+std::string follower::not_ready_reason() const
+{
+    if (native_->current) {
+        return "";
+    }
+    return "no configuration is confirmed: since the start of this process, neither the platform "
+           "nor a router has confirmed the current generation";
+}
+
+void follower::hint(std::uint64_t generation)
+{
+    if (generation <= native_->generation() || generation <= native_->hinted) {
+        return;
+    }
+    native_->hinted = generation;
+    native_->loop.post([weak = native_->weak_from_this()] {
+        if (const auto self = weak.lock()) {
+            self->poll();
+        }
+    });
+}
+
+void follower::serve(net::rpc_server& server)
+{
+    const auto add = [&](const std::string& name, json (native::*function)(const json&) const) {
+        server.add(name, [weak = native_->weak_from_this(), function](const json& parameters) {
+            const auto self = weak.lock();
+            if (!self) {
+                throw net::rpc_error("stopped");
+            }
+            return ((*self).*function)(parameters);
+        });
+    };
+    add("config_manifest", &native::answer_manifest);
+    add("config_part", &native::answer_part);
+}
+
+json follower::dump() const
+{
+    const auto age = native_->age();
+    return {{"generation", native_->generation()},
+            {"in_force_ms", native_->current ? in_force_for().count() : 0},
+            {"confirmed_ms_ago", age ? json(age->count()) : json()},
+            {"watching", native_->watching},
+            {"fetching", native_->fetching}};
+}
+
+} // namespace dotterelport::config
--- /dev/null
+++ b/src/dotterelport/config/publisher.cpp
@@ -0,0 +1,293 @@
+#include "dotterelport/config/publisher.hpp"
+
+#include <algorithm>
+#include <memory>
+#include <utility>
+#include <vector>
+
+#include "dotterelport/base/error.hpp"
+#include "dotterelport/config/parts.hpp"
+
+namespace dotterelport::config {
+namespace {
+
+using platform::read_status;
+using platform::write_status;
+
+constexpr milliseconds retry_delay{200};
+
+/// Stays below the platform's limit of several hundred writes/s.
+constexpr std::size_t max_writes_at_once = 4;
+
+/// One call of publish(); kept alive by the call or timer in progress.
+class publish_operation : public std::enable_shared_from_this<publish_operation> {
+public:
+    struct context {
+        net::event_loop& loop;
+        platform::client& platform;
+        milliseconds deadline;
+        std::function<void(const publish_result&)> done;
+    };
+
+    publish_operation(context environment, split_document document, std::uint32_t budget_shards,
+                      std::optional<std::uint64_t> if_generation, std::string id)
+        : env_(std::move(environment)), document_(std::move(document)),
+          budget_shards_(budget_shards), if_generation_(if_generation), id_(std::move(id))
+    {}
+
+    /// @brief First step: reads the manifest that is to be replaced.
+    void read_manifest()
+    {
+        env_.platform.read(manifest_key, [self = shared_from_this()](const auto& result) {
+            if (result.status == read_status::unavailable) {
+                self->retry(&publish_operation::read_manifest);
+            } else {
+                self->take_manifest(result);
+            }
+        });
+    }
+
+private:
+    using step = void (publish_operation::*)();
+
+    void finish(const publish_result& result)
+    {
+        if (const auto done = std::exchange(env_.done, nullptr)) {
+            done(result);
+        }
+    }
+
+    void retry(step next)
+    {
+        if (steady_now() >= env_.deadline) {
+            finish(publish_unavailable{may_be_applied_});
+            return;
+        }
+        env_.loop.schedule(retry_delay,
+                           [self = shared_from_this(), next] { (self.get()->*next)(); });
+    }
+
+    void take_manifest(const platform::read_result& result)
+    {
+        present_ = {};
+        version_ = result.value.at;
+        if (result.status == read_status::found) {
+            try {
+                present_ = parse_manifest(result.value.value, manifest_key);
+            } catch (const format_error& failure) {
+                finish(publish_refused{failure.what()});
+                return;
+            }
+        }
+        if (if_generation_ && *if_generation_ != present_.generation) {
+            finish(publish_conflict{*if_generation_, present_.generation});
+        } else if (present_.parts == document_.parts) {
+            finish(publish_applied{present_.generation, false});
+        } else if (present_.parts.empty()) {
+            write_parts();
+        } else {
+            read_settings();
+        }
+    }
+
+    void read_settings()
+    {
+        env_.platform.read(part_key(present_.parts.front()),
+                           [self = shared_from_this()](const auto& result) {
+                               if (result.status == read_status::unavailable) {
+                                   self->retry(&publish_operation::read_settings);
+                               } else {
+                                   self->check_settings(result);
+                               }
+                           });
+    }
+
+    void check_settings(const platform::read_result& result)
+    {
+        if (result.status == read_status::absent) {
+            finish(publish_refused{"the settings of the accepted configuration are missing"});
+            return;
+        }
+        try {
+            const auto shards =
+                parse_part(result.value.value, result.value.key).settings.budget_shards;
+            if (shards != budget_shards_) {
+                finish(publish_refused{"/settings/budget_shards: expected " +
+                                       std::to_string(shards) +
+                                       ", which the first accepted configuration has fixed, not " +
+                                       std::to_string(budget_shards_)});
+                return;
+            }
+        } catch (const format_error& failure) {
+            finish(publish_refused{failure.what()});
+            return;
+        }
+        write_parts();
+    }
+
+    void write_parts()
+    {
+        for (const auto& [hash, content] : document_.contents) {
+            const auto& known = present_.parts;
+            if (std::find(known.begin(), known.end(), hash) == known.end()) {
+                unwritten_.push_back(hash);
+            }
+        }
+        if (unwritten_.empty()) {
+            write_manifest();
+            return;
+        }
+        for (std::size_t i = 0; i < max_writes_at_once; ++i) {
+            write_next_part();
+        }
+    }
+
+    void write_next_part()
+    {
+        if (!env_.done) {
+            // Another part could not be written in time, and the outcome was reported.
+            return;
+        }
+        if (unwritten_.empty()) {
+            if (writes_in_progress_ == 0 && !manifest_sent_) {
+                write_manifest();
+            }
+            return;
+        }
+        const std::string hash = unwritten_.back();
+        unwritten_.pop_back();
+        ++writes_in_progress_;
+        constexpr platform::version only_if_absent = 0;
+        env_.platform.write(part_key(hash), document_.contents.at(hash), only_if_absent,
+                            [self = shared_from_this(), hash](const auto& result) {
+                                --self->writes_in_progress_;
+                                self->take_part_answer(hash, result.status);
+                            });
+    }
+
+    void take_part_answer(const std::string& hash, write_status status)
+    {
+        // A part that exists has the same content, because its key is a hash of it. The write can
+        // be repeated without harm for the same reason.
+        if (status == write_status::applied || status == write_status::conflict) {
+            write_next_part();
+            return;
+        }
+        unwritten_.push_back(hash);
+        retry(&publish_operation::write_next_part);
+    }
+
+    [[nodiscard]] manifest next_manifest() const
+    {
+        manifest next{present_.generation + 1, document_.parts, present_.history};
+        next.history.push_back({next.generation, id_});
+        if (next.history.size() > publication_history) {
+            next.history.erase(next.history.begin());
+        }
+        return next;
+    }
+
+    void write_manifest()
+    {
+        manifest_sent_ = true;
+        env_.platform.write(manifest_key, to_json(next_manifest()).dump(), version_,
+                            [self = shared_from_this()](const auto& result) {
+                                self->take_manifest_answer(result);
+                            });
+    }
+
+    void take_manifest_answer(const platform::write_result& result)
+    {
+        switch (result.status) {
+        case write_status::applied:
+            finish(publish_applied{present_.generation + 1});
+            return;
+        case write_status::conflict:
+            read_back();
+            return;
+        case write_status::too_large:
+            finish(publish_refused{"the manifest is larger than the platform accepts"});
+            return;
+        case write_status::unknown:
+            may_be_applied_ = true;
+            [[fallthrough]];
+        case write_status::unavailable:
+            // Reading would not tell whether a write whose answer was lost still takes effect
+            // later. The same conditional write can be repeated: it is applied at most once, and
+            // ends in a conflict if it was applied before.
+            retry(&publish_operation::write_manifest);
+            return;
+        }
+    }
+
+    /// @brief Tells an own write whose answer was lost from the write of another operator.
+    void read_back()
+    {
+        env_.platform.read(manifest_key, [self = shared_from_this()](const auto& result) {
+            if (result.status == read_status::unavailable) {
+                self->retry(&publish_operation::read_back);
+            } else {
+                self->take_read_back(result);
+            }
+        });
+    }
+
+    void take_read_back(const platform::read_result& result)
+    {
+        manifest found;
+        try {
+            if (result.status == read_status::found) {
+                found = parse_manifest(result.value.value, manifest_key);
+            }
+        } catch (const format_error&) {
+            finish(publish_unavailable{true});
+            return;
+        }
+        const publication own{present_.generation + 1, id_};
+        if (std::find(found.history.begin(), found.history.end(), own) != found.history.end()) {
+            finish(publish_applied{own.generation});
+        } else {
+            finish(publish_conflict{present_.generation, found.generation});
+        }
+    }
+
+    context env_;
+    split_document document_;
+    std::uint32_t budget_shards_;
+    std::optional<std::uint64_t> if_generation_;
+    std::string id_;
+    manifest present_;
+    platform::version version_ = 0;
+    std::vector<std::string> unwritten_;
+    std::size_t writes_in_progress_ = 0;
+    bool manifest_sent_ = false;
+    /// An answer to the write of the manifest was lost.
+    bool may_be_applied_ = false;
+};
+
+} // namespace
+
+publisher::publisher(net::event_loop& loop, platform::client& platform, options settings)
+    : loop_(loop), platform_(platform), settings_(settings)
+{}
+
+void publisher::publish(const document& value, std::optional<std::uint64_t> if_generation,
+                        const std::string& id, std::function<void(const publish_result&)> done)
+{
+    split_document parts;
+    try {
+        parts = split(value, "configuration");
+    } catch (const format_error& failure) {
+        loop_.post([done = std::move(done), reason = std::string(failure.what())] {
+            done(publish_refused{reason});
+        });
+        return;
+    }
+    std::make_shared<publish_operation>(
+        publish_operation::context{loop_, platform_, steady_now() + settings_.patience,
+                                   std::move(done)},
+        std::move(parts), value.settings.budget_shards, if_generation, id)
+        ->read_manifest();
+}
+
+} // namespace dotterelport::config
--- a/src/programs/standin-relay.cpp
+++ b/src/programs/standin-relay.cpp
@@ -12,8 +12,8 @@
     using namespace dotterelport;
     try {
         TCLAP::CmdLine command("TCP relay that cuts links between failure domains", ' ', "0.1.0");
-        TCLAP::UnlabeledValueArg<std::string> file("settings", "JSON file with the links", true, "",
-                                                   "file", command);
+        TCLAP::ValueArg<std::string> file("", "settings", "JSON file with the links", true, "",
+                                          "file", command);
         command.parse(argc, argv);
         const json settings = read_json_file(file.getValue());
         const auto links = standin::parse_relay_links(settings, file.getValue());
