--- /dev/null
+++ b/src/dotterelport/ctl/event_catalogue.cpp
@@ -0,0 +1,87 @@
+#include "dotterelport/ctl/event_catalogue.hpp"
+
+#include <algorithm>
+
+#include "dotterelport/agent/events.hpp"
+#include "dotterelport/budget/events.hpp"
+#include "dotterelport/config/events.hpp"
+#include "dotterelport/ctl/commands.hpp"
+#include "dotterelport/membership/events.hpp"
+#include "dotterelport/router/events.hpp"
+
+namespace dotterelport::ctl {
+
+std::vector<log_event> event_catalogue()
+{
+    namespace agent = dotterelport::agent::events;
+    namespace budget = dotterelport::budget::events;
+    namespace router = dotterelport::router::events;
+    std::vector<log_event> events = {
+        config::event_in_force,
+        config::event_manifest_unreadable,
+        config::event_parts_unreadable,
+        config::event_parts_delayed,
+        config::event_not_confirmed,
+        membership::event_registered,
+        membership::event_registration_delayed,
+        membership::event_incarnation_lost,
+        membership::event_own_record_unreadable,
+        membership::event_records_unreadable,
+        membership::event_node_silent,
+        membership::event_node_heard,
+        membership::event_closing_started,
+        membership::event_closing_finished,
+        agent::request_refused,
+        agent::request_ended,
+        agent::malformed_admission,
+        agent::holder_fenced,
+        agent::agent_started,
+        agent::agent_registered,
+        agent::backend_unreachable,
+        agent::backend_crashed,
+        agent::backend_failed,
+        agent::outcomes_not_taken,
+        agent::agent_leaving,
+        agent::agent_drained,
+        agent::drain_timed_out,
+        agent::order_refused,
+        agent::cache_event_gap,
+        router::request_refused,
+        router::attempt_failed,
+        router::attempt_rejoined,
+        router::frame_dropped,
+        router::request_quarantined,
+        router::booking_resumed,
+        router::booking_unresolved,
+        router::agent_leaving,
+        router::ready,
+        router::drain_started,
+        router::drained,
+        router::drain_timeout,
+        budget::invariant_violated,
+        budget::charge_above_reservation,
+        budget::unexpected_outcome,
+        budget::prepaid_declared,
+        budget::holder_closed,
+        budget::line_voided,
+        budget::tokens_unproved,
+        budget::shard_too_large,
+        budget::grant_missing,
+    };
+    std::sort(events.begin(), events.end(),
+              [](const auto& left, const auto& right) { return left.number < right.number; });
+    return events;
+}
+
+exit_status events(session& run)
+{
+    run.require_no_arguments();
+    run.out() << "| Number | Level | Name | Meaning |\n|---|---|---|---|\n";
+    for (const auto& event : event_catalogue()) {
+        run.out() << "| " << event.number << " | " << to_string(event.level) << " | `" << event.name
+                  << "` | " << event.meaning << " |\n";
+    }
+    return exit_status::success;
+}
+
+} // namespace dotterelport::ctl
--- /dev/null
+++ b/src/dotterelport/ctl/process_commands.cpp
@@ -0,0 +1,108 @@
+#include <algorithm>
+
+#include "dotterelport/config/parts.hpp"
+#include "dotterelport/ctl/commands.hpp"
+#include "dotterelport/ctl/nodes.hpp"
+#include "dotterelport/ctl/table.hpp"
+
+namespace dotterelport::ctl {
+namespace {
+
+constexpr int indent = 2;
+
+std::uint64_t accepted_generation(session& run)
+{
+    const auto result = run.read<platform::read_result>(
+        [&](auto done) { run.platform().read(config::manifest_key, std::move(done)); },
+        [](const auto& value) { return value.status != platform::read_status::unavailable; });
+    return result.status == platform::read_status::found
+               ? config::parse_manifest(result.value.value, config::manifest_key).generation
+               : 0;
+}
+
+json describe_node(const membership::node_record& node, const net::rpc_result& answer)
+{
+    json entry = {{"node", node.id.node},           {"incarnation", to_string(node.id)},
+                  {"role", to_string(node.role)},   {"failure_domain", node.failure_domain},
+                  {"state", to_string(node.state)}, {"answers", answer.ok()}};
+    if (answer.ok()) {
+        entry["generation"] = answer.value.value("generation", std::uint64_t{0});
+        entry["leaving"] = answer.value.value("leaving", false);
+    }
+    return entry;
+}
+
+std::string generation_text(const json& entry)
+{
+    return entry["answers"] ? entry["generation"].dump() : "no answer";
+}
+
+json dump_from_operators_port(session& run, const net::endpoint& address)
+{
+    const auto answer = run.wait<net::client_answer>(
+        [&](auto done) { run.http().fetch({.to = address, .path = "/dump"}, std::move(done)); });
+    const json body = json::parse(answer.body, nullptr, false);
+    if (answer.status != 200 || body.is_discarded()) {
+        throw error(to_string(address) + " did not answer with a dump");
+    }
+    return body;
+}
+
+json dump_from_node(session& run, const std::string& name)
+{
+    const auto nodes = read_nodes(run);
+    const auto found = std::find_if(nodes.begin(), nodes.end(),
+                                    [&](const auto& node) { return node.id.node == name; });
+    if (found == nodes.end()) {
+        throw error("there is no node " + name);
+    }
+    const auto answers = run.call_all({found->peers}, "dump");
+    if (!answers.front().ok()) {
+        throw error("node " + name + " at " + to_string(found->peers) +
+                    " did not answer: " + answers.front().message);
+    }
+    return answers.front().value;
+}
+
+} // namespace
+
+exit_status status(session& run)
+{
+    run.require_no_arguments();
+    const auto generation = accepted_generation(run);
+    const auto nodes = read_nodes(run);
+    std::vector<net::endpoint> addresses;
+    addresses.reserve(nodes.size());
+    for (const auto& node : nodes) {
+        addresses.push_back(node.peers);
+    }
+    const auto answers = run.call_all(addresses, "status");
+    json entries = json::array();
+    for (std::size_t i = 0; i < nodes.size(); ++i) {
+        entries.push_back(describe_node(nodes[i], answers[i]));
+    }
+    if (run.settings().as_json) {
+        run.out() << json{{"generation", generation}, {"nodes", entries}}.dump(indent) << '\n';
+        return exit_status::success;
+    }
+    run.out() << "accepted generation " << generation << '\n';
+    table lines({"NODE", "ROLE", "FAILURE DOMAIN", "STATE", "GENERATION"});
+    for (const auto& entry : entries) {
+        lines.add({entry["incarnation"], entry["role"], entry["failure_domain"], entry["state"],
+                   generation_text(entry)});
+    }
+    lines.print(run.out());
+    return exit_status::success;
+}
+
+exit_status dump(session& run)
+{
+    const auto& target = run.only_argument("a node's name, or ip:port of its operators' port");
+    const bool is_address = target.find(':') != std::string::npos;
+    const json state = is_address ? dump_from_operators_port(run, net::parse_endpoint(target))
+                                  : dump_from_node(run, target);
+    run.out() << state.dump(indent) << '\n';
+    return exit_status::success;
+}
+
+} // namespace dotterelport::ctl
--- a/src/dotterelport/router/router_daemon.cpp
+++ b/src/dotterelport/router/router_daemon.cpp
@@ -64,6 +64,7 @@
       peers_rpc_(peers_), poller_(loop, rpc_, nodes_, agents_)
 {
     peers_rpc_.add("status", [this](const json&) { return status(); });
+    peers_rpc_.add("dump", [this](const json&) { return dump(); });
     configuration_.serve(peers_rpc_);
     budgets_.serve(peers_rpc_);
     crashes_.serve(peers_rpc_);
