Add the agent's daemon

Cause: an agent has to register, follow the configuration and drain. Change: daemon that wires the agent to directory, follower and the operators' server; on SIGTERM it refuses new work at once and stops when all outcomes are durable. Conclusion: ready to be linked.

--- /dev/null
+++ b/include/dotterelport/agent/daemon.hpp
@@ -0,0 +1,32 @@
+#ifndef DOTTERELPORT_AGENT_DAEMON_HPP
+#define DOTTERELPORT_AGENT_DAEMON_HPP
+
+#include <memory>
+
+#include "dotterelport/net/event_loop.hpp"
+#include "dotterelport/process/settings.hpp"
+
+namespace dotterelport::agent {
+
+/// An agent process: registers in the platform, follows the configuration, serves the peers' and
+/// operators' ports, and drains.
+class daemon {
+public:
+    /// @throws error if a port cannot be bound
+    daemon(net::event_loop& loop, const process::settings& settings);
+    ~daemon();
+    daemon(const daemon&) = delete;
+    daemon& operator=(const daemon&) = delete;
+
+    /// @brief Refuses new work, finishes what runs, waits until the outcomes are durable, and then
+    /// stops the loop; at the latest after the drain timeout.
+    void drain();
+
+private:
+    struct native;
+    std::unique_ptr<native> native_;
+};
+
+} // namespace dotterelport::agent
+
+#endif
--- /dev/null
+++ b/src/dotterelport/agent/daemon.cpp
@@ -0,0 +1,208 @@
+#include "dotterelport/agent/daemon.hpp"
+
+#include <random>
+#include <utility>
+
+#include "dotterelport/agent/agent.hpp"
+#include "dotterelport/agent/events.hpp"
+#include "dotterelport/config/follower.hpp"
+#include "dotterelport/membership/directory.hpp"
+#include "dotterelport/platform/client.hpp"
+#include "dotterelport/process/operators_server.hpp"
+
+namespace dotterelport::agent {
+namespace {
+
+constexpr milliseconds drain_poll_interval{50};
+
+/// A leaving agent stays at least this long, so that routers which poll it learn that it leaves and
+/// readers that lost their connection can still join.
+constexpr milliseconds min_leaving_time{1'000};
+
+/// Answers and payloads are at most a few MiB; a chat body of 1 MiB grows when it is escaped.
+constexpr std::size_t max_message_bytes = std::size_t{8} << 20U;
+
+constexpr milliseconds server_idle_timeout{30'000};
+
+membership::node_record make_record(const process::settings& settings)
+{
+    membership::node_record record;
+    record.id.node = settings.name;
+    record.role = membership::node_role::agent;
+    record.vm = settings.vm;
+    record.region = settings.region;
+    record.failure_domain = settings.failure_domain;
+    record.service = settings.service;
+    record.peers = settings.peers;
+    return record;
+}
+
+} // namespace
+
+struct daemon::native {
+    native(net::event_loop& event_loop, const process::settings& values);
+
+    [[nodiscard]] std::vector<net::endpoint> routers() const;
+    [[nodiscard]] agent::generation_state generation() const;
+    [[nodiscard]] std::string not_ready_reason() const;
+    [[nodiscard]] json dump() const;
+    void take_configuration(const config::snapshot_ptr& snapshot);
+    void check_registration();
+    void finish_drain();
+    void stop();
+
+    net::event_loop& loop;
+    process::settings settings;
+    net::http_client http;
+    net::rpc_client rpc;
+    platform::client platform;
+    membership::directory nodes;
+    config::follower configuration;
+    agent subject;
+    process::operators_server operators;
+    net::http_server peers;
+    net::rpc_server methods;
+    bool is_known_to_service = false;
+    bool was_registered = false;
+    bool is_draining = false;
+    milliseconds drain_started{0};
+};
+
+daemon::native::native(net::event_loop& event_loop, const process::settings& values)
+    : loop(event_loop), settings(values), http(loop, values.overrides), rpc(http),
+      platform(http, values.platform), nodes(loop, platform, make_record(values)),
+      configuration(loop, platform, rpc,
+                    {.is_watcher = [] { return false; }, .routers = [this] { return routers(); }}),
+      subject(loop, rpc,
+              {.service = values.service,
+               .backend_server = values.backend_server.value(),
+               .seed = std::random_device{}()}),
+      operators(loop, {.address = values.operators,
+                       .not_ready_reason = [this] { return not_ready_reason(); },
+                       .dump = [this] { return dump(); }}),
+      peers(loop, {.max_body_bytes = max_message_bytes, .idle_timeout = server_idle_timeout}),
+      methods(peers)
+{
+    subject.set_generation_source([this] { return generation(); });
+    subject.on_generation_seen([this](std::uint64_t seen) {
+        if (seen > generation().generation) {
+            configuration.hint(seen);
+        }
+    });
+    subject.serve(peers, methods);
+    subject.add_metrics(operators.metrics());
+    peers.listen(settings.peers);
+    log(events::agent_started, {{"node", settings.name},
+                                {"peers", to_string(settings.peers)},
+                                {"backend_server", to_string(*settings.backend_server)}});
+    nodes.start(
+        [this] {
+            was_registered = true;
+            subject.set_self(nodes.self().id);
+            log(events::agent_registered, {{"incarnation", to_string(nodes.self().id)}});
+        },
+        [this] { check_registration(); });
+    configuration.start(
+        [this](const config::snapshot_ptr& snapshot) { take_configuration(snapshot); });
+}
+
+std::vector<net::endpoint> daemon::native::routers() const
+{
+    std::vector<net::endpoint> result;
+    for (const auto& router : nodes.live_nodes(membership::node_role::router)) {
+        if (router.failure_domain == settings.failure_domain) {
+            result.push_back(router.peers);
+        }
+    }
+    return result;
+}
+
+agent::generation_state daemon::native::generation() const
+{
+    const auto snapshot = configuration.current();
+    return snapshot ? agent::generation_state{snapshot->generation(), configuration.in_force_for()}
+                    : agent::generation_state{};
+}
+
+std::string daemon::native::not_ready_reason() const
+{
+    if (is_draining) {
+        return "stopping";
+    }
+    if (!configuration.current()) {
+        return "the platform has not confirmed a configuration yet";
+    }
+    if (!is_known_to_service) {
+        return "the configuration has no service " + settings.service;
+    }
+    return nodes.is_registered() ? "" : "not registered at the platform";
+}
+
+json daemon::native::dump() const
+{
+    json result = subject.dump();
+    result["not_ready_reason"] = not_ready_reason();
+    result["nodes"] = nodes.dump();
+    result["platform_calls"] = platform.calls();
+    return result;
+}
+
+void daemon::native::take_configuration(const config::snapshot_ptr& snapshot)
+{
+    const config::service* service = snapshot->find_service(settings.service);
+    is_known_to_service = service != nullptr;
+    if (service != nullptr) {
+        subject.set_kind(service->kind);
+    }
+}
+
+void daemon::native::check_registration()
+{
+    // Another process has taken this node's name; routers do not send work to this one any more.
+    if (was_registered && !nodes.is_registered() && !is_draining) {
+        was_registered = false;
+        subject.leave();
+    }
+}
+
+void daemon::native::finish_drain()
+{
+    const milliseconds elapsed = steady_now() - drain_started;
+    const bool is_drained = subject.is_drained();
+    const bool is_late = elapsed >= settings.drain_timeout;
+    if (!is_late && (!is_drained || elapsed < min_leaving_time)) {
+        loop.schedule(drain_poll_interval, [this] { finish_drain(); });
+        return;
+    }
+    if (is_drained) {
+        log(events::agent_drained, {{"elapsed_ms", elapsed.count()}});
+    } else {
+        log(events::drain_timed_out, {{"state", subject.dump()}});
+    }
+    stop();
+}
+
+void daemon::native::stop()
+{
+    peers.stop_listening();
+    loop.stop();
+}
+
+daemon::daemon(net::event_loop& loop, const process::settings& settings)
+    : native_(std::make_unique<native>(loop, settings))
+{}
+
+daemon::~daemon() = default;
+
+void daemon::drain()
+{
+    if (std::exchange(native_->is_draining, true)) {
+        return;
+    }
+    native_->drain_started = steady_now();
+    native_->subject.leave();
+    native_->nodes.set_state(membership::node_state::leaving, [](bool /*written*/) {});
+    native_->finish_drain();
+}
+
+} // namespace dotterelport::agent
--- a/src/dotterelport/agent/request_runner.cpp
+++ b/src/dotterelport/agent/request_runner.cpp
@@ -24,6 +24,7 @@
 template<typename... Functions> struct overloaded : Functions... {
     using Functions::operator()...;
 };
+template<typename... Functions> overloaded(Functions...) -> overloaded<Functions...>;
 
 request::error_frame gone_frame(const request::join_decision& decision)
 {
