--- a/include/dotterelport/budget/grant_holder.hpp
+++ b/include/dotterelport/budget/grant_holder.hpp
@@ -183,7 +183,11 @@
         std::uint64_t batch = 0;
     };
 
+    using attempt_table = std::unordered_multimap<request_key, other_attempt>;
+
     reserve_outcome insert(const reservation& request);
+    /// @brief Makes an earlier attempt the one that is billed; the current one becomes the other.
+    void make_current(attempt_table::iterator other);
     std::uint32_t account_index(std::string_view budget);
     void take_out(request_table::iterator entry);
     void remember_finished(request_table::iterator entry);
@@ -200,7 +204,7 @@
     request_table requests_;
     /// Nodes taken out of the table, used again with the memory of their strings.
     std::vector<request_table::node_type> spare_;
-    std::unordered_multimap<request_key, other_attempt> other_attempts_;
+    attempt_table other_attempts_;
     const request_key* first_finished_ = nullptr;
     known_request* last_finished_ = nullptr;
     std::size_t finished_count_ = 0;
--- a/src/dotterelport/budget/grant_holder.cpp
+++ b/src/dotterelport/budget/grant_holder.cpp
@@ -271,6 +271,26 @@
     return settle_outcome::settled;
 }
 
+void grant_holder::make_current(attempt_table::iterator other)
+{
+    const request_key key = other->first;
+    const other_attempt attempt = other->second;
+    other_attempts_.erase(other);
+    auto& entry = requests_[key];
+    if (!entry.agent.node.empty()) {
+        other_attempts_.emplace(key, other_attempt{.account = entry.account,
+                                                   .agent = entry.agent,
+                                                   .upper = entry.upper,
+                                                   .since = entry.since,
+                                                   .attempt = 0,
+                                                   .batch = 0});
+    }
+    entry.account = attempt.account;
+    entry.agent = attempt.agent;
+    entry.upper = attempt.upper;
+    entry.since = attempt.since;
+}
+
 settle_outcome grant_holder::settle_other(const request::outcome& outcome)
 {
     const auto [first, last] = other_attempts_.equal_range(outcome.key);
@@ -279,6 +299,11 @@
     });
     if (other != last) {
         auto& attempt = other->second;
+        const auto* current = find(outcome.key);
+        if (outcome.verdict == verdict::ran && (current == nullptr || !current->finished)) {
+            make_current(other);
+            return settle(outcome);
+        }
         accounts_[attempt.account].reserved -= attempt.upper;
         --reservation_count_;
         const tokens charged =
