Test budgets with random schedules of faults

Change: a model around the production code and a rapidcheck property; reservations whose key finished under another holder become unproved after 10 minutes (found by the property: they stayed reserved).

--- a/include/dotterelport/budget/grant_holder.hpp
+++ b/include/dotterelport/budget/grant_holder.hpp
@@ -14,6 +14,7 @@
 #include "dotterelport/base/identifiers.hpp"
 #include "dotterelport/base/tokens.hpp"
 #include "dotterelport/budget/bill.hpp"
+#include "dotterelport/request/admission_table.hpp"
 #include "dotterelport/request/messages.hpp"
 
 namespace dotterelport::budget {
@@ -142,8 +143,12 @@
     /// @brief Reservations older than a time, whose agents should be asked about them.
     [[nodiscard]] std::vector<std::pair<request_key, incarnation>>
     reserved_before(milliseconds time, std::size_t limit) const;
-    /// @brief Notes that the agent still runs a request.
-    void confirm(const request_key& key, const incarnation& agent, milliseconds now);
+    /// @brief Takes the answer of an agent that was asked to refuse an old reservation's request:
+    /// releases what was refused, keeps what runs. If the key finished there and no outcome came
+    /// for long, the run was for another holder's reservation; this one becomes unproved.
+    /// @return whether tokens were given back
+    bool take_report(const request_key& key, const incarnation& agent, request::key_state state,
+                     milliseconds now);
 
     /// @brief Takes the open bill lines as the next batch; nothing if there are none.
     std::optional<bill_batch> seal(std::uint32_t shard, const incarnation& self);
@@ -195,6 +200,9 @@
     std::uint64_t add_line(const request::outcome& outcome, std::uint32_t account, tokens charged);
     void add_unproved(const request_key& key, std::uint32_t account, const incarnation& agent,
                       std::uint32_t attempt, tokens amount);
+    void move_to_unproved(request_table::iterator entry);
+    void move_to_unproved(attempt_table::iterator other);
+    void set_since(const request_key& key, const incarnation& agent, milliseconds now);
     settle_outcome settle_other(const request::outcome& outcome);
     [[nodiscard]] const other_attempt* find_settled_other(const request::outcome& outcome) const;
 
--- a/src/dotterelport/budget/grant_holder.cpp
+++ b/src/dotterelport/budget/grant_holder.cpp
@@ -12,6 +12,10 @@
 /// report them again.
 constexpr std::uint64_t attempt_memory_batches = 1'000;
 
+/// Agents report outcomes within seconds. After this time without one, a request that finished at
+/// the agent was run for another holder's reservation of the same key.
+constexpr milliseconds give_up_age{600'000};
+
 /// @brief Limits a charge to what was reserved for it.
 tokens limited_charge(const request::outcome& outcome, tokens upper)
 {
@@ -356,30 +360,43 @@
     return true;
 }
 
+void grant_holder::move_to_unproved(request_table::iterator entry)
+{
+    const auto& request = entry->second;
+    accounts_[request.account].reserved -= request.upper;
+    --reservation_count_;
+    add_unproved(entry->first, request.account, request.agent, 0, request.upper);
+    take_out(entry);
+}
+
+void grant_holder::move_to_unproved(attempt_table::iterator other)
+{
+    const auto& attempt = other->second;
+    accounts_[attempt.account].reserved -= attempt.upper;
+    --reservation_count_;
+    add_unproved(other->first, attempt.account, attempt.agent, 0, attempt.upper);
+    other_attempts_.erase(other);
+}
+
 void grant_holder::agent_gone(const incarnation& agent)
 {
     for (auto entry = requests_.begin(); entry != requests_.end();) {
         const auto current = entry++;
-        const auto& request = current->second;
-        if (!request.finished && request.agent == agent) {
-            accounts_[request.account].reserved -= request.upper;
-            --reservation_count_;
-            add_unproved(current->first, request.account, agent, 0, request.upper);
-            take_out(current);
+        if (!current->second.finished && current->second.agent == agent) {
+            move_to_unproved(current);
         }
     }
-    std::erase_if(other_attempts_, [&](const auto& item) {
-        const auto& attempt = item.second;
-        if (attempt.agent != agent) {
-            return false;
+    for (auto other = other_attempts_.begin(); other != other_attempts_.end();) {
+        const auto current = other++;
+        if (current->second.agent != agent) {
+            continue;
         }
-        if (attempt.batch == 0) {
-            accounts_[attempt.account].reserved -= attempt.upper;
-            --reservation_count_;
-            add_unproved(item.first, attempt.account, agent, 0, attempt.upper);
+        if (current->second.batch == 0) {
+            move_to_unproved(current);
+        } else {
+            other_attempts_.erase(current);
         }
-        return true;
-    });
+    }
 }
 
 bool grant_holder::is_durable(const request::outcome& outcome) const
@@ -420,7 +437,7 @@
     return result;
 }
 
-void grant_holder::confirm(const request_key& key, const incarnation& agent, milliseconds now)
+void grant_holder::set_since(const request_key& key, const incarnation& agent, milliseconds now)
 {
     const auto found = requests_.find(key);
     if (found != requests_.end() && found->second.agent == agent) {
@@ -434,6 +451,37 @@
     }
 }
 
+bool grant_holder::take_report(const request_key& key, const incarnation& agent,
+                               request::key_state state, milliseconds now)
+{
+    switch (state) {
+    case request::key_state::refused:
+        return release_at(key, agent);
+    case request::key_state::running:
+        set_since(key, agent, now);
+        return false;
+    case request::key_state::unknown:
+        return false;
+    case request::key_state::finished:
+        break;
+    }
+    const auto entry = requests_.find(key);
+    if (entry != requests_.end() && !entry->second.finished && entry->second.agent == agent) {
+        if (now - entry->second.since >= give_up_age) {
+            move_to_unproved(entry);
+        }
+        return false;
+    }
+    const auto [first, last] = other_attempts_.equal_range(key);
+    const auto other = std::find_if(first, last, [&](const auto& item) {
+        return item.second.agent == agent && item.second.batch == 0;
+    });
+    if (other != last && now - other->second.since >= give_up_age) {
+        move_to_unproved(other);
+    }
+    return false;
+}
+
 bool grant_holder::has_open_lines() const
 {
     return line_count_ > 0 || !unproved_.empty();
--- a/src/dotterelport/budget/schedule_model.cpp
+++ b/src/dotterelport/budget/schedule_model.cpp
@@ -52,7 +52,16 @@
     return static_cast<std::uint32_t>((mixed ^ (mixed >> 31U)) % limit);
 }
 
-ledger_shard schedule_model::ledger() const
+const ledger_shard& schedule_model::ledger()
+{
+    if (checked_revision_ != store_.revision() || !checked_ledger_.has_value()) {
+        checked_revision_ = store_.revision();
+        checked_ledger_ = read_ledger();
+    }
+    return *checked_ledger_;
+}
+
+ledger_shard schedule_model::read_ledger() const
 {
     const auto found = store_.read(shard_object_key(shard));
     return found.status == platform::read_status::found ? parse_ledger_shard(found.value.value)
@@ -263,7 +272,7 @@
         at.pending = at.session->start({.now = now_,
                                         .platform_trouble = milliseconds{0},
                                         .failure_domains = holder_count,
-                                        .flush = draw(4) != 0});
+                                        .flush = !faults || draw(4) != 0});
     } else if (at.pending->operation == io_step::kind::read) {
         at.pending = at.session->resume(read(at.pending->key, faults));
     } else {
@@ -361,7 +370,7 @@
         audit_ = std::make_unique<bill_audit>(shard);
     }
     const auto listed = store_.list(bill_prefix(shard), audit_->cursor());
-    const auto current = ledger();
+    const auto& current = ledger();
     audit_->read(listed.objects, current);
     audit_->forget_counted(current);
     auto& session = *holders_[draw(holder_count)].session;
@@ -396,8 +405,8 @@
         auto* target = find_agent(id);
         if (target == nullptr) {
             at.session->holder().agent_gone(id);
-        } else if (target->table.refuse(key).state == request::key_state::refused) {
-            at.session->holder().release_at(key, id);
+        } else {
+            at.session->holder().take_report(key, id, target->table.refuse(key).state, now_);
         }
     }
 }
@@ -462,7 +471,7 @@
 
 void schedule_model::check()
 {
-    const auto current = ledger();
+    const auto& current = ledger();
     for (const auto& [name, entry] : current.budgets()) {
         require(!entry.stopped, "budget stopped: " + to_json(current).dump());
         require(entry.total() <= entry.ceiling, "above the ceiling");
@@ -484,15 +493,19 @@
 
 void schedule_model::finish()
 {
+    // Greatest number of rounds, and rounds without a change after which nothing is left to do.
     constexpr int rounds = 60;
+    constexpr int quiet_rounds = 3;
+    int quiet = 0;
     random_ = 1;
     for (auto& item : holders_) {
         item.paused = false;
         item.session->set_declaration(std::make_shared<const declaration>(declared_));
     }
     network_.clear();
-    for (int i = 0; i < rounds; ++i) {
-        now_ += milliseconds{1'000};
+    for (int i = 0; i < rounds && quiet < quiet_rounds; ++i) {
+        const auto before = store_.revision();
+        now_ += milliseconds{700'000};
         while (!delayed_.empty()) {
             apply_delayed();
         }
@@ -523,13 +536,14 @@
         }
         run_audit(i == 0, false);
         check();
+        quiet = store_.revision() == before ? quiet + 1 : 0;
     }
     check_bill();
 }
 
 void schedule_model::check_bill()
 {
-    const auto current = ledger();
+    const auto& current = ledger();
     std::map<request_key, int> lines;
     std::map<std::string, tokens> billed;
     for (const auto& object : store_.list(bill_prefix(shard), 0).objects) {
--- a/src/dotterelport/budget/schedule_model.hpp
+++ b/src/dotterelport/budget/schedule_model.hpp
@@ -80,7 +80,8 @@
     void change_prepaid();
     void check_old(holder& at);
     [[nodiscard]] agent* find_agent(const incarnation& id);
-    [[nodiscard]] ledger_shard ledger() const;
+    [[nodiscard]] ledger_shard read_ledger() const;
+    const ledger_shard& ledger();
 
     sizing_policy policy_;
     std::uint64_t random_ = 0;
@@ -94,6 +95,8 @@
     std::vector<closer> closers_;
     std::unique_ptr<bill_audit> audit_;
     declaration declared_;
+    std::optional<ledger_shard> checked_ledger_;
+    platform::version checked_revision_ = 0;
     std::map<std::string, std::uint32_t> attempts_;
     /// Tokens that agents really used, by budget.
     std::map<std::string, tokens> used_;
--- a/src/dotterelport/router/budget_service_rpc.cpp
+++ b/src/dotterelport/router/budget_service_rpc.cpp
@@ -14,7 +14,7 @@
 
 /// Reservations without an outcome for this long are looked up at their agent.
 constexpr milliseconds reservation_check_age{60'000};
-constexpr std::size_t reservation_checks_a_round = 64;
+constexpr std::size_t reservation_checks_a_round = 256;
 constexpr milliseconds refuse_timeout{1'000};
 
 /// @brief Runs a method and turns malformed parameters into an RPC error.
@@ -33,6 +33,18 @@
     };
 }
 
+std::optional<request::key_state> parse_key_state(const std::string& name)
+{
+    using request::key_state;
+    for (const auto state :
+         {key_state::unknown, key_state::running, key_state::finished, key_state::refused}) {
+        if (to_string(state) == name) {
+            return state;
+        }
+    }
+    return std::nullopt;
+}
+
 /// @brief Keys whose outcomes in a report are all durable.
 json durable_keys(const std::vector<request::outcome>& outcomes,
                   const std::function<bool(const request::outcome&)>& is_durable)
@@ -145,10 +157,9 @@
                      if (!result.ok()) {
                          return;
                      }
-                     auto& holder = owner->session().holder();
-                     if (result.value.value("state", "") != "refused") {
-                         holder.confirm(key, agent, steady_now());
-                     } else if (holder.release_at(key, agent)) {
+                     const auto state = parse_key_state(result.value.value("state", ""));
+                     if (state.has_value() &&
+                         owner->session().holder().take_report(key, agent, *state, steady_now())) {
                          log(events::reservation_released, {{"workspace", key.workspace},
                                                             {"key", key.key},
                                                             {"agent", to_string(agent)}});
