--- a/src/dotterelport/router/request_run.hpp
+++ b/src/dotterelport/router/request_run.hpp
@@ -37,18 +37,28 @@
     std::function<void(const request_key&, const std::string& budget)> release;
     /// Tells whether an agent incarnation can never run anything again.
     std::function<bool(const incarnation&)> is_gone;
+    /// Record of an agent incarnation, also of one that is leaving; nothing if it is not known.
+    std::function<std::optional<membership::node_record>(const incarnation&)> find_agent;
     std::function<void(const std::string& node, bool answered)> report_contact;
     std::function<void(const std::string& node)> report_leaving;
     /// Counts a first attempt for the retry budget of a service.
     std::function<void(const std::string& service)> note_first_attempt;
     /// Takes a retry from the budget of a service; false if there is none left.
     std::function<bool(const std::string& service)> take_retry;
+    /// Bookings that run in this router.
+    std::set<request_key> open_bookings = {};
 };
 
 /// @brief Fields of an admission that do not change between the attempts of a request.
 request::admission make_admission(const job& request, const reserve_result& reservation,
                                   std::uint64_t generation);
 
+/// @brief What the choice of a backend server depends on.
+agent_request make_agent_request(const job& request);
+
+/// @brief Notes the end of an attempt in the view of the agent's load.
+void end_lease(std::unique_ptr<agent_lease>& lease, const attempt_result& result);
+
 /// @brief Wait before a further attempt, with jitter.
 milliseconds retry_wait(int attempt, std::mt19937_64& random);
 
@@ -87,9 +97,11 @@
     answer answer_;
     std::function<void(const caller_error*)> on_finished_;
     std::shared_ptr<agent_attempt> attempt_;
-    agent_pool::lease lease_;
-    std::set<incarnation> tried_;
+    std::unique_ptr<agent_lease> lease_;
+    agent_request wanted_;
     int attempts_ = 0;
+    /// Number of the last attempt, this request's own or one that it joined.
+    std::uint32_t attempt_number_ = 0;
     /// This request made the reservation that is open now.
     bool reserved_ = false;
     /// An attempt was sent and not proved "not run".
