--- a/src/dotterelport/agent/agent_test.cpp
+++ b/src/dotterelport/agent/agent_test.cpp
@@ -313,7 +313,8 @@
     const auto message = kind == request::request_kind::chat
                              ? net.message("k1", marker)
                              : net.booking("k1", {{"note", marker}});
-    const auto* failure = net.run(message)->last<request::error_frame>();
+    const auto crashed = net.run(message);
+    const auto* failure = crashed->last<request::error_frame>();
     REQUIRE(failure != nullptr);
     CHECK(failure->reason == failure_reason::backend_crashed);
     CHECK(failure->verdict == verdict::may_have_run);
@@ -321,7 +322,9 @@
     CHECK(request::parse_outcome(net.outcomes.front()).charged == message.upper_tokens);
     // Nothing can be sent any more; the attempt is closed although nothing ran.
     auto next = net.message("k2");
-    const auto* unsent = net.run(next)->last<request::error_frame>();
+    const auto refused = net.run(next);
+    const auto* unsent = refused->last<request::error_frame>();
+    REQUIRE(unsent != nullptr);
     CHECK(unsent->reason == failure_reason::backend_unreachable);
     CHECK(unsent->verdict == verdict::not_run);
     CHECK(net.run(next)->last<request::error_frame>()->reason == failure_reason::refused_key);
