Leave the service's date and server headers out of answers

Cause: answers of plain services had both headers twice. Change: headers that this server sets itself are not passed on. Conclusion: one date and one server header.

--- a/src/dotterelport/router/answer.cpp
+++ b/src/dotterelport/router/answer.cpp
@@ -1,5 +1,7 @@
 #include "answer.hpp"
 
+#include <algorithm>
+#include <array>
 #include <utility>
 
 #include "dotterelport/base/hash.hpp"
@@ -142,6 +144,14 @@
     return choices == data.end() || !choices->is_array() || choices->empty();
 }
 
+/// Headers that belong to the connection with the service, or that this server sets itself.
+bool is_own_header(std::string_view name)
+{
+    constexpr std::array<std::string_view, 6> names{
+        "connection", "content-length", "date", "keep-alive", "server", "transfer-encoding"};
+    return std::find(names.begin(), names.end(), name) != names.end();
+}
+
 net::header_list service_headers(const answer_context& context, const json& data)
 {
     net::header_list headers = with_verdict(context, verdict::ran);
@@ -150,8 +160,7 @@
         return headers;
     }
     for (const auto& [name, value] : found->items()) {
-        if (value.is_string() && name != "connection" && name != "content-length" &&
-            name != "transfer-encoding" && name != "keep-alive") {
+        if (value.is_string() && !is_own_header(name)) {
             headers.emplace_back(name, value.get<std::string>());
         }
     }
--- a/src/dotterelport/router/request_run_test.cpp
+++ b/src/dotterelport/router/request_run_test.cpp
@@ -254,14 +254,16 @@
 {
     router_fixture router;
     auto& agent = router.add_agent("agent-1", "dispatch");
-    const json data = {
-        {"status", 203}, {"headers", {{"content-type", "text/plain"}}}, {"body", "12 tonnes"}};
+    const json data = {{"status", 203},
+                       {"headers", {{"content-type", "text/plain"}, {"server", "x"}}},
+                       {"body", "12 tonnes"}};
     agent.scripts = {send_frames({admitted_frame{1, false}, request::chunk_frame{1, 0, data},
                                   end_frame{1, verdict::ran, 0, 0}})};
     const auto answer = router.call("GET", "/v1/services/dispatch/stock/coal?grade=2");
     CHECK(answer.status == 203);
     CHECK(answer.body == "12 tonnes");
     CHECK(net::find_header(answer.headers, "content-type") == "text/plain");
+    CHECK(net::find_header(answer.headers, "server") != "x");
     REQUIRE(agent.admissions.size() == 1);
     CHECK(agent.admissions[0].payload["path"] == "/stock/coal?grade=2");
     CHECK_FALSE(agent.admissions[0].payload["headers"].contains("authorization"));
