Finish dotterelctl and let nodes be dumped by name

Cause: operators need check, diff, apply, show, status, budget, bill, dump and events from one program with distinct exit statuses; a node's record names its peers port only, so a dump by node name needs an RPC there.

--- a/src/dotterelport/agent/agent.cpp
+++ b/src/dotterelport/agent/agent.cpp
@@ -35,6 +35,7 @@
 {
     native_->runner.serve(server);
     native_->add_methods(methods);
+    methods.add("dump", [this](const json&) { return dump(); });
 }
 
 void agent::set_self(const incarnation& self)
--- a/src/dotterelport/config/document_test.cpp
+++ b/src/dotterelport/config/document_test.cpp
@@ -60,12 +60,12 @@
     CHECK(to_json(parse_document(to_json(value).dump(), "test")) == to_json(value));
     const auto parts = split(value, "test");
     CHECK(parts.parts.size() == workspace_buckets + 1);
-    std::vector<std::shared_ptr<const part>> parsed;
-    parsed.reserve(parts.parts.size());
-    for (const auto& hash : parts.parts) {
-        parsed.push_back(hash.empty()
-                             ? nullptr
-                             : std::make_shared<part>(parse_part(parts.contents.at(hash), "test")));
+    std::vector<std::shared_ptr<const part>> parsed(parts.parts.size());
+    for (std::size_t i = 0; i < parsed.size(); ++i) {
+        const auto& hash = parts.parts[i];
+        if (!hash.empty()) {
+            parsed[i] = std::make_shared<part>(parse_part(parts.contents.at(hash), "test"));
+        }
     }
     CHECK(to_json(join(parsed)) == to_json(value));
 }
@@ -79,6 +79,7 @@
     after.services[0].max_output_tokens = 64;
     const auto changes = diff(before, after);
     std::vector<std::string> lines;
+    lines.reserve(changes.size());
     for (const auto& item : changes) {
         lines.push_back(describe(item).substr(0, describe(item).find('\n')));
     }
--- a/src/dotterelport/ctl/process_commands.cpp
+++ b/src/dotterelport/ctl/process_commands.cpp
@@ -41,7 +41,7 @@
 {
     const auto answer = run.wait<net::client_answer>(
         [&](auto done) { run.http().fetch({.to = address, .path = "/dump"}, std::move(done)); });
-    const json body = json::parse(answer.body, nullptr, false);
+    json body = json::parse(answer.body, nullptr, false);
     if (answer.status != 200 || body.is_discarded()) {
         throw error(to_string(address) + " did not answer with a dump");
     }
