--- a/src/dotterelport/agent/agent_test.cpp
+++ b/src/dotterelport/agent/agent_test.cpp
@@ -6,8 +6,8 @@
 #include <vector>
 
 #include "dotterelport/agent/agent.hpp"
+#include "dotterelport/agent/test_reader.hpp"
 #include "dotterelport/net/http_client.hpp"
-#include "dotterelport/net/line_splitter.hpp"
 #include "dotterelport/request/messages.hpp"
 #include "dotterelport/standin/engine.hpp"
 #include "dotterelport/standin/service.hpp"
@@ -32,37 +32,6 @@
     return options;
 }
 
-/// Frames that one connection to the agent received.
-struct reader {
-    std::vector<request::frame> frames;
-    net::exchange_id exchange = 0;
-    bool ended = false;
-
-    template<typename Frame> [[nodiscard]] const Frame* last() const
-    {
-        return frames.empty() ? nullptr : std::get_if<Frame>(&frames.back());
-    }
-
-    /// Text of the chunks; empty if their sequence has a gap or a repeat.
-    [[nodiscard]] std::string text(std::uint64_t first = 0) const
-    {
-        std::string result;
-        for (const request::frame& item : frames) {
-            const auto* chunk = std::get_if<request::chunk_frame>(&item);
-            if (chunk == nullptr) {
-                continue;
-            }
-            if (chunk->sequence != first++) {
-                return "";
-            }
-            for (const json& choice : chunk->data["choices"]) {
-                result += choice["delta"].value("content", "");
-            }
-        }
-        return result;
-    }
-};
-
 /// An agent with both stand-ins and a holder, on one loop.
 struct fixture {
     net::event_loop loop;
@@ -143,20 +112,7 @@
 
     std::shared_ptr<reader> send(const request::admission& value)
     {
-        auto result = std::make_shared<reader>();
-        auto lines = std::make_shared<net::line_splitter>([result](std::string_view line) {
-            result->frames.push_back(request::parse_frame(line));
-        });
-        result->exchange =
-            client.start({.to = address,
-                          .method = "POST",
-                          .path = "/v1/requests",
-                          .body = to_json(value).dump()},
-                         {.on_head = nullptr,
-                          .on_data = [lines](std::string_view data) { lines->feed(data); },
-                          .on_complete = [result] { result->ended = true; },
-                          .on_failure = [result](auto, const auto&) { result->ended = true; }});
-        return result;
+        return send_admission(client, address, value);
     }
 
     bool wait(const std::function<bool()>& condition)
