Wait for both bill lines in the quickstart

Cause: the script took the first line for two, and the stored answer of a booking has the status of the first. Change: count the lines of the JSON bill; expect 201 twice.

--- a/scripts/fleet/quickstart.py
+++ b/scripts/fleet/quickstart.py
@@ -57,9 +57,10 @@
     """Waits until the bill shows the requests, which takes one flush interval."""
     end = time.monotonic() + BILL_TIMEOUT_S
     while True:
-        bill = fleet.control("bill")
-        if bill.stdout.count("depot") >= lines or time.monotonic() > end:
-            return bill
+        bill = fleet.control("bill", "--json")
+        billed = len(json.loads(bill.stdout)["lines"]) if bill.returncode == 0 else 0
+        if billed >= lines or time.monotonic() > end:
+            return billed
         time.sleep(0.2)
 
 
@@ -88,7 +89,8 @@
             print("--- the same booking again: the stored answer, not a second booking")
             again = send_booking(first)
             print(*again)
-            bill = wait_for_bill(fleet, 2)
+            billed = wait_for_bill(fleet, 2)
+            bill = fleet.control("bill")
             print("--- bill\n" + bill.stdout + bill.stderr)
             budget = fleet.control("budget")
             print("--- budget\n" + budget.stdout + budget.stderr)
@@ -99,7 +101,7 @@
               if code != 0 and name.startswith(("router", "agent"))}
     if failed:
         print(f"processes that did not stop cleanly: {failed}")
-    ok = status == 200 and again == (200, text) and bill.returncode == 0 and not failed
+    ok = status == 201 and again == (201, text) and billed == 2 and not failed
     print("quickstart passed" if ok else "quickstart failed")
     return 0 if ok else 1
 
