Use own ports for the fault run

Cause: a quickstart on the same machine took the ports of a fault run. Change: the fault run starts at port 26000.

--- a/scripts/fleet/fault_run.py
+++ b/scripts/fleet/fault_run.py
@@ -173,7 +173,7 @@
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seconds", type=int, default=60)
     parser.add_argument("--no-faults", action="store_true", help="traffic only")
-    parser.add_argument("--base-port", type=int, default=21000)
+    parser.add_argument("--base-port", type=int, default=26000)
     parser.add_argument("--keep", metavar="DIRECTORY", help="keep logs and settings there")
     arguments = parser.parse_args()
     with tempfile.TemporaryDirectory(prefix="dotterelport-") as directory:
