Ask watchers of all failure domains for the configuration

Cause: routers and agents asked only routers of their own failure domain, in no order. A domain that is cut off from the platform but not from other domains would have kept its configuration, against the design's bound of 5 s after any contact with a newer generation. Change: configuration_sources() lists the watchers of the own domain, one watcher of each other domain, then the rest; router and agent use it. A router's dump shows its follower.

--- a/src/dotterelport/agent/daemon.cpp
+++ b/src/dotterelport/agent/daemon.cpp
@@ -6,6 +6,7 @@
 #include "dotterelport/agent/agent.hpp"
 #include "dotterelport/agent/events.hpp"
 #include "dotterelport/config/follower.hpp"
+#include "dotterelport/membership/configuration_sources.hpp"
 #include "dotterelport/membership/directory.hpp"
 #include "dotterelport/platform/client.hpp"
 #include "dotterelport/process/operators_server.hpp"
@@ -108,13 +109,8 @@
 
 std::vector<net::endpoint> daemon::native::routers() const
 {
-    std::vector<net::endpoint> result;
-    for (const auto& router : nodes.live_nodes(membership::node_role::router)) {
-        if (router.failure_domain == settings.failure_domain) {
-            result.push_back(router.peers);
-        }
-    }
-    return result;
+    return membership::configuration_sources(nodes.live_nodes(membership::node_role::router),
+                                             settings.failure_domain, settings.name);
 }
 
 agent::generation_state daemon::native::generation() const
--- a/src/dotterelport/router/router_daemon.cpp
+++ b/src/dotterelport/router/router_daemon.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "dotterelport/membership/configuration_sources.hpp"
 #include "events.hpp"
 
 namespace dotterelport::router {
@@ -10,10 +11,6 @@
 
 constexpr std::size_t remembered_keys = 16'384;
 
-/// Routers of a failure domain that watch the platform's manifest; the others ask them.
-constexpr int watchers_per_domain = 2;
-constexpr std::string_view watcher_choice_key = "config/manifest";
-
 constexpr milliseconds drain_poll_interval{50};
 
 /// Limit for giving back grants when the platform does not answer.
@@ -52,7 +49,7 @@
       platform_(http_, settings.platform), nodes_(loop, platform_, own_record(settings)),
       configuration_(loop, platform_, rpc_,
                      {.is_watcher = [this] { return watches_platform(); },
-                      .routers = [this] { return routers_of_own_domain(); }}),
+                      .routers = [this] { return configuration_sources(); }}),
       budgets_({loop, platform_, rpc_, nodes_, configuration_}), agents_(settings.failure_domain),
       crashes_({rpc_, platform_, [this] { return other_routers(); }}), recent_(remembered_keys),
       random_(std::random_device{}()),
@@ -147,34 +144,19 @@
 
 bool router_daemon::watches_platform() const
 {
-    std::vector<std::string> names{settings_.name};
-    for (const auto& router : nodes_.live_nodes(membership::node_role::router)) {
-        if (router.failure_domain == settings_.failure_domain && router.id.node != settings_.name) {
-            names.push_back(router.id.node);
-        }
-    }
-    for (int i = 0; i < watchers_per_domain; ++i) {
-        const auto chosen = membership::rendezvous(names, watcher_choice_key);
-        if (!chosen) {
-            return false;
-        }
-        if (names[*chosen] == settings_.name) {
-            return true;
-        }
-        names.erase(names.begin() + static_cast<std::ptrdiff_t>(*chosen));
+    auto routers = nodes_.live_nodes(membership::node_role::router);
+    const auto is_self = [this](const auto& router) { return router.id.node == settings_.name; };
+    if (std::none_of(routers.begin(), routers.end(), is_self)) {
+        routers.push_back(nodes_.self());
     }
-    return false;
+    const auto watchers = membership::configuration_watchers(routers, settings_.failure_domain);
+    return std::any_of(watchers.begin(), watchers.end(), is_self);
 }
 
-std::vector<net::endpoint> router_daemon::routers_of_own_domain() const
+std::vector<net::endpoint> router_daemon::configuration_sources() const
 {
-    std::vector<net::endpoint> result;
-    for (const auto& router : nodes_.live_nodes(membership::node_role::router)) {
-        if (router.failure_domain == settings_.failure_domain && router.id.node != settings_.name) {
-            result.push_back(router.peers);
-        }
-    }
-    return result;
+    return membership::configuration_sources(nodes_.live_nodes(membership::node_role::router),
+                                             settings_.failure_domain, settings_.name);
 }
 
 std::vector<net::endpoint> router_daemon::other_routers() const
@@ -202,6 +184,7 @@
 {
     json result = status();
     result["not_ready_reason"] = not_ready_reason();
+    result["configuration"] = configuration_.dump();
     result["agents"] = agents_.dump();
     result["quarantine"] = crashes_.dump();
     result["nodes"] = nodes_.dump();
--- a/src/dotterelport/router/router_daemon.hpp
+++ b/src/dotterelport/router/router_daemon.hpp
@@ -33,7 +33,7 @@
 private:
     [[nodiscard]] std::string not_ready_reason() const;
     [[nodiscard]] bool watches_platform() const;
-    [[nodiscard]] std::vector<net::endpoint> routers_of_own_domain() const;
+    [[nodiscard]] std::vector<net::endpoint> configuration_sources() const;
     [[nodiscard]] std::vector<net::endpoint> other_routers() const;
     [[nodiscard]] json status() const;
     [[nodiscard]] json dump() const;
