Close dead routers' grants and audit the bill

Cause: grants of a killed router stayed counted, and lines billed on both sides of a partition stayed billed. Change: holder_closer and shard_auditor run the decisions of the budget module against platform and agents; tests with two routers, an agent and the platform on one loop.

--- a/include/dotterelport/budget/bill_audit.hpp
+++ b/include/dotterelport/budget/bill_audit.hpp
@@ -34,6 +34,9 @@
     /// @brief Result to write, if lines after the ledger's audit cursor are duplicates.
     [[nodiscard]] std::optional<void_batch> result(const ledger_shard& ledger) const;
 
+    /// @brief Tells whether there are findings that the ledger may not count yet.
+    [[nodiscard]] bool has_findings() const { return !findings_.empty(); }
+
     /// @brief Drops findings that the ledger counts.
     void forget_counted(const ledger_shard& ledger);
 
--- a/include/dotterelport/budget/grant_holder.hpp
+++ b/include/dotterelport/budget/grant_holder.hpp
@@ -173,7 +173,16 @@
         std::size_t operator()(std::string_view text) const noexcept;
     };
 
-    using request_table = std::unordered_map<request_key, known_request>;
+    /// Not noexcept, so that the standard library stores hashes in the nodes instead of computing
+    /// them again for every node that it passes.
+    struct key_hash {
+        std::size_t operator()(const request_key& key) const
+        {
+            return std::hash<request_key>{}(key);
+        }
+    };
+
+    using request_table = std::unordered_map<request_key, known_request, key_hash>;
 
     /// An attempt whose request was since moved, or that may have run.
     struct other_attempt {
--- a/src/dotterelport/router/budget_service.cpp
+++ b/src/dotterelport/router/budget_service.cpp
@@ -6,6 +6,8 @@
 #include "budget_events.hpp"
 #include "budget_service_native.hpp"
 #include "dotterelport/base/hash.hpp"
+#include "holder_closer.hpp"
+#include "shard_auditor.hpp"
 
 namespace dotterelport::router {
 namespace {
@@ -13,8 +15,9 @@
 /// Used until a configuration is in force.
 constexpr milliseconds default_flush_interval{500};
 
-/// Interval of work that is not urgent: closing, audit, old reservations.
-constexpr milliseconds slow_interval{2'000};
+/// Interval of work that is not urgent: probes, closing, audit, old reservations.
+constexpr milliseconds slow_interval{1'000};
+constexpr milliseconds probe_timeout{1'000};
 
 constexpr milliseconds drain_poll_interval{100};
 
@@ -144,8 +147,44 @@
 
 void budget_service::native::slow_tick()
 {
-    if (environment.nodes.is_registered() && environment.configuration.current() != nullptr) {
-        check_old_reservations();
+    if (!environment.nodes.is_registered() || environment.configuration.current() == nullptr) {
+        return;
+    }
+    for (const auto& router : environment.nodes.routers_to_probe()) {
+        // Any answer is a sign of life.
+        call(router, "status", json::object(), probe_timeout, [](const net::rpc_result&) {});
+    }
+    check_old_reservations();
+    for (const auto& target : environment.nodes.routers_to_close()) {
+        auto& closer = closers[target];
+        if (closer == nullptr) {
+            closer = std::make_shared<holder_closer>(*this, target);
+        }
+    }
+    std::erase_if(closers, [](const auto& item) { return item.second->is_finished(); });
+    for (const auto& [target, closer] : closers) {
+        closer->tick();
+    }
+    audit();
+}
+
+void budget_service::native::audit()
+{
+    const auto& self = environment.nodes.self();
+    for (const auto& [shard, owner] : owners) {
+        // One owner audits a shard; it is safe if two do.
+        const auto domains = environment.nodes.failure_domains();
+        const auto auditing = membership::rendezvous(domains, "audit/" + std::to_string(shard));
+        const bool is_auditor = auditing.has_value() && domains[*auditing] == self.failure_domain;
+        if (!is_auditor) {
+            auditors.erase(shard);
+            continue;
+        }
+        auto& auditor = auditors[shard];
+        if (auditor == nullptr) {
+            auditor = std::make_shared<shard_auditor>(environment, shard);
+        }
+        auditor->tick(owner);
     }
 }
 
@@ -191,11 +230,13 @@
     for (const auto& owner : native_->all_owners()) {
         shards.push_back(owner->session().dump());
     }
-    return {{"incarnation", to_string(native_->current)},
-            {"generation", native_->generation},
-            {"draining", native_->draining},
-            {"waiting_reports", native_->waiting.size()},
-            {"shards", std::move(shards)}};
+    json closing = json::array();
+    for (const auto& [target, closer] : native_->closers) {
+        closing.push_back(closer->dump());
+    }
+    return {{"incarnation", to_string(native_->current)}, {"closing", std::move(closing)},
+            {"generation", native_->generation},          {"draining", native_->draining},
+            {"waiting_reports", native_->waiting.size()}, {"shards", std::move(shards)}};
 }
 
 } // namespace dotterelport::router
--- a/src/dotterelport/router/budget_service_native.hpp
+++ b/src/dotterelport/router/budget_service_native.hpp
@@ -36,6 +36,7 @@
     void start();
     void tick();
     void slow_tick();
+    void audit();
 
     /// @brief Replaces the owners after this router took a new incarnation.
     void follow_incarnation();
--- /dev/null
+++ b/src/dotterelport/router/budget_service_test.cpp
@@ -0,0 +1,281 @@
+#include <catch2/catch.hpp>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "budget_messages.hpp"
+#include "dotterelport/budget/ledger_shard.hpp"
+#include "dotterelport/config/parts.hpp"
+#include "dotterelport/request/messages.hpp"
+#include "dotterelport/router/budget_service.hpp"
+#include "dotterelport/standin/platform_server.hpp"
+
+namespace dotterelport::router {
+namespace {
+
+constexpr milliseconds test_limit{30'000};
+constexpr tokens prepaid = 1'000;
+
+/// Process on the shared loop that registers in the platform.
+class node {
+public:
+    node(net::event_loop& loop, const net::endpoint& platform_address, const std::string& name,
+         const std::string& domain, membership::node_role role)
+        : server_(loop), rpc_server_(server_), http_(loop), rpc(http_),
+          platform_(http_, platform_address), directory(loop, platform_, record(name, domain, role))
+    {
+        directory.start([] {}, [] {});
+    }
+
+private:
+    membership::node_record record(const std::string& name, const std::string& domain,
+                                   membership::node_role role)
+    {
+        membership::node_record result;
+        result.id = {name, 0};
+        result.role = role;
+        result.vm = name;
+        result.failure_domain = domain;
+        result.peers = server_.listen({"127.0.0.1", 0});
+        return result;
+    }
+
+    net::http_server server_;
+
+protected:
+    net::rpc_server rpc_server_;
+    net::http_client http_;
+
+public:
+    net::rpc_client rpc;
+
+protected:
+    platform::client platform_;
+
+public:
+    membership::directory directory;
+};
+
+/// Router that only serves its budgets.
+class budget_router : public node {
+public:
+    budget_router(net::event_loop& loop, const net::endpoint& platform, const std::string& name,
+                  const std::string& domain)
+        : node(loop, platform, name, domain, membership::node_role::router),
+          follower_(loop, platform_, rpc,
+                    {.is_watcher = [] { return true; },
+                     .routers = [] { return std::vector<net::endpoint>{}; }}),
+          service({.loop = loop,
+                   .platform = platform_,
+                   .rpc = rpc,
+                   .nodes = directory,
+                   .configuration = follower_,
+                   .sizing = budget::thin_budgets()})
+    {
+        follower_.start([](const config::snapshot_ptr&) {});
+        service.serve(rpc_server_);
+    }
+
+    [[nodiscard]] bool is_ready() const
+    {
+        return directory.is_registered() && follower_.current() != nullptr;
+    }
+
+private:
+    config::follower follower_;
+
+public:
+    budget_service service;
+};
+
+/// Agent that has run what the test puts into its list of outcomes.
+class model_agent : public node {
+public:
+    model_agent(net::event_loop& loop, const net::endpoint& platform)
+        : node(loop, platform, "agent-1", "lota", membership::node_role::agent)
+    {
+        rpc_server_.add("fence", [this](const json&) {
+            json list = json::array();
+            for (const auto& outcome : outcomes) {
+                list.push_back(to_json(outcome));
+            }
+            return json{{"running", json::array()}, {"outcomes", std::move(list)}};
+        });
+        rpc_server_.add("acknowledge", [this](const json&) {
+            outcomes.clear();
+            return json::object();
+        });
+    }
+
+    void run(const reserve_result& reservation, const request_key& key, tokens charged)
+    {
+        request::outcome outcome;
+        outcome.key = key;
+        outcome.budget = "depot-main";
+        outcome.holder = reservation.holder;
+        outcome.charged = charged;
+        outcome.agent = directory.self().id;
+        outcomes.push_back(outcome);
+    }
+
+    std::vector<request::outcome> outcomes;
+};
+
+/// Two routers, an agent and the platform.
+class fleet {
+public:
+    explicit fleet(const std::string& second_domain = "arauco")
+    {
+        const std::size_t domains = second_domain == "lota" ? 1 : 2;
+        config::document document;
+        document.workspaces = {{.name = "depot",
+                                .services = {},
+                                .key_hashes = {},
+                                .budgets = {{"depot-main", {"*"}, prepaid}}}};
+        document.settings = {.budget_shards = 1, .flush_interval = milliseconds{100}};
+        const auto parts = config::split(document, "test");
+        for (const auto& [hash, content] : parts.contents) {
+            platform.objects().write(config::part_key(hash), content, std::nullopt);
+        }
+        const config::manifest manifest{.generation = 1, .parts = parts.parts, .history = {}};
+        platform.objects().write(config::manifest_key, to_json(manifest).dump(), std::nullopt);
+        for (const char* vm : {"router-a", "router-b", "agent-1"}) {
+            platform.vms().set(vm, platform::vm_state::live, steady_now());
+        }
+        first.emplace(loop, platform.address(), "router-a", "lota");
+        second.emplace(loop, platform.address(), "router-b", second_domain);
+        agent.emplace(loop, platform.address());
+        REQUIRE(run_until([&] {
+            return first->is_ready() && second->is_ready() && agent->directory.is_registered() &&
+                   first->directory.live_nodes(membership::node_role::router).size() == 2 &&
+                   second->directory.live_nodes(membership::node_role::router).size() == 2 &&
+                   first->directory.failure_domains().size() == domains;
+        }));
+    }
+
+    bool run_until(const std::function<bool()>& condition)
+    {
+        const auto limit = steady_now() + test_limit;
+        while (!condition() && steady_now() < limit) {
+            loop.run_for(milliseconds{20});
+        }
+        return condition();
+    }
+
+    reserve_result reserve(budget_router& at, const std::string& key, tokens upper)
+    {
+        std::optional<reserve_result> result;
+        at.service.reserve({.key = {"depot", key},
+                            .budget = "depot-main",
+                            .upper_tokens = upper,
+                            .agent = agent->directory.self().id,
+                            .digest = "d",
+                            .caller_key = true},
+                           [&](const reserve_result& answer) { result = answer; });
+        REQUIRE(run_until([&] { return result.has_value(); }));
+        return *result;
+    }
+
+    /// @brief Pushes the agent's outcomes to a router, as the agent does, until all are durable.
+    bool push(budget_router& to)
+    {
+        json list = json::array();
+        for (const auto& outcome : agent->outcomes) {
+            list.push_back(to_json(outcome));
+        }
+        std::optional<net::rpc_result> result;
+        agent->rpc.call(to.directory.self().peers, "outcomes",
+                        {{"agent", "agent-1#1"}, {"outcomes", list}}, milliseconds{2'000},
+                        [&](const net::rpc_result& answer) { result = answer; });
+        run_until([&] { return result.has_value(); });
+        return result->ok() && result->value.at("durable").size() == list.size();
+    }
+
+    budget::ledger_entry ledger()
+    {
+        const auto object = platform.objects().read("budget/0");
+        return budget::parse_ledger_shard(object.value.value).budgets().at("depot-main");
+    }
+
+    net::event_loop loop;
+    standin::platform_server platform{loop, {}};
+    std::optional<budget_router> first;
+    std::optional<budget_router> second;
+    std::optional<model_agent> agent;
+};
+
+TEST_CASE("A request is reserved, billed once and durable before the agent may forget it")
+{
+    fleet world;
+    const auto reservation = world.reserve(*world.first, "k1", 200);
+    REQUIRE(reservation.status == reserve_status::reserved);
+    CHECK(reservation.holder.node == "router-a");
+    // A retry through the other failure domain must find the running attempt.
+    CHECK(world.reserve(*world.second, "k1", 200).status == reserve_status::known);
+    world.agent->run(reservation, {"depot", "k1"}, 150);
+    CHECK(world.push(*world.first));
+    CHECK(world.push(*world.first));
+    CHECK(world.run_until([&] { return world.ledger().settled == 150; }));
+    CHECK(world.ledger().unproved == 0);
+}
+
+TEST_CASE("The last tokens of a budget are found in the other failure domain, then refused")
+{
+    fleet world;
+    // The other domain holds a grant that it does not use; a refusal now would be a false one.
+    REQUIRE(world.reserve(*world.second, "k1", 10).status == reserve_status::reserved);
+    CHECK(world.reserve(*world.first, "k2", 980).status == reserve_status::reserved);
+    CHECK(world.reserve(*world.first, "k3", 50).status == reserve_status::exhausted);
+}
+
+TEST_CASE("While the platform is down, a peer lends and a refusal is not called exhausted")
+{
+    fleet world;
+    REQUIRE(world.reserve(*world.second, "k1", 100).status == reserve_status::reserved);
+    world.platform.set_faults({.outage = true});
+    const auto borrowed = world.reserve(*world.first, "k2", 100);
+    // Router a has never written this agent into its record, so it may not use it now.
+    CHECK((borrowed.status == reserve_status::reserved ||
+           borrowed.status == reserve_status::unavailable));
+    CHECK(world.reserve(*world.first, "k3", 900).status == reserve_status::unavailable);
+}
+
+TEST_CASE("The grants of a killed router are closed and its outcomes billed by another one")
+{
+    fleet world("lota");
+    const auto reservation = world.reserve(*world.first, "k1", 200);
+    REQUIRE(reservation.status == reserve_status::reserved);
+    world.agent->run(reservation, {"depot", "k1"}, 120);
+    const bool first_holds = reservation.holder.node == "router-a";
+    (first_holds ? world.first : world.second).reset();
+    auto& survivor = first_holds ? *world.second : *world.first;
+    world.platform.vms().set(reservation.holder.node, std::nullopt, steady_now());
+    const bool closed = world.run_until([&] {
+        const auto entry = world.ledger();
+        return entry.settled == 120 && !entry.grants.contains(reservation.holder) &&
+               world.agent->outcomes.empty();
+    });
+    INFO(survivor.service.dump().dump());
+    INFO(survivor.directory.dump().dump());
+    CHECK(closed);
+    CHECK(world.ledger().unproved == 0);
+}
+
+TEST_CASE("A drained router leaves no grant open")
+{
+    fleet world;
+    const auto reservation = world.reserve(*world.first, "k1", 200);
+    world.agent->run(reservation, {"depot", "k1"}, 120);
+    CHECK(world.push(*world.first));
+    bool drained = false;
+    world.first->service.drain([&] { drained = true; });
+    CHECK(world.run_until([&] { return drained; }));
+    CHECK_FALSE(world.ledger().grants.contains(reservation.holder));
+    CHECK(world.ledger().settled == 120);
+}
+
+} // namespace
+} // namespace dotterelport::router
--- /dev/null
+++ b/src/dotterelport/router/holder_closer.hpp
@@ -0,0 +1,64 @@
+#ifndef DOTTERELPORT_ROUTER_HOLDER_CLOSER_HPP
+#define DOTTERELPORT_ROUTER_HOLDER_CLOSER_HPP
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <memory>
+
+#include "budget_service_native.hpp"
+#include "dotterelport/budget/holder_closing.hpp"
+
+namespace dotterelport::router {
+
+/// Closes the grants of a dead router incarnation: asks its agents and writes what
+/// budget::holder_closing decides, shard by shard, until nothing is left.
+class holder_closer : public std::enable_shared_from_this<holder_closer> {
+public:
+    holder_closer(budget_service::native& service, const incarnation& target);
+
+    /// @brief Goes on with the closing; called periodically.
+    void tick();
+
+    [[nodiscard]] bool is_finished() const { return finished_; }
+    [[nodiscard]] json dump() const;
+
+private:
+    /// Closing of one shard.
+    struct part {
+        explicit part(budget::holder_closing closing) : state(std::move(closing)) {}
+
+        budget::holder_closing state;
+        bool listed = false;
+        bool busy = false;
+        /// The ledger has no grant of the holder any more.
+        bool removed = false;
+    };
+
+    void begin();
+    void fence_agents();
+    void take_answer(const incarnation& agent, const json& answer);
+    void acknowledge(const incarnation& agent);
+    void list_batches(std::uint32_t shard);
+    void read_ledger(std::uint32_t shard);
+    void take_ledger(std::uint32_t shard, const platform::read_result& result);
+    void write_ledger(std::uint32_t shard, const budget::ledger_shard& next, platform::version at);
+    void write_batch(std::uint32_t shard, const budget::bill_batch& batch);
+    void finish_if_done();
+
+    std::weak_ptr<budget_service::native> service_;
+    budget_service::context context_;
+    incarnation target_;
+    bool beginning_ = false;
+    bool finishing_ = false;
+    bool finished_ = false;
+    std::set<incarnation> agents_;
+    std::set<incarnation> asking_;
+    /// Outcomes that agents reported and that they may not forget yet.
+    std::map<incarnation, std::vector<request::outcome>> reported_;
+    std::map<std::uint32_t, part> parts_;
+};
+
+} // namespace dotterelport::router
+
+#endif
--- /dev/null
+++ b/src/dotterelport/router/shard_auditor.hpp
@@ -0,0 +1,37 @@
+#ifndef DOTTERELPORT_ROUTER_SHARD_AUDITOR_HPP
+#define DOTTERELPORT_ROUTER_SHARD_AUDITOR_HPP
+
+#include <cstdint>
+#include <memory>
+
+#include "dotterelport/budget/bill_audit.hpp"
+#include "dotterelport/router/budget_service.hpp"
+#include "shard_owner.hpp"
+
+namespace dotterelport::router {
+
+/// Audits the bill of one shard: lists new batches, writes voided lines, and lets the shard's
+/// owner count them in the ledger.
+class shard_auditor : public std::enable_shared_from_this<shard_auditor> {
+public:
+    shard_auditor(const budget_service::context& environment, std::uint32_t shard);
+
+    /// @brief Reads what is new; called periodically.
+    void tick(const std::shared_ptr<shard_owner>& owner);
+
+private:
+    void take_listing(const platform::listing& listed, const std::shared_ptr<shard_owner>& owner);
+    void audit(const platform::listing& listed, const budget::ledger_shard& ledger,
+               const std::shared_ptr<shard_owner>& owner);
+    void write(const budget::void_batch& found, const std::shared_ptr<shard_owner>& owner);
+    void read_back(const std::string& key, const std::shared_ptr<shard_owner>& owner);
+
+    budget_service::context context_;
+    std::uint32_t shard_;
+    budget::bill_audit audit_;
+    bool busy_ = false;
+};
+
+} // namespace dotterelport::router
+
+#endif
