Do not bill lookups at a service

Resolving a booking asks the service whether it ran, and that call was reserved and billed to the workspace. Change: the lookup has no budget; an agent reports no outcome for it. Result: tests of both sides fail without the change and pass with it. Conclusion: only requests of callers are on the bill.

--- a/src/dotterelport/agent/agent_test.cpp
+++ b/src/dotterelport/agent/agent_test.cpp
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <functional>
 #include <memory>
 #include <string>
@@ -322,6 +323,20 @@
     CHECK(net.run(other)->last<request::error_frame>()->reason == failure_reason::key_reused);
 }
 
+// Guards H2: a router's own lookup must not appear on the bill of the workspace.
+TEST_CASE("A call without a budget leaves no outcome")
+{
+    fixture net(request::request_kind::call);
+    auto lookup = net.booking("lookup-1", {{"lot", 7}});
+    lookup.budget.clear();
+    const auto result = net.run(lookup);
+    CHECK(result->last<request::end_frame>() != nullptr);
+    net.run(net.booking("k1", {{"lot", 8}}));
+    REQUIRE(net.wait([&] { return !net.outcomes.empty(); }));
+    CHECK(std::all_of(net.outcomes.begin(), net.outcomes.end(),
+                      [](const json& item) { return item["key"] == "k1"; }));
+}
+
 TEST_CASE("An agent that leaves refuses new work and finishes what runs")
 {
     fixture net;
--- a/src/dotterelport/agent/daemon_test.cpp
+++ b/src/dotterelport/agent/daemon_test.cpp
@@ -105,6 +105,7 @@
     [[nodiscard]] request::admission message(const std::string& key) const
     {
         request::admission result;
+        result.budget = "depot-main";
         result.key = {"depot", key};
         result.agent = {"agent-1", 1};
         result.holder = {"router-a", 1};
--- a/src/dotterelport/agent/request_runner.cpp
+++ b/src/dotterelport/agent/request_runner.cpp
@@ -192,6 +192,10 @@
         break;
     }
     const request::admission& message = item.message;
+    if (message.budget.empty()) {
+        // A router's own call, such as a lookup, belongs to no budget and has no bill line.
+        return;
+    }
     const token_usage usage = result.usage.value_or(token_usage{});
     // What is not reported cannot be proved unused and counts in full.
     const bool is_known = result.value == verdict::ran && result.usage.has_value();
--- a/src/dotterelport/router/booking_run_test.cpp
+++ b/src/dotterelport/router/booking_run_test.cpp
@@ -190,7 +190,10 @@
     REQUIRE(second.admissions.size() == 1);
     CHECK(second.admissions[0].payload["method"] == "GET");
     CHECK(second.admissions[0].payload["path"] == "/bookings/depot%2Fk1");
+    // Guards H2: a call that the caller did not make is neither reserved nor billed.
+    CHECK(second.admissions[0].budget.empty());
     CHECK(second.admissions[0].upper_tokens == 0);
+    CHECK(router.reservations.size() == 1);
 }
 
 struct resume_row {
--- a/src/dotterelport/router/request_run.hpp
+++ b/src/dotterelport/router/request_run.hpp
@@ -31,6 +31,8 @@
     std::mt19937_64& random;
     /// Configuration in force, or null.
     std::function<config::snapshot_ptr()> configuration;
+    /// Incarnation of this router.
+    std::function<incarnation()> self;
     /// Asks for a newer configuration than the one in force.
     std::function<void()> refresh_configuration;
     std::function<void(const reserve_request&, std::function<void(const reserve_result&)>)> reserve;
--- a/src/dotterelport/router/router_daemon.cpp
+++ b/src/dotterelport/router/router_daemon.cpp
@@ -90,6 +90,7 @@
         .recent = recent_,
         .random = random_,
         .configuration = [this] { return configuration_.current(); },
+        .self = [this] { return nodes_.self().id; },
         .refresh_configuration =
             [this] { configuration_.hint(configuration_.current()->generation() + 1); },
         .reserve = [this](const reserve_request& request,
--- a/src/dotterelport/router/service_lookup.cpp
+++ b/src/dotterelport/router/service_lookup.cpp
@@ -12,7 +12,8 @@
 constexpr milliseconds lookup_limit{3'000};
 constexpr int status_ok = 200;
 
-/// The call that asks about a booking. It costs nothing: the caller did not ask for it.
+/// The call that asks about a booking. It has no budget, so that it is neither reserved nor billed:
+/// the caller did not ask for it.
 job make_lookup(const job& booking, std::mt19937_64& random)
 {
     job result = booking;
@@ -20,6 +21,7 @@
     result.caller_key = false;
     result.idempotent = true;
     result.upper_tokens = 0;
+    result.budget.clear();
     result.payload = {{"method", "GET"},
                       {"path", booking.lookup_path},
                       {"headers", json::object()},
@@ -66,25 +68,11 @@
     }
     const auto agent = candidates_.back();
     candidates_.pop_back();
-    const reserve_request request{.key = job_.key,
-                                  .budget = job_.budget,
-                                  .upper_tokens = 0,
-                                  .agent = agent.id,
-                                  .digest = job_.digest,
-                                  .caller_key = false};
-    context_.reserve(request, [self = shared_from_this(), agent](const reserve_result& result) {
-        if (result.status != reserve_status::reserved) {
-            self->finish(std::nullopt);
-            return;
-        }
-        self->send(agent, result);
-    });
-}
-
-void service_lookup::send(const membership::node_record& agent, const reserve_result& reservation)
-{
-    auto admission = make_admission(job_, reservation, context_.configuration()->generation());
-    admission.agent = agent.id;
+    const reserve_result no_reservation{.status = reserve_status::reserved,
+                                        .holder = context_.self(),
+                                        .holder_address = {},
+                                        .agent = agent.id};
+    auto admission = make_admission(job_, no_reservation, context_.configuration()->generation());
     data_ = nullptr;
     attempt_handler handler;
     handler.on_chunk = [self = shared_from_this()](const json& data) { self->data_ = data; };
@@ -104,10 +92,6 @@
         finish(data_);
         return;
     }
-    const auto* failure = std::get_if<request::error_frame>(&result);
-    if (failure != nullptr && failure->verdict == verdict::not_run) {
-        context_.release(job_.key, job_.budget);
-    }
     ask_next();
 }
 
--- a/src/dotterelport/router/service_lookup.hpp
+++ b/src/dotterelport/router/service_lookup.hpp
@@ -24,7 +24,6 @@
 
 private:
     void ask_next();
-    void send(const membership::node_record& agent, const reserve_result& reservation);
     void take(const attempt_result& result);
     void finish(const std::optional<json>& found);
 
