--- a/include/dotterelport/router/budget_service.hpp
+++ b/include/dotterelport/router/budget_service.hpp
@@ -79,7 +79,7 @@
     void release(const request_key& key, const std::string& budget);
 
     /// @brief Returns unused grants and writes open bill batches, for a graceful stop.
-    void drain(std::function<void()> done);
+    void drain(const std::function<void()>& done);
 
     [[nodiscard]] json dump() const;
 
--- a/src/dotterelport/budget/sizing.cpp
+++ b/src/dotterelport/budget/sizing.cpp
@@ -25,8 +25,11 @@
     const double near_end = static_cast<double>(input.prepaid) * policy.near_end;
     const double factor =
         near_end > 0 ? std::clamp(remaining / near_end, policy.least_factor, 1.0) : 1.0;
-    const double share = policy.largest_share * factor /
-                         static_cast<double>(std::max<std::size_t>(1, input.failure_domains));
+    // If n holders have this share of the room and their own part each, all of them together have
+    // the fraction `all` of what remains.
+    const double all = policy.largest_share * factor;
+    const double each = all / static_cast<double>(std::max<std::size_t>(1, input.failure_domains));
+    const double share = each / (1.0 - all + each);
     return input.reserved + static_cast<tokens>(std::min(wanted, remaining * share));
 }
 
@@ -34,12 +37,12 @@
 
 demand_share thin_budgets()
 {
-    return {.horizon = milliseconds{2'000},
+    return {.horizon = milliseconds{300'000},
             .trouble_factor = 1.0,
-            .reserve_requests = 2.0,
-            .largest_share = 0.6,
-            .near_end = 0.2,
-            .least_factor = 0.2,
+            .reserve_requests = 4.0,
+            .largest_share = 0.9,
+            .near_end = 0.05,
+            .least_factor = 0.5,
             .assumed_request = 0,
             .open_early = false,
             .idle_limit = milliseconds{120'000}};
@@ -47,12 +50,12 @@
 
 demand_share small_requests()
 {
-    return {.horizon = milliseconds{30'000},
+    return {.horizon = milliseconds{600'000},
             .trouble_factor = 3.0,
             .reserve_requests = 16.0,
-            .largest_share = 0.9,
-            .near_end = 0.05,
-            .least_factor = 0.25,
+            .largest_share = 0.98,
+            .near_end = 0.02,
+            .least_factor = 0.5,
             .assumed_request = 1'000,
             .open_early = true,
             .idle_limit = milliseconds{3'600'000}};
--- a/src/dotterelport/router/budget_service.cpp
+++ b/src/dotterelport/router/budget_service.cpp
@@ -218,7 +218,7 @@
     native_->release_at_owner(key);
 }
 
-void budget_service::drain(std::function<void()> done)
+void budget_service::drain(const std::function<void()>& done)
 {
     native_->draining = true;
     drain_step(native_, done);
--- /dev/null
+++ b/src/programs/budget-experiment.cpp
@@ -0,0 +1,103 @@
+// Compares the sizing policies with the baseline of an equal split, on the same requests and
+// faults, and prints false refusals. Arguments: first seed and number of seeds.
+
+#include <cstdlib>
+#include <iomanip>
+#include <iostream>
+#include <string>
+#include <vector>
+
+#include "dotterelport/budget/experiment.hpp"
+
+using namespace dotterelport::budget;
+
+namespace {
+
+/// Thin budgets, few and large requests.
+experiment_workload carbones()
+{
+    return {.name = "carbones",
+            .smallest_budget = 20'000,
+            .largest_budget = 400'000,
+            .requests_per_step = 2.2,
+            .smallest_request = 100,
+            .largest_request = 900};
+}
+
+/// Larger budgets, many small requests.
+experiment_workload caroni()
+{
+    return {.name = "caroni",
+            .smallest_budget = 80'000,
+            .largest_budget = 1'200'000,
+            .requests_per_step = 8,
+            .smallest_request = 50,
+            .largest_request = 600};
+}
+
+struct phase {
+    std::string name;
+    bool outage;
+    bool partition;
+};
+
+void print(const std::string& workload, const std::string& faults, const std::string& policy,
+           const experiment_result& sum)
+{
+    std::cout << std::left << std::setw(10) << workload << std::setw(12) << faults << std::setw(16)
+              << policy << std::right << std::setw(10) << sum.requests << std::setw(10)
+              << sum.served << std::setw(12) << sum.false_refusals << std::setw(12)
+              << sum.false_refusals_in_faults << std::setw(12) << sum.right_refusals
+              << std::setw(11) << sum.overspend << std::setw(11) << sum.platform_calls << std::endl;
+}
+
+experiment_result run_seeds(const experiment_workload& workload, const sizing_policy& policy,
+                            std::uint64_t first, std::uint64_t count)
+{
+    experiment_result sum;
+    for (std::uint64_t seed = first; seed < first + count; ++seed) {
+        const auto result = run_experiment(workload, policy, seed);
+        sum.requests += result.requests;
+        sum.served += result.served;
+        sum.false_refusals += result.false_refusals;
+        sum.false_refusals_in_faults += result.false_refusals_in_faults;
+        sum.right_refusals += result.right_refusals;
+        sum.overspend += result.overspend;
+        sum.platform_calls += result.platform_calls;
+    }
+    return sum;
+}
+
+} // namespace
+
+int main(int count, char** arguments)
+{
+    constexpr std::uint64_t default_seeds = 3;
+    const std::uint64_t first = count > 1 ? std::strtoull(arguments[1], nullptr, 10) : 1;
+    const std::uint64_t seeds =
+        count > 2 ? std::strtoull(arguments[2], nullptr, 10) : default_seeds;
+    std::cout << "workload  faults      policy            requests    served  false ref.   "
+                 "in faults  right ref.  overspend  platform\n";
+    for (const auto& base : {carbones(), caroni()}) {
+        for (const auto& faults : {phase{"none", false, false}, phase{"outage", true, false},
+                                   phase{"partition", false, true}, phase{"both", true, true}}) {
+            auto workload = base;
+            if (faults.outage) {
+                workload.outage_from = 600;
+                workload.outage_to = 1'200;
+            }
+            if (faults.partition) {
+                workload.partition_from = 1'500;
+                workload.partition_to = 2'100;
+            }
+            const std::vector<std::pair<std::string, sizing_policy>> policies{
+                {"equal_split", equal_split{.holders = workload.failure_domains}},
+                {"thin_budgets", thin_budgets()},
+                {"small_requests", small_requests()}};
+            for (const auto& [name, policy] : policies) {
+                print(workload.name, faults.name, name, run_seeds(workload, policy, first, seeds));
+            }
+        }
+    }
+    return 0;
+}
