--- a/src/dotterelport/config/follower_adopt.cpp
+++ b/src/dotterelport/config/follower_adopt.cpp
@@ -5,6 +5,16 @@
 #include "dotterelport/config/follower_native.hpp"
 
 namespace dotterelport::config {
+namespace {
+
+/// A starting process needs every part. Until this time it waits to learn of routers that have
+/// them, because a restart of many processes would use up the platform's limit for reads.
+constexpr milliseconds router_discovery_time{1'500};
+
+/// Until this time a starting process that is no watcher takes parts from routers only.
+constexpr milliseconds start_patience{3'000};
+
+} // namespace
 
 void follower::native::consider(manifest value, const std::optional<net::endpoint>& router,
                                 milliseconds confirmed_at)
@@ -28,22 +38,32 @@
 
 void follower::native::adopt()
 {
-    fetching = true;
+    const bool watcher = is_watcher();
     auto router = pending->router;
-    if (!router && !is_watcher()) {
-        // At a start of the whole fleet this keeps most of the fetches away from the platform.
+    if (!router && (!watcher || !current)) {
         const auto routers = routers_in_order();
         router = routers.empty() ? std::nullopt : std::optional(routers.front());
     }
+    const milliseconds running = steady_now() - started;
+    if (!router && !current && running < router_discovery_time) {
+        return;
+    }
+    fetching = true;
     if (!router) {
         fetch_from_platform();
         return;
     }
+    const bool spare_platform = !watcher && !current && running < start_patience;
     fetch_parts(cache.missing(pending->value), router_source(*router),
-                [weak = weak_from_this(),
+                [weak = weak_from_this(), spare_platform,
                  fetched = pending->value.generation](const part_contents& contents) {
                     const auto self = weak.lock();
-                    if (self && self->keep(contents, fetched)) {
+                    if (!self || !self->keep(contents, fetched)) {
+                        return;
+                    }
+                    if (spare_platform) {
+                        self->finish_fetch(fetched);
+                    } else {
                         self->fetch_from_platform();
                     }
                 });
--- a/src/dotterelport/config/follower_test.cpp
+++ b/src/dotterelport/config/follower_test.cpp
@@ -120,6 +120,20 @@
     CHECK(fleet.server.counters().calls(standin::call_kind::read) - reads <= 3);
 }
 
+TEST_CASE("A process that starts takes the parts from a router and not from the platform")
+{
+    // A restart of many processes would otherwise use up the platform's limit for reads.
+    fixture fleet;
+    fleet.publish(large_document(1'000, 1'000));
+    const auto router = fleet.start(true);
+    fleet.run_until([&] { return router->generation() == 1; });
+    const auto reads = fleet.server.counters().calls(standin::call_kind::read);
+    const auto restarted = fleet.start(GENERATE(false, true), {router->address});
+    fleet.run_until([&] { return restarted->generation() == 1; });
+    CHECK(restarted->generation() == 1);
+    CHECK(fleet.server.counters().calls(standin::call_kind::read) - reads <= 5);
+}
+
 TEST_CASE("A process that starts in an outage stays not ready until the outage ends")
 {
     // A router's generation from before the outage may be older than the one that an earlier run of
