Add the routing experiment and tune the chosen policy

Cause: the policy for choosing backend servers had untested parameters, and herding and stuck requests showed only under load. The policy now trusts reports for a tenth of a request's duration, counts the prompts that its unanswered requests still have to prefill, compares against a server's last sign of life instead of the age of its oldest request, and takes turns among equals.

--- a/include/dotterelport/routing/balancer.hpp
+++ b/include/dotterelport/routing/balancer.hpp
@@ -50,8 +50,10 @@
     void failed(const std::string& server, std::uint64_t id, milliseconds now);
     void cancelled(const std::string& server, std::uint64_t id, milliseconds now);
 
-    /// @brief Tells whether some server is expected to run a further request at once.
-    [[nodiscard]] bool has_room(std::span<const std::string> servers, milliseconds now) const;
+    /// @brief Tells whether some server has room for a request of a class. Lower classes leave a
+    /// part of each server free, so that interactive requests find a place at once.
+    [[nodiscard]] bool has_room(std::span<const std::string> servers, priority value,
+                                milliseconds now) const;
 
     [[nodiscard]] const load_view& loads() const { return loads_; }
     [[nodiscard]] prefix_view& prefixes() { return prefixes_; }
--- a/include/dotterelport/routing/fair_queue.hpp
+++ b/include/dotterelport/routing/fair_queue.hpp
@@ -64,7 +64,8 @@
     push_result push(const queued_request& request, milliseconds now);
 
     /// @brief Takes the next request whose deadline has not passed.
-    std::optional<queued_request> pop(milliseconds now);
+    /// @param lowest lowest class to take, when there is no room for others
+    std::optional<queued_request> pop(milliseconds now, priority lowest = priority::batch);
 
     /// @brief Takes the requests whose deadline has passed.
     std::vector<queued_request> take_expired(milliseconds now);
@@ -103,7 +104,7 @@
     std::optional<queued_request> extract(std::uint64_t id);
     void forget(const queued_request& request);
     void measure_rate(double cost, milliseconds now);
-    [[nodiscard]] class_queue* next_class();
+    [[nodiscard]] class_queue* next_class(priority lowest);
 
     queue_settings settings_;
     std::array<class_queue, priority_count> classes_;
--- a/include/dotterelport/routing/load_view.hpp
+++ b/include/dotterelport/routing/load_view.hpp
@@ -45,6 +45,9 @@
     milliseconds report_lag{400};
     /// A server that reported before is silent after this time without a report.
     milliseconds silent_after{4'000};
+    /// Part of a request's duration in which the trust in a report falls to 1/e. In the routing
+    /// experiment, larger values made routers herd.
+    double trust_durations = 0.1;
     int failures_until_ejected = 3;
     milliseconds first_ejection{2'000};
     milliseconds longest_ejection{60'000};
@@ -65,12 +68,23 @@
     double reported = 0;
     /// This router's requests there.
     double own = 0;
+    /// This router's requests that the report does not show yet, less those that it still shows.
+    double own_change = 0;
     /// Time since the last report; nothing if there was none.
     std::optional<milliseconds> report_age;
+    /// Part of the reported load that is believed: it falls with the report's age, in terms of the
+    /// time that a request takes, because the requests that it counted end meanwhile.
+    double trust = 0;
     /// Observed milliseconds for each token or call; 0 if not known.
     double pace = 0;
-    /// Age of the oldest request of this router that has no answer at all.
-    milliseconds oldest_unanswered{0};
+    /// Observed milliseconds from sending a request to its end; 0 if not known.
+    double duration = 0;
+    /// Tokens that this router's requests without an answer still have to prefill.
+    double prefill = 0;
+    /// Time of this router's last request to it.
+    std::optional<milliseconds> last_sent;
+    /// Time for which the server has given no sign of life while a request of this router waits.
+    milliseconds unresponsive{0};
 };
 
 /// Merges the late load reports of backend servers with this router's own requests there.
@@ -82,7 +96,9 @@
 
     /// @brief Records a request that is sent.
     /// @param request number that is unique among this router's requests
-    void sent(const std::string& server, std::uint64_t request, milliseconds now);
+    /// @param prefill tokens of the prompt that the server is not believed to have cached
+    void sent(const std::string& server, std::uint64_t request, milliseconds now,
+              double prefill = 0);
 
     /// @brief Records the first token or byte of an answer.
     void answered(const std::string& server, std::uint64_t request, milliseconds now);
@@ -103,15 +119,13 @@
     [[nodiscard]] load_estimate estimate(const std::string& server, milliseconds now) const;
     [[nodiscard]] availability available(const std::string& server, milliseconds now) const;
 
-    /// @brief Mean time that requests took from sending to their end; 0 if none ended.
-    [[nodiscard]] double mean_duration() const { return mean_duration_; }
-
     [[nodiscard]] json dump(milliseconds now) const;
 
 private:
     struct request_state {
         milliseconds sent{0};
         std::optional<milliseconds> answered;
+        double prefill = 0;
     };
 
     struct ending {
@@ -126,10 +140,14 @@
         /// Ended requests that the last report may still count.
         std::deque<ending> endings;
         double pace = 0;
+        double duration = 0;
         int failures = 0;
         int ejections = 0;
         std::optional<milliseconds> ejected_until;
         milliseconds last_failure{0};
+        std::optional<milliseconds> last_sent;
+        /// Last token or end of an answer.
+        milliseconds last_sign{0};
     };
 
     std::optional<request_state> remove(server_state& server, std::uint64_t request,
@@ -138,7 +156,6 @@
 
     load_settings settings_;
     std::map<std::string, server_state, std::less<>> servers_;
-    double mean_duration_ = 0;
 };
 
 } // namespace dotterelport::routing
--- a/include/dotterelport/routing/policy.hpp
+++ b/include/dotterelport/routing/policy.hpp
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <random>
 #include <span>
@@ -23,6 +24,8 @@
 
 /// A request that needs a backend server.
 struct choice_request {
+    /// Service, or model, that the servers to choose from have in common.
+    std::string service;
     dotterelport::priority priority = dotterelport::priority::normal;
     /// Hashes of the prompt's blocks; empty for calls.
     std::vector<prefix_hash> prefix;
@@ -43,9 +46,9 @@
 /// Picks any server.
 struct random_policy {};
 
-/// Picks the servers in turn.
+/// Picks the servers of each service in turn.
 struct round_robin_policy {
-    std::size_t next = 0;
+    std::map<std::string, std::size_t> next;
 };
 
 /// Picks the server whose last report shows the least load for its capacity.
@@ -61,15 +64,16 @@
 /// random candidates keeps routers from all picking the server that reported a low load last.
 struct affinity_policy {
     /// Candidates drawn at random.
-    std::size_t random_candidates = 3;
+    std::size_t random_candidates = 6;
     /// Servers preferred for a prefix that no cache is known to hold, chosen by rendezvous hash so
     /// that all routers agree on them.
     std::size_t home_candidates = 2;
     /// Blocks of a prompt that decide its home servers: about the length of a shared instruction.
     std::size_t home_blocks = 8;
-    /// Time in which the weight of a report falls to 1/e.
-    milliseconds report_decay{2'000};
     double prefill_ms_per_token = 0.1;
+    /// Weight of the tokens that this router's unanswered requests at a server still have to
+    /// prefill. Above 1, as they also stand for the requests of other routers.
+    double prefill_weight = 3;
     /// Pace above this multiple of the median marks a slow server; smaller differences are noise.
     double slow_ratio = 1.5;
     /// Part of a request's mean duration by which a full batch delays a further request.
--- a/scripts/install-packages.sh
+++ b/scripts/install-packages.sh
@@ -7,7 +7,7 @@
     libh2o-evloop-dev libjsonrpccpp-dev prometheus-cpp-dev libtclap-dev liblog4cplus-dev
     nlohmann-json3-dev libvalijson-dev libxxhash-dev libssl-dev
     catch2 librapidcheck-dev libbenchmark-dev
-    curl
+    curl gnuplot-nox
 )
 missing=()
 for package in "${packages[@]}"; do
--- a/src/dotterelport/routing/affinity.cpp
+++ b/src/dotterelport/routing/affinity.cpp
@@ -1,7 +1,6 @@
 #include "affinity.hpp"
 
 #include <algorithm>
-#include <cmath>
 #include <limits>
 #include <string>
 #include <utility>
@@ -11,6 +10,12 @@
 namespace dotterelport::routing {
 namespace {
 
+/// Costs up to this multiple of the least count as equal.
+constexpr double equal_cost_ratio = 1.02;
+
+/// Least own load for its capacity from which the number of routers is estimated.
+constexpr double least_own_load = 0.01;
+
 struct server_score {
     std::size_t index = 0;
     load_estimate estimate;
@@ -21,7 +26,9 @@
 /// Values over all eligible servers that a single server is compared with.
 struct fleet_state {
     double mean_load = 0;
+    double mean_own = 0;
     double median_pace = 0;
+    double median_duration = 0;
 };
 
 std::string home_key(const affinity_policy& settings, const choice_request& request)
@@ -49,23 +56,35 @@
     return result;
 }
 
+/// The lower median of the values that are known: of two servers, the slow one is compared with
+/// the other.
+double known_median(std::span<const server_score> scores, double load_estimate::*field)
+{
+    std::vector<double> values;
+    for (const auto& score : scores) {
+        if (score.estimate.*field > 0) {
+            values.push_back(score.estimate.*field);
+        }
+    }
+    if (values.empty()) {
+        return 0;
+    }
+    const auto middle = values.begin() + static_cast<std::ptrdiff_t>((values.size() - 1) / 2);
+    std::nth_element(values.begin(), middle, values.end());
+    return *middle;
+}
+
 fleet_state summarize(std::span<const server_score> scores)
 {
     fleet_state result;
-    std::vector<double> paces;
     for (const auto& score : scores) {
         result.mean_load += score.estimate.load / score.estimate.capacity;
-        if (score.estimate.pace > 0) {
-            paces.push_back(score.estimate.pace);
-        }
+        result.mean_own += score.estimate.own / score.estimate.capacity;
     }
     result.mean_load /= static_cast<double>(scores.size());
-    if (!paces.empty()) {
-        // The lower median: with two servers, the slow one is compared with the other.
-        const auto middle = paces.begin() + static_cast<std::ptrdiff_t>((paces.size() - 1) / 2);
-        std::nth_element(paces.begin(), middle, paces.end());
-        result.median_pace = *middle;
-    }
+    result.mean_own /= static_cast<double>(scores.size());
+    result.median_pace = known_median(scores, &load_estimate::pace);
+    result.median_duration = known_median(scores, &load_estimate::duration);
     return result;
 }
 
@@ -104,18 +123,18 @@
                      const fleet_state& fleet, const server_score& score)
 {
     const load_estimate& value = score.estimate;
-    // An old report says less, so its load is drawn towards the mean.
-    const double trust = value.report_age
-                             ? std::exp(-static_cast<double>(value.report_age->count()) /
-                                        static_cast<double>(settings.report_decay.count()))
-                             : 0.0;
-    const double believed = trust * value.load / value.capacity + (1 - trust) * fleet.mean_load;
-    const double load = std::max(believed * value.capacity, value.own) + 1;
+    // An old report says little, so the load of other routers is drawn towards its mean. Where the
+    // report is believed, other routers see it as well and act on it as this one does.
+    const double others = std::max(0.0, fleet.mean_load - fleet.mean_own) * value.capacity;
+    const double routers =
+        std::max(1.0, fleet.mean_load / std::max(least_own_load, fleet.mean_own));
+    const double reported = std::max(value.own, value.reported + routers * value.own_change);
+    const double load = value.trust * reported + (1 - value.trust) * (others + value.own) + 1;
 
     const double ratio =
         fleet.median_pace > 0 && value.pace > 0 ? value.pace / fleet.median_pace : 1.0;
     const double slowness = ratio > settings.slow_ratio ? ratio : 1.0;
-    const double duration = context.loads.mean_duration();
+    const double duration = fleet.median_duration;
     const double waiting = std::max(0.0, load - value.capacity) / value.capacity * duration;
     const double batch = std::min(1.0, load / value.capacity) * settings.batch_weight * duration;
 
@@ -124,10 +143,11 @@
         request.prefix.empty()
             ? 0.0
             : static_cast<double>(score.cached) / static_cast<double>(request.prefix.size());
-    const double prefill = static_cast<double>(request.prompt_tokens) * (1 - cached_part) *
-                           settings.prefill_ms_per_token;
+    const double uncached = static_cast<double>(request.prompt_tokens) * (1 - cached_part);
+    const double prefill =
+        (uncached + settings.prefill_weight * value.prefill) * settings.prefill_ms_per_token;
     return std::max((waiting + batch + prefill + duration * (slowness - 1)) * slowness,
-                    static_cast<double>(value.oldest_unanswered.count()));
+                    static_cast<double>(value.unresponsive.count()));
 }
 
 } // namespace
@@ -139,16 +159,23 @@
     const fleet_state fleet = summarize(scores);
     const std::size_t candidates =
         select_candidates(settings, scores, !context.request.prefix.empty(), random);
+    std::vector<std::pair<double, const server_score*>> costs;
+    costs.reserve(candidates);
     double least = std::numeric_limits<double>::infinity();
-    std::size_t chosen = scores.front().index;
     for (std::size_t i = 0; i < candidates; ++i) {
-        const double cost = expected_cost(settings, context, fleet, scores[i]);
-        if (cost < least) {
-            least = cost;
-            chosen = scores[i].index;
+        costs.emplace_back(expected_cost(settings, context, fleet, scores[i]), &scores[i]);
+        least = std::min(least, costs.back().first);
+    }
+    // Among equals, the least recently used: taking turns spreads requests more evenly than chance.
+    const server_score* chosen = nullptr;
+    for (const auto& [cost, score] : costs) {
+        const bool is_equal = cost <= least * equal_cost_ratio;
+        if (is_equal &&
+            (chosen == nullptr || score->estimate.last_sent < chosen->estimate.last_sent)) {
+            chosen = score;
         }
     }
-    return chosen;
+    return chosen->index;
 }
 
 } // namespace dotterelport::routing
--- a/src/dotterelport/routing/balancer.cpp
+++ b/src/dotterelport/routing/balancer.cpp
@@ -1,8 +1,21 @@
 #include "dotterelport/routing/balancer.hpp"
 
 #include <algorithm>
+#include <array>
+#include <cmath>
 
 namespace dotterelport::routing {
+namespace {
+
+/// Load for its capacity up to which a server is given requests, by class. Above 1, a short queue
+/// at the server keeps it busy between two reports.
+constexpr std::array<double, priority_count> load_limit{1.5, 1.1, 0.85};
+
+/// Whether a server is full changes more slowly than which server is the least loaded, so a report
+/// is believed for longer: ten times the trust_durations.
+constexpr double room_trust_power = 0.1;
+
+} // namespace
 
 balancer::balancer() : balancer(settings{}) {}
 
@@ -48,7 +61,12 @@
 void balancer::sent(const std::string& server, std::uint64_t id, const choice_request& request,
                     milliseconds now)
 {
-    loads_.sent(server, id, now);
+    const std::size_t blocks = request.prefix.size();
+    const double cached =
+        blocks == 0 ? 0.0
+                    : static_cast<double>(prefixes_.matched(server, request.prefix, now)) /
+                          static_cast<double>(blocks);
+    loads_.sent(server, id, now, static_cast<double>(request.prompt_tokens) * (1 - cached));
     prefixes_.expect(server, request.prefix, now);
 }
 
@@ -72,11 +90,27 @@
     loads_.cancelled(server, id, now);
 }
 
-bool balancer::has_room(std::span<const std::string> servers, milliseconds now) const
+bool balancer::has_room(std::span<const std::string> servers, priority value,
+                        milliseconds now) const
 {
-    return std::any_of(servers.begin(), servers.end(), [&](const std::string& server) {
-        const load_estimate value = loads_.estimate(server, now);
-        return loads_.available(server, now) == availability::usable && value.load < value.capacity;
+    std::vector<load_estimate> estimates;
+    double reported = 0;
+    double own = 0;
+    for (const auto& server : servers) {
+        if (loads_.available(server, now) == availability::usable) {
+            estimates.push_back(loads_.estimate(server, now));
+            reported += estimates.back().reported;
+            own += estimates.back().own;
+        }
+    }
+    // Other routers see the same report and fill the same room, each by its share of the load.
+    const double routers = own > 0 ? std::max(1.0, reported / own) : 1.0;
+    const double limit = load_limit[static_cast<std::size_t>(value)];
+    return std::any_of(estimates.begin(), estimates.end(), [&](const load_estimate& estimate) {
+        const double load = estimate.reported + routers * estimate.own_change;
+        const double believed = estimate.own + std::pow(estimate.trust, room_trust_power) *
+                                                   std::max(0.0, load - estimate.own);
+        return believed < estimate.capacity * limit;
     });
 }
 
--- a/src/dotterelport/routing/fair_queue.cpp
+++ b/src/dotterelport/routing/fair_queue.cpp
@@ -49,11 +49,11 @@
     return {push_status::queued, wait};
 }
 
-fair_queue::class_queue* fair_queue::next_class()
+fair_queue::class_queue* fair_queue::next_class(priority lowest)
 {
     class_queue* first = nullptr;
     class_queue* overdue = nullptr;
-    for (std::size_t i = 0; i < classes_.size(); ++i) {
+    for (std::size_t i = 0; i <= index_of(lowest); ++i) {
         class_queue& candidate = classes_[i];
         if (candidate.turns.empty()) {
             continue;
@@ -116,12 +116,12 @@
     }
 }
 
-std::optional<queued_request> fair_queue::pop(milliseconds now)
+std::optional<queued_request> fair_queue::pop(milliseconds now, priority lowest)
 {
     // Requests past their deadline are for take_expired(), but must not be started.
     std::vector<queued_request> expired = take_expired(now);
     expired_.insert(expired_.end(), expired.begin(), expired.end());
-    class_queue* from = next_class();
+    class_queue* from = next_class(lowest);
     if (from == nullptr) {
         return std::nullopt;
     }
--- a/src/dotterelport/routing/load_view.cpp
+++ b/src/dotterelport/routing/load_view.cpp
@@ -1,6 +1,7 @@
 #include "dotterelport/routing/load_view.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 #include "dotterelport/base/enum_names.hpp"
 
@@ -60,9 +61,12 @@
     std::erase_if(state.endings, [measured](const ending& item) { return item.ended <= measured; });
 }
 
-void load_view::sent(const std::string& server, std::uint64_t request, milliseconds now)
+void load_view::sent(const std::string& server, std::uint64_t request, milliseconds now,
+                     double prefill)
 {
-    servers_[server].in_flight[request] = {.sent = now, .answered = std::nullopt};
+    server_state& state = servers_[server];
+    state.last_sent = now;
+    state.in_flight[request] = {.sent = now, .answered = std::nullopt, .prefill = prefill};
 }
 
 void load_view::answered(const std::string& server, std::uint64_t request, milliseconds now)
@@ -72,6 +76,7 @@
     if (found != state.in_flight.end() && !found->second.answered) {
         found->second.answered = now;
     }
+    state.last_sign = now;
     state.failures = 0;
     state.ejected_until.reset();
 }
@@ -95,6 +100,7 @@
                          milliseconds now)
 {
     server_state& state = servers_[server];
+    state.last_sign = now;
     state.failures = 0;
     state.ejected_until.reset();
     if (now - state.last_failure > settings_.ejection_memory) {
@@ -104,7 +110,7 @@
     if (!ended || units <= 0) {
         return;
     }
-    mean_duration_ = average(mean_duration_, count(now - ended->sent));
+    state.duration = average(state.duration, std::max(1.0, count(now - ended->sent)));
     // The time between tokens shows the server's speed without its queue.
     const milliseconds begin = units > 1 ? ended->answered.value_or(ended->sent) : ended->sent;
     state.pace = average(state.pace, std::max(0.1, count(now - begin) / units));
@@ -149,9 +155,13 @@
     }
     result.own = static_cast<double>(state->in_flight.size());
     result.pace = state->pace;
+    result.duration = state->duration;
+    result.last_sent = state->last_sent;
     for (const auto& [request, item] : state->in_flight) {
         if (!item.answered) {
-            result.oldest_unanswered = std::max(result.oldest_unanswered, now - item.sent);
+            result.unresponsive =
+                std::max(result.unresponsive, now - std::max(item.sent, state->last_sign));
+            result.prefill += item.prefill;
         }
     }
     if (!state->report) {
@@ -167,11 +177,14 @@
             return item.sent <= measured && item.ended > measured;
         });
     const double reported = state->report->running + state->report->waiting;
-    result.load = std::max(result.own, reported + static_cast<double>(sent_since) -
-                                           static_cast<double>(ended_since));
+    result.own_change = static_cast<double>(sent_since) - static_cast<double>(ended_since);
+    result.load = std::max(result.own, reported + result.own_change);
     result.reported = reported;
     result.capacity = std::max(1.0, state->report->capacity);
     result.report_age = now - state->reported;
+    const double age = count(now - measured);
+    result.trust =
+        state->duration > 0 ? std::exp(-age / (state->duration * settings_.trust_durations)) : 1.0;
     return result;
 }
 
--- a/src/dotterelport/routing/policy.cpp
+++ b/src/dotterelport/routing/policy.cpp
@@ -41,10 +41,11 @@
     std::size_t operator()(round_robin_policy& value) const
     {
         // Turns count all servers, so that a server's return does not shift the others.
-        const std::size_t turn = value.next % context.servers.size();
+        std::size_t& next = value.next[context.request.service];
+        const std::size_t turn = next % context.servers.size();
         const auto place = std::lower_bound(eligible.begin(), eligible.end(), turn);
         const std::size_t chosen = place == eligible.end() ? eligible.front() : *place;
-        value.next = chosen + 1;
+        next = chosen + 1;
         return chosen;
     }
 
--- a/src/dotterelport/routing/policy_test.cpp
+++ b/src/dotterelport/routing/policy_test.cpp
@@ -77,6 +77,19 @@
     CHECK_FALSE(choose(value, {fleet.loads, fleet.prefixes, {}, fleet.request, 1s}, fleet.random));
 }
 
+// Guards against turns that are shared between services with different numbers of servers.
+TEST_CASE("Round robin takes each service's servers in turn")
+{
+    policy value = round_robin_policy{};
+    fixture models(4);
+    fixture calls(2);
+    calls.request.service = "calls";
+    for (std::size_t i = 0; i < 12; ++i) {
+        CHECK(models.choose_with(value, 1s) == i % 4);
+        CHECK(calls.choose_with(value, 1s) == i % 2);
+    }
+}
+
 // Guards against all requests between two reports going to the server that reported last.
 TEST_CASE("The chosen policy does not herd onto the server with the lowest report")
 {
--- /dev/null
+++ b/src/dotterelport/standin/experiment_engine.hpp
@@ -0,0 +1,111 @@
+#ifndef DOTTERELPORT_STANDIN_EXPERIMENT_ENGINE_HPP
+#define DOTTERELPORT_STANDIN_EXPERIMENT_ENGINE_HPP
+
+#include <array>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <list>
+#include <queue>
+#include <unordered_map>
+#include <vector>
+
+#include "dotterelport/routing/load_view.hpp"
+#include "experiment_plan.hpp"
+
+namespace dotterelport::standin::experiment {
+
+/// Runs functions in the order of their times.
+class event_queue {
+public:
+    void at(run_time time, std::function<void()> function)
+    {
+        events_.push({time, ++last_, std::move(function)});
+    }
+
+    void run_until(run_time end);
+    [[nodiscard]] run_time now() const { return now_; }
+
+private:
+    struct event {
+        run_time time;
+        std::uint64_t order;
+        std::function<void()> function;
+
+        bool operator<(const event& other) const
+        {
+            return time != other.time ? time > other.time : order > other.order;
+        }
+    };
+
+    run_time now_ = 0;
+    std::uint64_t last_ = 0;
+    std::priority_queue<event> events_;
+};
+
+/// A request as an engine runs it.
+struct engine_work {
+    std::uint64_t id = 0;
+    const planned_request* request = nullptr;
+    priority value = priority::normal;
+    std::function<void(std::size_t cached_blocks)> on_first;
+    std::function<void()> on_end;
+};
+
+/// Emulates a backend server: a model engine with continuous batching and a prefix cache, or an
+/// application that runs a few calls at a time.
+class emulated_engine {
+public:
+    emulated_engine(event_queue& events, bool is_call, engine_model model)
+        : events_(events), is_call_(is_call), model_(model)
+    {}
+
+    void submit(engine_work work);
+    void cancel(std::uint64_t id);
+
+    /// @brief Ends the engine.
+    /// @return identifiers of the requests that it had
+    std::vector<std::uint64_t> kill();
+    void set_slowdown(double factor) { slowdown_ = factor; }
+    [[nodiscard]] bool is_dead() const { return dead_; }
+
+    [[nodiscard]] routing::load_report load() const;
+
+    /// @brief Takes the cache events since the last call.
+    std::vector<routing::cache_event> take_cache_events();
+    [[nodiscard]] std::uint64_t cache_sequence() const { return cache_sequence_; }
+    [[nodiscard]] std::vector<routing::prefix_hash> cache_contents() const;
+
+private:
+    struct running_work {
+        engine_work work;
+        int prefill_left = 0;
+        std::size_t cached = 0;
+        int generated = 0;
+    };
+
+    void admit();
+    void start_step();
+    void end_step(const std::vector<std::uint64_t>& prefilled);
+    void start_call(engine_work work);
+    std::size_t use_cache(const std::vector<routing::prefix_hash>& prefix);
+    void record(routing::cache_event::kind what, routing::prefix_hash hash);
+
+    event_queue& events_;
+    bool is_call_;
+    engine_model model_;
+    double slowdown_ = 1;
+    bool dead_ = false;
+    bool stepping_ = false;
+    std::array<std::deque<engine_work>, priority_count> waiting_;
+    std::vector<running_work> running_;
+    /// Least recently used block last.
+    std::list<routing::prefix_hash> cache_order_;
+    std::unordered_map<routing::prefix_hash, std::list<routing::prefix_hash>::iterator> cache_;
+    std::uint64_t cache_sequence_ = 0;
+    std::vector<routing::cache_event> cache_events_;
+};
+
+} // namespace dotterelport::standin::experiment
+
+#endif
