--- a/include/dotterelport/budget/grant_holder.hpp
+++ b/include/dotterelport/budget/grant_holder.hpp
@@ -14,6 +14,7 @@
 #include "dotterelport/base/identifiers.hpp"
 #include "dotterelport/base/tokens.hpp"
 #include "dotterelport/budget/bill.hpp"
+#include "dotterelport/request/admission_table.hpp"
 #include "dotterelport/request/messages.hpp"
 
 namespace dotterelport::budget {
@@ -126,6 +127,10 @@
     /// @return whether there was one
     bool release(const request_key& key);
 
+    /// @brief Gives back what is reserved for a request at one agent, which will certainly not run
+    /// it.
+    bool release_at(const request_key& key, const incarnation& agent);
+
     /// @brief Moves everything reserved at an agent that cannot run or report any more to
     /// unproved.
     void agent_gone(const incarnation& agent);
@@ -138,14 +143,19 @@
     /// @brief Reservations older than a time, whose agents should be asked about them.
     [[nodiscard]] std::vector<std::pair<request_key, incarnation>>
     reserved_before(milliseconds time, std::size_t limit) const;
-    /// @brief Notes that the agent still runs a request.
-    void confirm(const request_key& key, milliseconds now);
+    /// @brief Takes the answer of an agent that was asked to refuse an old reservation's request:
+    /// releases what was refused, keeps what runs. If the key finished there and no outcome came
+    /// for long, the run was for another holder's reservation; this one becomes unproved.
+    /// @return whether tokens were given back
+    bool take_report(const request_key& key, const incarnation& agent, request::key_state state,
+                     milliseconds now);
 
     /// @brief Takes the open bill lines as the next batch; nothing if there are none.
     std::optional<bill_batch> seal(std::uint32_t shard, const incarnation& self);
     /// @brief Notes that the platform has the batches up to a number.
     void mark_durable(std::uint64_t batch);
     [[nodiscard]] std::uint64_t last_batch() const { return last_batch_; }
+    [[nodiscard]] std::uint64_t durable_batch() const { return durable_batch_; }
     [[nodiscard]] bool has_open_lines() const;
 
     /// @brief Account of a budget; made if there is none.
@@ -163,7 +173,16 @@
         std::size_t operator()(std::string_view text) const noexcept;
     };
 
-    using request_table = std::unordered_map<request_key, known_request>;
+    /// Not noexcept, so that the standard library stores hashes in the nodes instead of computing
+    /// them again for every node that it passes.
+    struct key_hash {
+        std::size_t operator()(const request_key& key) const
+        {
+            return std::hash<request_key>{}(key);
+        }
+    };
+
+    using request_table = std::unordered_map<request_key, known_request, key_hash>;
 
     /// An attempt whose request was since moved, or that may have run.
     struct other_attempt {
@@ -171,19 +190,30 @@
         incarnation agent;
         /// Still reserved, if the outcome is not known.
         tokens upper = 0;
+        milliseconds since{0};
+        /// Number of the attempt; 0 while the outcome is not known.
+        std::uint32_t attempt = 0;
         /// Batch that counts the outcome; 0 while it is not known.
         std::uint64_t batch = 0;
     };
 
+    using attempt_table = std::unordered_multimap<request_key, other_attempt>;
+
     reserve_outcome insert(const reservation& request);
+    /// @brief Makes an earlier attempt the one that is billed; the current one becomes the other.
+    void make_current(attempt_table::iterator other);
     std::uint32_t account_index(std::string_view budget);
     void take_out(request_table::iterator entry);
     void remember_finished(request_table::iterator entry);
     /// @return number of the batch that will have the line
     std::uint64_t add_line(const request::outcome& outcome, std::uint32_t account, tokens charged);
     void add_unproved(const request_key& key, std::uint32_t account, const incarnation& agent,
-                      tokens amount);
+                      std::uint32_t attempt, tokens amount);
+    void move_to_unproved(request_table::iterator entry);
+    void move_to_unproved(attempt_table::iterator other);
+    void set_since(const request_key& key, const incarnation& agent, milliseconds now);
     settle_outcome settle_other(const request::outcome& outcome);
+    [[nodiscard]] const other_attempt* find_settled_other(const request::outcome& outcome) const;
 
     options options_;
     std::vector<holder_account> accounts_;
@@ -191,7 +221,7 @@
     request_table requests_;
     /// Nodes taken out of the table, used again with the memory of their strings.
     std::vector<request_table::node_type> spare_;
-    std::unordered_multimap<request_key, other_attempt> other_attempts_;
+    attempt_table other_attempts_;
     const request_key* first_finished_ = nullptr;
     known_request* last_finished_ = nullptr;
     std::size_t finished_count_ = 0;
