--- a/include/dotterelport/routing/balancer.hpp
+++ b/include/dotterelport/routing/balancer.hpp
@@ -55,6 +55,12 @@
     [[nodiscard]] bool has_room(std::span<const std::string> servers, priority value,
                                 milliseconds now) const;
 
+    /// @brief Tells whether some server has room for a normal request.
+    [[nodiscard]] bool has_room(std::span<const std::string> servers, milliseconds now) const
+    {
+        return has_room(servers, priority::normal, now);
+    }
+
     [[nodiscard]] const load_view& loads() const { return loads_; }
     [[nodiscard]] prefix_view& prefixes() { return prefixes_; }
     [[nodiscard]] json dump(milliseconds now) const;
