List the events of the budget service in the catalogue

Change: they are listed; a script compared all event headers with the list. Conclusion: the catalogue is complete at this commit. It is kept by hand.

--- a/src/dotterelport/ctl/event_catalogue.cpp
+++ b/src/dotterelport/ctl/event_catalogue.cpp
@@ -7,6 +7,7 @@
 #include "dotterelport/config/events.hpp"
 #include "dotterelport/ctl/commands.hpp"
 #include "dotterelport/membership/events.hpp"
+#include "dotterelport/router/budget_events.hpp"
 #include "dotterelport/router/events.hpp"
 
 namespace dotterelport::ctl {
@@ -58,6 +59,19 @@
         router::drain_started,
         router::drained,
         router::drain_timeout,
+        router::session_opened,
+        router::incarnation_replaced,
+        router::owner_unreachable,
+        router::tokens_lent,
+        router::grants_recalled,
+        router::agent_gone,
+        router::closing_started,
+        router::closing_finished,
+        router::closing_delayed,
+        router::audit_failed,
+        router::message_rejected,
+        router::reservation_released,
+        router::object_unreadable,
         budget::invariant_violated,
         budget::charge_above_reservation,
         budget::unexpected_outcome,
