Let raced configurations of the fault run always differ

Both documents of a later race had been applied before, and a document that is in force is accepted without a change. Change: each raced document has a setting that no earlier one had. Conclusion: the case was a fault of the script, not of the publisher.

--- a/scripts/fleet/faults.py
+++ b/scripts/fleet/faults.py
@@ -32,6 +32,7 @@
         self.engine_counters = []
         self.applies = []
         self.leavings = []
+        self.races = 0
         self.next_prepaid = dict(callers.prepaid)
         self.config_lock = asyncio.Lock()
 
@@ -229,7 +230,9 @@
     def race_document(self, prepaid, operator):
         """Writes a configuration that differs from the other operator's in one setting."""
         document = self.scenario.configuration(prepaid)
-        document["settings"]["flush_ms"] += operator
+        # A document that is in force already would be accepted from both operators.
+        self.races += 1
+        document["settings"]["flush_ms"] += self.races
         path = self.fleet.work / f"configuration-race-{operator}.json"
         write_json(path, document)
         return str(path)
