Follow the balancer's room by priority class

Cause: main did not compile after the routing module's has_room() took the priority of the request. Change: the pool passes it on. Result: the router and the agent build; test-router passes, 337 assertions in 37 test cases. Conclusion: main builds again once this is merged.

--- a/src/dotterelport/router/agent_pool.cpp
+++ b/src/dotterelport/router/agent_pool.cpp
@@ -105,7 +105,7 @@
     }
     auto& balancer = balancer_of(request.service);
     const auto now = steady_now();
-    const auto& candidates = balancer.has_room(local, now) ? local : all;
+    const auto& candidates = balancer.has_room(local, request.choice.priority, now) ? local : all;
     const auto chosen = balancer.choose(request.choice, candidates, now);
     if (!chosen) {
         return std::nullopt;
