--- a/src/dotterelport/budget/schedule_model.cpp
+++ b/src/dotterelport/budget/schedule_model.cpp
@@ -39,6 +39,13 @@
         auto& added = holders_.emplace_back();
         added.id = {"router-" + std::to_string(i), 0};
         replace_holder(added);
+        // Grants are open at the start, so that most steps deal with requests.
+        for (const auto& name : budget_names) {
+            added.session->holder().account(name).wanted = 100;
+        }
+        do {
+            step_session(added, false);
+        } while (added.pending.has_value());
     }
 }
 
@@ -142,6 +149,7 @@
     message.budget = owner.accounts()[owner.find(key)->account].budget;
     message.upper_tokens = owner.find(key)->upper;
     message.idempotent = true;
+    message.deadline = milliseconds{60'000};
     message.digest = "d";
     network_.push_back(message);
 }
