--- a/src/dotterelport/budget/schedule_model.cpp
+++ b/src/dotterelport/budget/schedule_model.cpp
@@ -177,8 +177,13 @@
     }
     const auto message = network_.back();
     network_.pop_back();
+    // The router gives a reservation back only when no other message of it is on its way.
+    const bool another = std::any_of(network_.begin(), network_.end(), [&](const auto& other) {
+        return other.key == message.key && other.agent == message.agent &&
+               other.holder == message.holder;
+    });
     auto* target = find_agent(message.agent);
-    if (target == nullptr ||
+    if (target == nullptr || another ||
         target->table.refuse(message.key, message.attempt).state != request::key_state::refused) {
         return;
     }
