--- a/src/dotterelport/router/router_daemon.cpp
+++ b/src/dotterelport/router/router_daemon.cpp
@@ -16,6 +16,10 @@
 /// Limit for giving back grants when the platform does not answer.
 constexpr milliseconds grant_return_limit{15'000};
 
+/// Time after the last bill batch in which agents, which push every 100 ms, learn that their
+/// outcomes are durable. Otherwise they wait for this router until their own drain times out.
+constexpr milliseconds durable_grace{400};
+
 /// Limit for writing the last state of this node's record.
 constexpr milliseconds record_limit{3'000};
 
@@ -217,7 +221,7 @@
         log(events::drain_timeout, {{"requests", open}});
     }
     const auto stop_once = once([this] { stop(); });
-    budgets_.drain(stop_once);
+    budgets_.drain([this, stop_once] { loop_.schedule(durable_grace, stop_once); });
     loop_.schedule(grant_return_limit, stop_once);
 }
 
