Reserve tokens for each attempt of a request

A router that tried the same agent again got the reservation of its earlier attempt; the late outcome of that attempt settled it, and the new attempt ran without one. Change: reserve carries the attempt number. Reservations and outcomes match by agent and attempt, and a further attempt at the same agent reserves anew.

--- a/fuzz/parsers.cpp
+++ b/fuzz/parsers.cpp
@@ -1,5 +1,6 @@
-/// libFuzzer target for everything that reads bytes from other processes or files. A parser must either
-/// accept its input or throw dotterelport::error; what it accepts must survive formatting and parsing again.
+/// libFuzzer target for everything that reads bytes from other processes or files. A parser must
+/// either accept its input or throw dotterelport::error; what it accepts must survive formatting
+/// and parsing again.
 
 #include <array>
 #include <cstddef>
--- a/include/dotterelport/budget/grant_holder.hpp
+++ b/include/dotterelport/budget/grant_holder.hpp
@@ -57,6 +57,8 @@
     bool finished = false;
     tokens upper = 0;
     incarnation agent;
+    /// Number of the attempt that the tokens are reserved for.
+    std::uint32_t attempt = 1;
     std::string digest;
     /// Router that asked for the reservation.
     std::string router;
@@ -77,6 +79,9 @@
     std::string_view digest;
     std::string_view router;
     milliseconds now{0};
+    /// Number of the attempt. An agent runs each attempt of a key at most once, so the tokens of an
+    /// attempt are never spent by another one at the same agent.
+    std::uint32_t attempt = 1;
 };
 
 /// Result of grant_holder::reserve().
@@ -111,11 +116,11 @@
     grant_holder();
     explicit grant_holder(const options& settings);
 
-    /// @brief Reserves the upper bound of a request. Repeating it for the same key, agent and
-    /// router changes nothing.
+    /// @brief Reserves the upper bound of a request. Repeating it for the same key, agent, attempt
+    /// and router changes nothing.
     reserve_outcome reserve(const reservation& request);
 
-    /// @brief Moves a reservation to another agent.
+    /// @brief Moves a reservation to another agent or attempt.
     /// @param previous_not_run whether the previous agent will certainly not run the request;
     /// otherwise the tokens stay reserved there too, until that agent reports an outcome
     reserve_outcome move(const reservation& request, bool previous_not_run);
@@ -127,9 +132,9 @@
     /// @return whether there was one
     bool release(const request_key& key);
 
-    /// @brief Gives back what is reserved for a request at one agent, which will certainly not run
+    /// @brief Gives back what is reserved for an attempt at an agent, which will certainly not run
     /// it.
-    bool release_at(const request_key& key, const incarnation& agent);
+    bool release_at(const request_key& key, const incarnation& agent, std::uint32_t attempt);
 
     /// @brief Moves everything reserved at an agent that cannot run or report any more to
     /// unproved.
@@ -191,7 +196,6 @@
         /// Still reserved, if the outcome is not known.
         tokens upper = 0;
         milliseconds since{0};
-        /// Number of the attempt; 0 while the outcome is not known.
         std::uint32_t attempt = 0;
         /// Batch that counts the outcome; 0 while it is not known.
         std::uint64_t batch = 0;
@@ -214,6 +218,15 @@
     void set_since(const request_key& key, const incarnation& agent, milliseconds now);
     settle_outcome settle_other(const request::outcome& outcome);
     [[nodiscard]] const other_attempt* find_settled_other(const request::outcome& outcome) const;
+    /// @brief Finds an attempt whose outcome is not known.
+    [[nodiscard]] attempt_table::iterator
+    find_open_other(const request_key& key, const incarnation& agent, std::uint32_t attempt);
+    /// @brief Finds any attempt at an agent whose outcome is not known.
+    [[nodiscard]] attempt_table::iterator find_open_other(const request_key& key,
+                                                          const incarnation& agent);
+    void release_other(attempt_table::iterator other);
+    /// @return whether anything was reserved
+    bool release_all_at(const request_key& key, const incarnation& agent);
 
     options options_;
     std::vector<holder_account> accounts_;
--- a/include/dotterelport/router/budget_service.hpp
+++ b/include/dotterelport/router/budget_service.hpp
@@ -23,6 +23,8 @@
     tokens upper_tokens = 0;
     /// Agent incarnation that the request will be sent to.
     incarnation agent;
+    /// Number of the attempt.
+    std::uint32_t attempt = 1;
     /// Hash of the content.
     std::string digest;
     /// The key came from the caller, so another attempt may be running.
--- a/scripts/fleet/fault_run.py
+++ b/scripts/fleet/fault_run.py
@@ -30,7 +30,8 @@
         self.arguments = arguments
         self.scenario = SCENARIOS[arguments.deployment]()
         self.deployment = self.scenario.deployment(arguments.base_port)
-        self.fleet = Fleet(self.deployment, build_directory(), directory, with_relay=True)
+        self.fleet = Fleet(self.deployment, arguments.build, directory,
+                           with_relay=True)
         self.random = random.Random(arguments.seed)
         self.callers = Callers(self.scenario, self.deployment, random.Random(arguments.seed + 1),
                                self.scenario.initial_prepaid())
@@ -174,6 +175,7 @@
     parser.add_argument("--seconds", type=int, default=60)
     parser.add_argument("--no-faults", action="store_true", help="traffic only")
     parser.add_argument("--base-port", type=int, default=26000)
+    parser.add_argument("--build", default=build_directory(), help="directory of the programs")
     parser.add_argument("--keep", metavar="DIRECTORY", help="keep logs and settings there")
     arguments = parser.parse_args()
     with tempfile.TemporaryDirectory(prefix="dotterelport-") as directory:
--- a/src/dotterelport/budget/grant_holder.cpp
+++ b/src/dotterelport/budget/grant_holder.cpp
@@ -98,6 +98,7 @@
     entry->upper = request.upper;
     entry->agent.node.assign(request.agent.node);
     entry->agent.epoch = request.agent.epoch;
+    entry->attempt = request.attempt;
     entry->digest.assign(request.digest);
     entry->router.assign(request.router);
     entry->since = request.now;
@@ -113,8 +114,8 @@
         return insert(request);
     }
     const auto& entry = found->second;
-    const bool repeated =
-        !entry.finished && entry.agent == request.agent && entry.router == request.router;
+    const bool repeated = !entry.finished && entry.agent == request.agent &&
+                          entry.attempt == request.attempt && entry.router == request.router;
     return repeated ? reserve_outcome::reserved : reserve_outcome::known;
 }
 
@@ -128,16 +129,13 @@
     if (entry.finished) {
         return reserve_outcome::known;
     }
-    if (entry.agent == request.agent) {
+    if (entry.agent == request.agent && entry.attempt == request.attempt) {
         return reserve_outcome::reserved;
     }
     auto& owner = accounts_[entry.account];
-    const auto [first, last] = other_attempts_.equal_range(request.key);
-    const auto earlier = std::find_if(first, last, [&](const auto& item) {
-        return item.second.agent == request.agent && item.second.batch == 0;
-    });
-    if (earlier != last) {
-        // The request goes back to an agent that still has tokens reserved for it.
+    const auto earlier = find_open_other(request.key, request.agent, request.attempt);
+    if (earlier != other_attempts_.end()) {
+        // The message for an attempt that still has tokens reserved is repeated.
         if (previous_not_run) {
             owner.reserved -= entry.upper;
             --reservation_count_;
@@ -146,6 +144,7 @@
         } else {
             std::swap(entry.agent, earlier->second.agent);
             std::swap(entry.upper, earlier->second.upper);
+            std::swap(entry.attempt, earlier->second.attempt);
         }
     } else if (!previous_not_run) {
         if (owner.available() < entry.upper) {
@@ -156,9 +155,11 @@
         other_attempts_.emplace(request.key, other_attempt{.account = entry.account,
                                                            .agent = entry.agent,
                                                            .upper = entry.upper,
-                                                           .since = entry.since});
+                                                           .since = entry.since,
+                                                           .attempt = entry.attempt});
     }
     entry.agent = request.agent;
+    entry.attempt = request.attempt;
     entry.router.assign(request.router);
     entry.since = request.now;
     return reserve_outcome::reserved;
@@ -244,7 +245,7 @@
     }
     const auto found = requests_.find(outcome.key);
     if (found == requests_.end() || found->second.finished ||
-        found->second.agent != outcome.agent) {
+        found->second.agent != outcome.agent || found->second.attempt != outcome.attempt) {
         return settle_other(outcome);
     }
     auto& entry = found->second;
@@ -286,22 +287,20 @@
                                                    .agent = entry.agent,
                                                    .upper = entry.upper,
                                                    .since = entry.since,
-                                                   .attempt = 0,
+                                                   .attempt = entry.attempt,
                                                    .batch = 0});
     }
     entry.account = attempt.account;
     entry.agent = attempt.agent;
+    entry.attempt = attempt.attempt;
     entry.upper = attempt.upper;
     entry.since = attempt.since;
 }
 
 settle_outcome grant_holder::settle_other(const request::outcome& outcome)
 {
-    const auto [first, last] = other_attempts_.equal_range(outcome.key);
-    const auto other = std::find_if(first, last, [&](const auto& item) {
-        return item.second.agent == outcome.agent && item.second.batch == 0;
-    });
-    if (other != last) {
+    const auto other = find_open_other(outcome.key, outcome.agent, outcome.attempt);
+    if (other != other_attempts_.end()) {
         auto& attempt = other->second;
         const auto* current = find(outcome.key);
         if (outcome.verdict == verdict::ran && (current == nullptr || !current->finished)) {
@@ -314,12 +313,12 @@
             outcome.verdict == verdict::not_run ? 0 : limited_charge(outcome, attempt.upper);
         add_unproved(outcome.key, attempt.account, outcome.agent, outcome.attempt, charged);
         attempt.upper = 0;
-        attempt.attempt = outcome.attempt;
         attempt.batch = last_batch_ + 1;
         return settle_outcome::settled;
     }
     const auto* entry = find(outcome.key);
-    const bool repeated = entry != nullptr && entry->finished && entry->agent == outcome.agent;
+    const bool repeated = entry != nullptr && entry->finished && entry->agent == outcome.agent &&
+                          entry->attempt == outcome.attempt;
     if (!repeated && outcome.verdict != verdict::not_run) {
         log(events::unexpected_outcome, {{"workspace", outcome.key.workspace},
                                          {"key", outcome.key.key},
@@ -341,23 +340,49 @@
     return true;
 }
 
-bool grant_holder::release_at(const request_key& key, const incarnation& agent)
+bool grant_holder::release_at(const request_key& key, const incarnation& agent,
+                              std::uint32_t attempt)
 {
     const auto* entry = find(key);
-    if (entry != nullptr && !entry->finished && entry->agent == agent) {
+    if (entry != nullptr && !entry->finished && entry->agent == agent &&
+        entry->attempt == attempt) {
         return release(key);
     }
+    const auto other = find_open_other(key, agent, attempt);
+    if (other == other_attempts_.end()) {
+        return false;
+    }
+    release_other(other);
+    return true;
+}
+
+grant_holder::attempt_table::iterator grant_holder::find_open_other(const request_key& key,
+                                                                    const incarnation& agent,
+                                                                    std::uint32_t attempt)
+{
     const auto [first, last] = other_attempts_.equal_range(key);
-    const auto other = std::find_if(first, last, [&](const auto& item) {
+    const auto found = std::find_if(first, last, [&](const auto& item) {
+        return item.second.agent == agent && item.second.attempt == attempt &&
+               item.second.batch == 0;
+    });
+    return found == last ? other_attempts_.end() : found;
+}
+
+grant_holder::attempt_table::iterator grant_holder::find_open_other(const request_key& key,
+                                                                    const incarnation& agent)
+{
+    const auto [first, last] = other_attempts_.equal_range(key);
+    const auto found = std::find_if(first, last, [&](const auto& item) {
         return item.second.agent == agent && item.second.batch == 0;
     });
-    if (other == last) {
-        return false;
-    }
+    return found == last ? other_attempts_.end() : found;
+}
+
+void grant_holder::release_other(attempt_table::iterator other)
+{
     accounts_[other->second.account].reserved -= other->second.upper;
     --reservation_count_;
     other_attempts_.erase(other);
-    return true;
 }
 
 void grant_holder::move_to_unproved(request_table::iterator entry)
@@ -406,12 +431,13 @@
     }
     const auto [first, last] = other_attempts_.equal_range(outcome.key);
     if (std::any_of(first, last, [&](const auto& item) {
-            return item.second.agent == outcome.agent && item.second.batch == 0;
+            return item.second.agent == outcome.agent && item.second.attempt == outcome.attempt &&
+                   item.second.batch == 0;
         })) {
         return false;
     }
     const auto* entry = find(outcome.key);
-    if (entry == nullptr || entry->agent != outcome.agent) {
+    if (entry == nullptr || entry->agent != outcome.agent || entry->attempt != outcome.attempt) {
         return true;
     }
     return entry->finished && entry->batch <= durable_batch_;
@@ -451,12 +477,27 @@
     }
 }
 
+bool grant_holder::release_all_at(const request_key& key, const incarnation& agent)
+{
+    bool released = false;
+    const auto entry = requests_.find(key);
+    if (entry != requests_.end() && !entry->second.finished && entry->second.agent == agent) {
+        released = release(key);
+    }
+    for (auto other = find_open_other(key, agent); other != other_attempts_.end();
+         other = find_open_other(key, agent)) {
+        release_other(other);
+        released = true;
+    }
+    return released;
+}
+
 bool grant_holder::take_report(const request_key& key, const incarnation& agent,
                                request::key_state state, milliseconds now)
 {
     switch (state) {
     case request::key_state::refused:
-        return release_at(key, agent);
+        return release_all_at(key, agent);
     case request::key_state::running:
         set_since(key, agent, now);
         return false;
@@ -472,11 +513,8 @@
         }
         return false;
     }
-    const auto [first, last] = other_attempts_.equal_range(key);
-    const auto other = std::find_if(first, last, [&](const auto& item) {
-        return item.second.agent == agent && item.second.batch == 0;
-    });
-    if (other != last && now - other->second.since >= give_up_age) {
+    const auto other = find_open_other(key, agent);
+    if (other != other_attempts_.end() && now - other->second.since >= give_up_age) {
         move_to_unproved(other);
     }
     return false;
--- a/src/dotterelport/budget/schedule_model.cpp
+++ b/src/dotterelport/budget/schedule_model.cpp
@@ -127,7 +127,8 @@
                              .agent = target,
                              .digest = "d",
                              .router = router,
-                             .now = now_};
+                             .now = now_,
+                             .attempt = attempts_[key.key] + 1};
     auto& owner = at.session->holder();
     if (at.session->is_closed()) {
         return;
@@ -189,7 +190,7 @@
     }
     for (auto& owner : holders_) {
         if (owner.id == message.holder) {
-            owner.session->holder().release_at(message.key, message.agent);
+            owner.session->holder().release_at(message.key, message.agent, message.attempt);
         }
     }
 }
--- a/src/dotterelport/router/booking_run.cpp
+++ b/src/dotterelport/router/booking_run.cpp
@@ -136,6 +136,7 @@
                                   .budget = job_.budget,
                                   .upper_tokens = job_.upper_tokens,
                                   .agent = agent->id,
+                                  .attempt = record_ ? record_->attempt + 1 : 1,
                                   .digest = job_.digest,
                                   .caller_key = job_.caller_key};
     context_.reserve(request,
--- a/src/dotterelport/router/budget_messages.cpp
+++ b/src/dotterelport/router/budget_messages.cpp
@@ -55,6 +55,7 @@
     result.update({{"budget", value.request.budget},
                    {"upper_tokens", value.request.upper_tokens},
                    {"agent", format(value.request.agent)},
+                   {"attempt", value.request.attempt},
                    {"router", value.router},
                    {"digest", value.request.digest},
                    {"lend", value.lend},
@@ -70,6 +71,7 @@
         result.request.budget = value.at("budget");
         result.request.upper_tokens = value.at("upper_tokens");
         result.request.agent = parse(value.at("agent").get<std::string>());
+        result.request.attempt = value.at("attempt");
         result.request.digest = value.at("digest");
         result.request.caller_key = value.value("caller_key", false);
         result.router = value.at("router");
--- a/src/dotterelport/router/request_run.cpp
+++ b/src/dotterelport/router/request_run.cpp
@@ -159,6 +159,7 @@
                                   .budget = job_.budget,
                                   .upper_tokens = job_.upper_tokens,
                                   .agent = agent.id,
+                                  .attempt = attempt_number_ + 1,
                                   .digest = job_.digest,
                                   .caller_key = job_.caller_key};
     context_.reserve(request, [self = shared_from_this(), agent](const reserve_result& result) {
--- a/src/dotterelport/router/reservation_flow.cpp
+++ b/src/dotterelport/router/reservation_flow.cpp
@@ -109,7 +109,7 @@
     switch (answer) {
     case owner_answer::reserved:
         if (service_->environment.nodes.is_gone(request.agent)) {
-            owner_->session().holder().release_at(request.key, request.agent);
+            owner_->session().holder().release_at(request.key, request.agent, request.attempt);
             finish(own_result(reserve_status::unavailable, {}));
             return;
         }
--- a/src/dotterelport/router/router_fixture_test.cpp
+++ b/src/dotterelport/router/router_fixture_test.cpp
@@ -133,7 +133,10 @@
         .recent = recent,
         .random = random,
         .configuration = [this] { return configuration; },
-        .self = [] { return incarnation{"router-a", 1}; },
+        .self =
+            [] {
+                return incarnation{"router-a", 1};
+            },
         .refresh_configuration = [this] { ++refreshes; },
         .reserve =
             [this](const reserve_request& request, const auto& done) {
--- a/src/dotterelport/router/shard_owner.cpp
+++ b/src/dotterelport/router/shard_owner.cpp
@@ -54,12 +54,13 @@
                                      .agent = request.agent,
                                      .digest = request.digest,
                                      .router = message.router,
-                                     .now = steady_now()};
+                                     .now = steady_now(),
+                                     .attempt = request.attempt};
     const auto* known = holder.find(request.key);
-    // The router that made the reservation tries another agent. Its earlier attempt may have run,
-    // since it releases the reservation otherwise.
+    // The router that made the reservation tries another agent, or the same one again. Its earlier
+    // attempt may have run, since it releases the reservation otherwise.
     const bool moves = known != nullptr && !known->finished && known->router == message.router &&
-                       known->agent != request.agent;
+                       (known->agent != request.agent || request.attempt > known->attempt);
     const auto outcome = moves ? holder.move(wanted, false) : holder.reserve(wanted);
     switch (outcome) {
     case budget::reserve_outcome::reserved:
