Count a lost connection to a backend server as a crash

One was back before the agent's probe, so its crash was reported as an error and did not count. Change: a connection that ends during a run counts as a crash; only a time limit is followed by a probe. kill_each.py waits for a steady fleet. Result: the new test has an engine that is back at once; test-agent passes. Conclusion: crashes count however fast the backend server returns. A crash report can still be lost during a cut between routers.

--- a/include/dotterelport/net/http_client.hpp
+++ b/include/dotterelport/net/http_client.hpp
@@ -23,6 +23,9 @@
     answering,
 };
 
+/// Message of a failure because of a time limit.
+inline constexpr std::string_view timeout_message = "timeout";
+
 /// @brief Name of a stage for logs.
 std::string_view to_string(failure_stage stage);
 
--- a/scripts/fleet/kill_each.py
+++ b/scripts/fleet/kill_each.py
@@ -9,6 +9,7 @@
 from quickstart import CONFIGURATION, KEY
 
 SERVING_TIMEOUT_S = 10
+STEADY_S = 3  # restarted processes are known to all others by then
 
 
 def chat(router):
@@ -48,6 +49,8 @@
             fleet.wait_ready()
             check_serving(fleet, "nothing")
             for name in sorted(fleet.processes, key=lambda name: name == "platform"):
+                time.sleep(STEADY_S)
+                check_serving(fleet, "nothing")
                 fleet.kill(name)
                 seconds = check_serving(fleet, name)
                 print(f"without {name}: all other routers serve after {seconds:.2f} s")
--- a/src/dotterelport/agent/agent_test.cpp
+++ b/src/dotterelport/agent/agent_test.cpp
@@ -48,6 +48,7 @@
     std::uint64_t generation = 7;
     net::http_server agent_server{loop};
     net::rpc_server agent_methods{agent_server};
+    net::endpoint backend_server;
     std::unique_ptr<agent> subject;
     net::endpoint address;
 
@@ -55,7 +56,8 @@
     {
         const bool is_chat = kind == request::request_kind::chat;
         const net::endpoint any{"127.0.0.1", 0};
-        start_agent(is_chat ? engine.listen(any) : service.listen(any));
+        backend_server = is_chat ? engine.listen(any) : service.listen(any);
+        start_agent(backend_server);
         subject->set_kind(is_chat ? config::service_kind::model
                                   : config::service_kind::application);
         holder_methods.add("outcomes", [this](const json& parameters) {
@@ -287,6 +289,19 @@
     CHECK(net.run(next)->last<request::error_frame>()->reason == failure_reason::refused_key);
 }
 
+// A crash that was taken for an error let a crashing request reach a third backend server.
+TEST_CASE("A backend server that goes down and is back at once is reported as crashed")
+{
+    fixture net;
+    net.engine.on_crash([&] {
+        net.engine.go_down();
+        net.engine.listen(net.backend_server);
+    });
+    const auto crashed = net.run(net.message("k1", std::string(standin::crash_marker)));
+    REQUIRE(crashed->last<request::error_frame>() != nullptr);
+    CHECK(crashed->last<request::error_frame>()->reason == failure_reason::backend_crashed);
+}
+
 TEST_CASE("Cancel and an expired deadline free the engine")
 {
     fixture net;
--- a/src/dotterelport/agent/backend.cpp
+++ b/src/dotterelport/agent/backend.cpp
@@ -7,8 +7,6 @@
 namespace dotterelport::agent {
 namespace {
 
-/// A process that ends closes its connections and its port one after the other.
-constexpr milliseconds probe_delay{20};
 constexpr milliseconds probe_timeout{1'000};
 
 } // namespace
@@ -45,15 +43,17 @@
         if (result) {
             end(run, *result);
         } else {
-            lose_connection(run, "the answer ended early");
+            end_as_crash(run, "the answer ended early");
         }
     };
     answer.on_failure = [this, run](net::failure_stage stage, const std::string& message) {
         if (stage == net::failure_stage::connect) {
             log(events::backend_unreachable, {{"message", message}});
             end(run, {verdict::not_run, request::failure_reason::backend_unreachable, message, {}});
+        } else if (message == net::timeout_message) {
+            check_crash(run, message);
         } else {
-            lose_connection(run, message);
+            end_as_crash(run, message);
         }
     };
     entry->exchange = client_.start(request, std::move(answer));
@@ -81,13 +81,10 @@
     entry->functions.on_end(result);
 }
 
-void backend::lose_connection(run_id run, const std::string& message)
+void backend::end_as_crash(run_id run, const std::string& message)
 {
-    loop_.schedule(probe_delay, [this, alive = std::weak_ptr(alive_), run, message] {
-        if (!alive.expired()) {
-            check_crash(run, message);
-        }
-    });
+    log(events::backend_crashed, {{"message", message}});
+    end(run, {verdict::may_have_run, request::failure_reason::backend_crashed, message, {}});
 }
 
 void backend::check_crash(run_id run, const std::string& message)
@@ -100,13 +97,12 @@
     probe.headers = {{"connection", "close"}};
     probe.answer_timeout = probe_timeout;
     client_.fetch(probe, [this, run, message](const net::client_answer& answer) {
-        const bool is_down = answer.failed() && answer.stage == net::failure_stage::connect;
-        log(is_down ? events::backend_crashed : events::backend_failed, {{"message", message}});
-        end(run, {verdict::may_have_run,
-                  is_down ? request::failure_reason::backend_crashed
-                          : request::failure_reason::backend_error,
-                  message,
-                  {}});
+        if (answer.failed() && answer.stage == net::failure_stage::connect) {
+            end_as_crash(run, message);
+            return;
+        }
+        log(events::backend_failed, {{"message", message}});
+        end(run, {verdict::may_have_run, request::failure_reason::backend_error, message, {}});
     });
 }
 
--- a/src/dotterelport/agent/backend.hpp
+++ b/src/dotterelport/agent/backend.hpp
@@ -47,7 +47,7 @@
     };
 
     void end(run_id run, const backend_result& result);
-    void lose_connection(run_id run, const std::string& message);
+    void end_as_crash(run_id run, const std::string& message);
     void check_crash(run_id run, const std::string& message);
 
     net::event_loop& loop_;
@@ -55,8 +55,6 @@
     net::http_client client_;
     std::unordered_map<run_id, std::shared_ptr<run_entry>> runs_;
     run_id last_run_ = 0;
-    /// Expires with this object, so that a pending check is dropped.
-    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
 } // namespace dotterelport::agent
--- a/src/dotterelport/net/http_client.cpp
+++ b/src/dotterelport/net/http_client.cpp
@@ -131,7 +131,7 @@
         if (found->second->handle != nullptr) {
             h2o_http1client_cancel(found->second->handle);
         }
-        fail(*found->second, "timeout");
+        fail(*found->second, std::string(timeout_message));
     }
 
     std::unique_ptr<exchange> release(exchange& item)
