--- a/fuzz/parsers.cpp
+++ b/fuzz/parsers.cpp
@@ -106,6 +106,7 @@
 
 } // namespace
 
+// NOLINTNEXTLINE(readability-identifier-naming): libFuzzer fixes the name.
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size)
 {
     if (size == 0) {
