--- a/src/programs/dotterelport-agent.cpp
+++ b/src/programs/dotterelport-agent.cpp
@@ -13,8 +13,12 @@
                                "0.1.0");
         TCLAP::ValueArg<std::string> file("", "settings", "Settings file", true, "", "file",
                                           command);
+        TCLAP::SwitchArg check("", "check", "check the settings and exit", command);
         command.parse(argc, argv);
         const auto settings = process::read_settings(file.getValue(), process::daemon_kind::agent);
+        if (check.getValue()) {
+            return 0;
+        }
         configure_logging(settings.log_file, settings.log_level, settings.name);
         net::event_loop loop;
         agent::daemon daemon(loop, settings);
--- a/src/programs/dotterelport-router.cpp
+++ b/src/programs/dotterelport-router.cpp
@@ -15,8 +15,12 @@
         TCLAP::CmdLine command("Router of a dotterelport fleet", ' ', "0.1.0");
         TCLAP::ValueArg<std::string> file("", "settings", "settings file (JSON)", true, "", "file",
                                           command);
+        TCLAP::SwitchArg check("", "check", "check the settings and exit", command);
         command.parse(argc, argv);
         const auto settings = process::read_settings(file.getValue(), process::daemon_kind::router);
+        if (check.getValue()) {
+            return 0;
+        }
         configure_logging(settings.log_file, settings.log_level, settings.name);
         net::event_loop loop;
         router::router_daemon daemon(loop, settings);
