--- a/examples/budget.cpp
+++ b/examples/budget.cpp
@@ -5,17 +5,17 @@
 #include <string>
 
 #include "dotterelport/budget/shared_budgets.hpp"
-#include "dotterelport/platform/store.hpp"
+#include "dotterelport/object_store/store.hpp"
 
 using namespace dotterelport;
 
 namespace {
 
-budget::object_store functions_of(platform::store& store)
+budget::shard_objects functions_of(object_store::store& store)
 {
     return {.read = [&store](const std::string& key) { return store.read(key); },
             .write = [&store](const std::string& key, const std::string& value,
-                              platform::version at) { return store.write(key, value, at); }};
+                              object_store::version at) { return store.write(key, value, at); }};
 }
 
 /// Runs one request and tells whether it was allowed.
@@ -49,7 +49,7 @@
 int main()
 {
     constexpr tokens prepaid = 10'000;
-    platform::store store;
+    object_store::store store;
     budget::shared_budgets first(functions_of(store), 0, {"first", 1}, budget::thin_budgets());
     budget::shared_budgets second(functions_of(store), 0, {"second", 1}, budget::thin_budgets());
     first.declare({.generation = 1, .budgets = {{"depot", "depot-main", prepaid}}},
--- a/include/dotterelport/budget/bill_audit.hpp
+++ b/include/dotterelport/budget/bill_audit.hpp
@@ -10,7 +10,7 @@
 
 #include "dotterelport/budget/bill.hpp"
 #include "dotterelport/budget/ledger_shard.hpp"
-#include "dotterelport/platform/client.hpp"
+#include "dotterelport/object_store/client.hpp"
 
 namespace dotterelport::budget {
 
@@ -23,13 +23,13 @@
     explicit bill_audit(std::uint32_t shard, std::size_t remembered_keys = 1'000'000);
 
     /// @brief Revision from which the next listing of batches should start.
-    [[nodiscard]] platform::version cursor() const { return cursor_; }
+    [[nodiscard]] object_store::version cursor() const { return cursor_; }
 
     /// @brief Reads listed batches. Stops before one that the ledger does not count yet.
     /// @param objects objects under bill_prefix(shard) that changed after cursor()
     /// @param ledger as read after the listing
     /// @throws format_error if an object is not a bill batch
-    void read(const std::vector<platform::object>& objects, const ledger_shard& ledger);
+    void read(const std::vector<object_store::object>& objects, const ledger_shard& ledger);
 
     /// @brief Result to write, if lines after the ledger's audit cursor are duplicates.
     [[nodiscard]] std::optional<void_batch> result(const ledger_shard& ledger) const;
@@ -46,15 +46,16 @@
         std::uint64_t batch = 0;
     };
     struct finding {
-        platform::version at = 0;
+        object_store::version at = 0;
         voided_line line;
     };
 
-    void read_batch(const bill_batch& batch, platform::version at, platform::version counted);
+    void read_batch(const bill_batch& batch, object_store::version at,
+                    object_store::version counted);
 
     std::uint32_t shard_;
     std::size_t remembered_keys_;
-    platform::version cursor_ = 0;
+    object_store::version cursor_ = 0;
     std::unordered_map<request_key, place> first_lines_;
     std::deque<request_key> order_;
     std::vector<finding> findings_;
--- a/include/dotterelport/budget/shard_session.hpp
+++ b/include/dotterelport/budget/shard_session.hpp
@@ -13,7 +13,7 @@
 #include "dotterelport/budget/grant_holder.hpp"
 #include "dotterelport/budget/ledger_shard.hpp"
 #include "dotterelport/budget/sizing.hpp"
-#include "dotterelport/platform/client.hpp"
+#include "dotterelport/object_store/client.hpp"
 
 namespace dotterelport::budget {
 
@@ -27,7 +27,7 @@
     kind operation = kind::read;
     std::string key;
     std::string value;
-    platform::version if_version = 0;
+    object_store::version if_version = 0;
 };
 
 /// How a round of a session ended.
@@ -63,8 +63,8 @@
 
     /// @brief Goes on with the result of a step.
     /// @return the next step, or nothing if the round is over
-    std::optional<io_step> resume(const platform::read_result& result);
-    std::optional<io_step> resume(const platform::write_result& result);
+    std::optional<io_step> resume(const object_store::read_result& result);
+    std::optional<io_step> resume(const object_store::write_result& result);
 
     [[nodiscard]] bool in_round() const { return phase_ != phase::idle; }
     /// @brief Result of the last round.
@@ -115,11 +115,11 @@
     std::optional<io_step> read_shard();
     std::optional<io_step> plan();
     std::optional<io_step> write_shard(const ledger_shard& next);
-    std::optional<io_step> batch_written(const platform::write_result& result);
-    std::optional<io_step> shard_written(const platform::write_result& result);
+    std::optional<io_step> batch_written(const object_store::write_result& result);
+    std::optional<io_step> shard_written(const object_store::write_result& result);
     [[nodiscard]] bool has_work() const;
     /// @return false if the ledger shows that this holder was closed
-    bool adopt(const ledger_shard& value, platform::version at);
+    bool adopt(const ledger_shard& value, object_store::version at);
     void resolve_proposals();
     /// @return false if a waiting request stays without room
     bool size_grant(ledger_shard& next, std::size_t index);
@@ -139,13 +139,13 @@
     bool draining_ = false;
 
     std::optional<ledger_shard> ledger_;
-    platform::version ledger_version_ = 0;
+    object_store::version ledger_version_ = 0;
     /// The ledger was read or written in this round.
     bool fresh_ = false;
     std::optional<ledger_shard> next_ledger_;
     std::vector<proposal> proposals_;
     /// Version that a write with a lost answer was conditional on.
-    std::optional<platform::version> unresolved_;
+    std::optional<object_store::version> unresolved_;
 
     std::optional<bill_batch> sealed_;
     std::string sealed_text_;
--- a/include/dotterelport/budget/shared_budgets.hpp
+++ b/include/dotterelport/budget/shared_budgets.hpp
@@ -10,10 +10,10 @@
 
 /// Object store that an embedding program provides. The calls may fail or lose answers as the
 /// result types describe; writes are conditional on the version.
-struct object_store {
-    std::function<platform::read_result(const std::string& key)> read;
-    std::function<platform::write_result(const std::string& key, const std::string& value,
-                                         platform::version if_version)>
+struct shard_objects {
+    std::function<object_store::read_result(const std::string& key)> read;
+    std::function<object_store::write_result(const std::string& key, const std::string& value,
+                                             object_store::version if_version)>
         write;
 };
 
@@ -24,7 +24,7 @@
 class shared_budgets {
 public:
     /// @param shard ledger object to share, "budget/<shard>"
-    shared_budgets(object_store store, std::uint32_t shard, incarnation self,
+    shared_budgets(shard_objects store, std::uint32_t shard, incarnation self,
                    const sizing_policy& policy);
 
     /// @brief Sets the prepaid amounts; only a newer generation changes them.
@@ -48,12 +48,12 @@
     [[nodiscard]] const shard_session& session() const { return session_; }
 
 private:
-    object_store store_;
+    shard_objects store_;
     shard_session session_;
 };
 
 /// @brief Runs a round of a session against a store.
-round_outcome run_round(shard_session& session, const object_store& store,
+round_outcome run_round(shard_session& session, const shard_objects& store,
                         const round_environment& environment);
 
 } // namespace dotterelport::budget
--- a/include/dotterelport/config/follower.hpp
+++ b/include/dotterelport/config/follower.hpp
@@ -11,7 +11,7 @@
 #include "dotterelport/config/snapshot.hpp"
 #include "dotterelport/net/event_loop.hpp"
 #include "dotterelport/net/rpc.hpp"
-#include "dotterelport/platform/client.hpp"
+#include "dotterelport/object_store/client.hpp"
 
 namespace dotterelport::config {
 
@@ -27,7 +27,7 @@
         std::function<std::vector<net::endpoint>()> routers;
     };
 
-    follower(net::event_loop& loop, platform::client& platform, net::rpc_client& rpc,
+    follower(net::event_loop& loop, object_store::client& platform, net::rpc_client& rpc,
              options settings);
     ~follower();
     follower(const follower&) = delete;
--- a/include/dotterelport/config/publisher.hpp
+++ b/include/dotterelport/config/publisher.hpp
@@ -9,7 +9,7 @@
 
 #include "dotterelport/config/document.hpp"
 #include "dotterelport/net/event_loop.hpp"
-#include "dotterelport/platform/client.hpp"
+#include "dotterelport/object_store/client.hpp"
 
 namespace dotterelport::config {
 
@@ -50,7 +50,7 @@
         milliseconds patience{15'000};
     };
 
-    publisher(net::event_loop& loop, platform::client& platform, options settings);
+    publisher(net::event_loop& loop, object_store::client& platform, options settings);
 
     /// @param if_generation generation that the operator read; left out: the one read first here
     /// @param id random identifier of this publication
@@ -59,7 +59,7 @@
 
 private:
     net::event_loop& loop_;
-    platform::client& platform_;
+    object_store::client& platform_;
     options settings_;
 };
 
--- a/include/dotterelport/config/reader.hpp
+++ b/include/dotterelport/config/reader.hpp
@@ -5,7 +5,7 @@
 #include <optional>
 
 #include "dotterelport/config/parts.hpp"
-#include "dotterelport/platform/client.hpp"
+#include "dotterelport/object_store/client.hpp"
 
 namespace dotterelport::config {
 
@@ -19,7 +19,7 @@
 /// @brief Reads the accepted configuration from the platform, once.
 /// @param done receives nothing if the platform did not answer every call, or holds
 /// something else under these keys
-void read_accepted(platform::client& platform,
+void read_accepted(object_store::client& platform,
                    std::function<void(const std::optional<accepted_configuration>&)> done);
 
 } // namespace dotterelport::config
--- a/include/dotterelport/membership/directory.hpp
+++ b/include/dotterelport/membership/directory.hpp
@@ -12,14 +12,14 @@
 #include "dotterelport/membership/node_record.hpp"
 #include "dotterelport/membership/rendezvous.hpp"
 #include "dotterelport/net/event_loop.hpp"
-#include "dotterelport/platform/client.hpp"
+#include "dotterelport/object_store/client.hpp"
 
 namespace dotterelport::membership {
 
 /// Registers this node in the platform and follows the records of all nodes and the VM list.
 class directory {
 public:
-    directory(net::event_loop& loop, platform::client& platform, const node_record& self);
+    directory(net::event_loop& loop, object_store::client& platform, const node_record& self);
     ~directory();
     directory(const directory&) = delete;
     directory& operator=(const directory&) = delete;
--- a/include/dotterelport/membership/node_view.hpp
+++ b/include/dotterelport/membership/node_view.hpp
@@ -11,7 +11,7 @@
 #include "dotterelport/base/clock.hpp"
 #include "dotterelport/base/json.hpp"
 #include "dotterelport/membership/node_record.hpp"
-#include "dotterelport/platform/client.hpp"
+#include "dotterelport/object_store/client.hpp"
 
 namespace dotterelport::membership {
 
@@ -50,15 +50,15 @@
     explicit node_view(node_record self, view_timing timing = {});
 
     /// @brief Takes this node's record after its own write.
-    void update_self(const node_record& self, platform::version at, milliseconds now);
+    void update_self(const node_record& self, object_store::version at, milliseconds now);
 
     /// @brief Takes changed and deleted objects under "node/". Records that cannot be read are
     /// ignored.
     /// @return number of objects that were not records
-    int apply(const platform::listing& changes, milliseconds now);
+    int apply(const object_store::listing& changes, milliseconds now);
 
     /// @brief Takes the platform's list of VMs. One that lacks this node's own VM is ignored.
-    void apply(const platform::vm_listing& list, milliseconds now);
+    void apply(const object_store::vm_listing& list, milliseconds now);
 
     /// @brief Takes the result of a call to a node.
     void report_contact(const std::string& node, bool answered, milliseconds now);
@@ -81,14 +81,14 @@
     [[nodiscard]] bool is_domain_representative(milliseconds now) const;
 
     /// @brief Revision up to which listings were applied.
-    [[nodiscard]] platform::version revision() const { return revision_; }
+    [[nodiscard]] object_store::version revision() const { return revision_; }
 
     [[nodiscard]] json dump(milliseconds now) const;
 
 private:
     struct entry {
         node_record record;
-        platform::version at = 0;
+        object_store::version at = 0;
         milliseconds first_seen{0};
         milliseconds changed{0};
     };
@@ -110,7 +110,8 @@
 
     using entry_map = std::map<std::string, entry>;
 
-    void take(const std::string& key, node_record record, platform::version at, milliseconds now);
+    void take(const std::string& key, node_record record, object_store::version at,
+              milliseconds now);
     [[nodiscard]] const entry* find_entry(const std::string& node) const;
     contact& contact_with(const std::string& node);
     [[nodiscard]] const contact* current_contact(const node_record& record) const;
@@ -135,10 +136,10 @@
     /// By object key without the prefix: "<name>", or "<name>#<epoch>" for earlier incarnations.
     entry_map entries_;
     std::map<std::string, contact> contacts_;
-    std::map<std::string, platform::vm_state> vms_;
+    std::map<std::string, object_store::vm_state> vms_;
     std::set<std::string> vms_seen_;
     std::map<std::string, absence> vms_absent_;
-    platform::version revision_ = 0;
+    object_store::version revision_ = 0;
     milliseconds listing_run_start_{0};
     std::optional<milliseconds> last_listing_;
 };
--- a/include/dotterelport/platform/client.hpp
+++ b/include/dotterelport/object_store/client.hpp
@@ -1,5 +1,5 @@
-#ifndef DOTTERELPORT_PLATFORM_CLIENT_HPP
-#define DOTTERELPORT_PLATFORM_CLIENT_HPP
+#ifndef DOTTERELPORT_OBJECT_STORE_CLIENT_HPP
+#define DOTTERELPORT_OBJECT_STORE_CLIENT_HPP
 
 #include <cstdint>
 #include <functional>
@@ -12,50 +12,9 @@
 #include "dotterelport/base/clock.hpp"
 #include "dotterelport/net/endpoint.hpp"
 #include "dotterelport/net/http_client.hpp"
+#include "dotterelport/object_store/conditional_objects.hpp"
 
-namespace dotterelport::platform {
-
-/// Version of an object: the revision of the whole store at its last change. 0 means "absent".
-using version = std::uint64_t;
-
-/// An object as the platform holds it.
-struct object {
-    std::string key;
-    version at = 0;
-    std::string value;
-};
-
-/// Outcome of a read.
-enum class read_status {
-    found,
-    absent,
-    /// The platform did not answer, or refused because of its rate limit.
-    unavailable,
-};
-
-struct read_result {
-    read_status status = read_status::unavailable;
-    object value;
-};
-
-/// Outcome of a write or removal.
-enum class write_status {
-    applied,
-    /// The object has another version than the one named.
-    conflict,
-    /// The platform refused it, or nothing was sent: the write has no effect.
-    unavailable,
-    /// The answer was lost: the write may have taken effect. Read before repeating it.
-    unknown,
-    /// The value is larger than the platform accepts.
-    too_large,
-};
-
-struct write_result {
-    write_status status = write_status::unavailable;
-    /// New version if applied, present version if in conflict.
-    version at = 0;
-};
+namespace dotterelport::object_store {
 
 /// Objects under a prefix that changed after a revision.
 struct listing {
@@ -77,15 +36,15 @@
 };
 
 /// Calls the platform's object API. Every function answers exactly once, from the event loop.
-class client {
+class client : public conditional_objects {
 public:
     client(net::http_client& http, const net::endpoint& address);
 
-    void read(const std::string& key, std::function<void(const read_result&)> done);
+    void read(const std::string& key, std::function<void(const read_result&)> done) override;
 
     /// @param if_version 0 to create only if absent; nothing to write in any case
     void write(const std::string& key, const std::string& value, std::optional<version> if_version,
-               std::function<void(const write_result&)> done);
+               std::function<void(const write_result&)> done) override;
 
     void remove(const std::string& key, version if_version,
                 std::function<void(const write_result&)> done);
@@ -114,6 +73,6 @@
     std::shared_ptr<state> state_;
 };
 
-} // namespace dotterelport::platform
+} // namespace dotterelport::object_store
 
 #endif
--- /dev/null
+++ b/include/dotterelport/object_store/conditional_objects.hpp
@@ -0,0 +1,68 @@
+#ifndef DOTTERELPORT_OBJECT_STORE_CONDITIONAL_OBJECTS_HPP
+#define DOTTERELPORT_OBJECT_STORE_CONDITIONAL_OBJECTS_HPP
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+
+namespace dotterelport::object_store {
+
+/// Version of an object: the revision of the whole store at its last change. 0 means "absent".
+using version = std::uint64_t;
+
+/// An object as the platform holds it.
+struct object {
+    std::string key;
+    version at = 0;
+    std::string value;
+};
+
+/// Outcome of a read.
+enum class read_status {
+    found,
+    absent,
+    /// The platform did not answer, or refused because of its rate limit.
+    unavailable,
+};
+
+struct read_result {
+    read_status status = read_status::unavailable;
+    object value;
+};
+
+/// Outcome of a write or removal.
+enum class write_status {
+    applied,
+    /// The object has another version than the one named.
+    conflict,
+    /// The platform refused it, or nothing was sent: the write has no effect.
+    unavailable,
+    /// The answer was lost: the write may have taken effect. Read before repeating it.
+    unknown,
+    /// The value is larger than the platform accepts.
+    too_large,
+};
+
+struct write_result {
+    write_status status = write_status::unavailable;
+    /// New version if applied, present version if in conflict.
+    version at = 0;
+};
+
+/// Objects that can be read and conditionally written: all that budgets need of a platform.
+class conditional_objects {
+public:
+    virtual ~conditional_objects() = default;
+
+    virtual void read(const std::string& key, std::function<void(const read_result&)> done) = 0;
+
+    /// @param if_version 0 to create only if absent; nothing to write in any case
+    virtual void write(const std::string& key, const std::string& value,
+                       std::optional<version> if_version,
+                       std::function<void(const write_result&)> done) = 0;
+};
+
+} // namespace dotterelport::object_store
+
+#endif
--- a/include/dotterelport/platform/store.hpp
+++ b/include/dotterelport/object_store/store.hpp
@@ -1,5 +1,5 @@
-#ifndef DOTTERELPORT_PLATFORM_STORE_HPP
-#define DOTTERELPORT_PLATFORM_STORE_HPP
+#ifndef DOTTERELPORT_OBJECT_STORE_STORE_HPP
+#define DOTTERELPORT_OBJECT_STORE_STORE_HPP
 
 #include <cstddef>
 #include <cstdint>
@@ -9,9 +9,9 @@
 #include <string>
 #include <unordered_map>
 
-#include "dotterelport/platform/client.hpp"
+#include "dotterelport/object_store/client.hpp"
 
-namespace dotterelport::platform {
+namespace dotterelport::object_store {
 
 /// Largest value that the platform accepts.
 inline constexpr std::size_t max_value_bytes = 1'000'000;
@@ -74,6 +74,6 @@
     std::map<watch_id, waiting> watches_;
 };
 
-} // namespace dotterelport::platform
+} // namespace dotterelport::object_store
 
 #endif
--- a/include/dotterelport/platform/wire.hpp
+++ b/include/dotterelport/object_store/wire.hpp
@@ -1,13 +1,13 @@
-#ifndef DOTTERELPORT_PLATFORM_WIRE_HPP
-#define DOTTERELPORT_PLATFORM_WIRE_HPP
+#ifndef DOTTERELPORT_OBJECT_STORE_WIRE_HPP
+#define DOTTERELPORT_OBJECT_STORE_WIRE_HPP
 
 #include <optional>
 #include <string_view>
 
 #include "dotterelport/base/json.hpp"
-#include "dotterelport/platform/client.hpp"
+#include "dotterelport/object_store/client.hpp"
 
-namespace dotterelport::platform {
+namespace dotterelport::object_store {
 
 /// @brief Wire name of a VM state.
 std::string_view to_string(vm_state value);
@@ -25,6 +25,6 @@
 listing parse_listing(const json& value);
 vm_listing parse_vm_listing(const json& value);
 
-} // namespace dotterelport::platform
+} // namespace dotterelport::object_store
 
 #endif
--- a/include/dotterelport/router/budget_service.hpp
+++ b/include/dotterelport/router/budget_service.hpp
@@ -12,7 +12,7 @@
 #include "dotterelport/config/follower.hpp"
 #include "dotterelport/membership/directory.hpp"
 #include "dotterelport/net/rpc.hpp"
-#include "dotterelport/platform/client.hpp"
+#include "dotterelport/object_store/client.hpp"
 
 namespace dotterelport::router {
 
@@ -57,7 +57,7 @@
 public:
     struct context {
         net::event_loop& loop;
-        platform::client& platform;
+        object_store::client& platform;
         net::rpc_client& rpc;
         membership::directory& nodes;
         const config::follower& configuration;
--- a/src/dotterelport/agent/daemon.cpp
+++ b/src/dotterelport/agent/daemon.cpp
@@ -8,7 +8,7 @@
 #include "dotterelport/config/follower.hpp"
 #include "dotterelport/membership/configuration_sources.hpp"
 #include "dotterelport/membership/directory.hpp"
-#include "dotterelport/platform/client.hpp"
+#include "dotterelport/object_store/client.hpp"
 #include "dotterelport/process/operators_server.hpp"
 
 namespace dotterelport::agent {
@@ -56,7 +56,7 @@
     process::settings settings;
     net::http_client http;
     net::rpc_client rpc;
-    platform::client platform;
+    object_store::client platform;
     membership::directory nodes;
     config::follower configuration;
     agent subject;
--- a/src/dotterelport/agent/daemon_test.cpp
+++ b/src/dotterelport/agent/daemon_test.cpp
@@ -30,7 +30,7 @@
     net::http_client client{loop};
     net::rpc_client rpc{client};
     standin::platform_server platform{loop, {}};
-    platform::client platform_client{client, platform.address()};
+    object_store::client platform_client{client, platform.address()};
     standin::engine engine{loop, {}};
     net::http_server holder_server{loop};
     net::rpc_server holder_methods{holder_server};
--- a/src/dotterelport/budget/bill_audit.cpp
+++ b/src/dotterelport/budget/bill_audit.cpp
@@ -8,9 +8,9 @@
     : shard_(shard), remembered_keys_(remembered_keys)
 {}
 
-void bill_audit::read(const std::vector<platform::object>& objects, const ledger_shard& ledger)
+void bill_audit::read(const std::vector<object_store::object>& objects, const ledger_shard& ledger)
 {
-    std::vector<const platform::object*> ordered;
+    std::vector<const object_store::object*> ordered;
     for (const auto& object : objects) {
         if (object.at > cursor_) {
             ordered.push_back(&object);
@@ -28,8 +28,8 @@
     }
 }
 
-void bill_audit::read_batch(const bill_batch& batch, platform::version at,
-                            platform::version counted)
+void bill_audit::read_batch(const bill_batch& batch, object_store::version at,
+                            object_store::version counted)
 {
     for (const auto& line : batch.lines) {
         const auto [entry, is_first] =
--- a/src/dotterelport/budget/experiment.cpp
+++ b/src/dotterelport/budget/experiment.cpp
@@ -8,7 +8,7 @@
 #include <random>
 
 #include "dotterelport/budget/shared_budgets.hpp"
-#include "dotterelport/platform/store.hpp"
+#include "dotterelport/object_store/store.hpp"
 
 namespace dotterelport::budget {
 namespace {
@@ -108,16 +108,16 @@
     void round(std::size_t domain)
     {
         const bool reachable = can_reach_platform(domain);
-        const object_store access{
+        const shard_objects access{
             .read =
                 [&](const std::string& key) {
                     ++result_.platform_calls;
-                    return reachable ? store_.read(key) : platform::read_result{};
+                    return reachable ? store_.read(key) : object_store::read_result{};
                 },
             .write =
-                [&](const std::string& key, const std::string& value, platform::version at) {
+                [&](const std::string& key, const std::string& value, object_store::version at) {
                     ++result_.platform_calls;
-                    return reachable ? store_.write(key, value, at) : platform::write_result{};
+                    return reachable ? store_.write(key, value, at) : object_store::write_result{};
                 }};
         run_round(*sessions_[domain], access,
                   {.now = now(),
@@ -227,7 +227,7 @@
     experiment_workload workload_;
     sizing_policy policy_;
     std::mt19937_64 random_;
-    platform::store store_;
+    object_store::store store_;
     std::vector<std::unique_ptr<shard_session>> sessions_;
     std::vector<tokens> prepaid_;
     /// Used or reserved, by budget.
--- a/src/dotterelport/budget/ledger_test.cpp
+++ b/src/dotterelport/budget/ledger_test.cpp
@@ -3,7 +3,7 @@
 #include "dotterelport/budget/ledger_shard.hpp"
 #include "dotterelport/budget/shard_session.hpp"
 #include "dotterelport/budget/shared_budgets.hpp"
-#include "dotterelport/platform/store.hpp"
+#include "dotterelport/object_store/store.hpp"
 
 namespace dotterelport::budget {
 namespace {
@@ -39,20 +39,21 @@
 
 /// Store that can fail and lose answers.
 struct faulty_store {
-    object_store functions()
+    shard_objects functions()
     {
         return {.read =
                     [this](const std::string& key) {
-                        return down ? platform::read_result{} : objects.read(key);
+                        return down ? object_store::read_result{} : objects.read(key);
                     },
                 .write = [this](const std::string& key, const std::string& value,
-                                platform::version at) -> platform::write_result {
+                                object_store::version at) -> object_store::write_result {
                     if (down) {
                         return {};
                     }
                     const auto result = objects.write(key, value, at);
-                    return lose_answers ? platform::write_result{platform::write_status::unknown, 0}
-                                        : result;
+                    return lose_answers
+                               ? object_store::write_result{object_store::write_status::unknown, 0}
+                               : result;
                 }};
     }
 
@@ -61,7 +62,7 @@
         return parse_ledger_shard(objects.read("budget/0").value.value).budgets().at("main");
     }
 
-    platform::store objects;
+    object_store::store objects;
     bool down = false;
     bool lose_answers = false;
 };
--- a/src/dotterelport/budget/schedule_model.cpp
+++ b/src/dotterelport/budget/schedule_model.cpp
@@ -71,8 +71,8 @@
 ledger_shard schedule_model::read_ledger() const
 {
     const auto found = store_.read(shard_object_key(shard));
-    return found.status == platform::read_status::found ? parse_ledger_shard(found.value.value)
-                                                        : ledger_shard(shard);
+    return found.status == object_store::read_status::found ? parse_ledger_shard(found.value.value)
+                                                            : ledger_shard(shard);
 }
 
 schedule_model::agent* schedule_model::find_agent(const incarnation& id)
@@ -241,15 +241,15 @@
     }
 }
 
-platform::read_result schedule_model::read(const std::string& key, bool faults)
+object_store::read_result schedule_model::read(const std::string& key, bool faults)
 {
-    return faults && draw(16) == 0 ? platform::read_result{} : store_.read(key);
+    return faults && draw(16) == 0 ? object_store::read_result{} : store_.read(key);
 }
 
-platform::write_result schedule_model::write(const std::string& key, const std::string& value,
-                                             platform::version if_version, bool faults)
+object_store::write_result schedule_model::write(const std::string& key, const std::string& value,
+                                                 object_store::version if_version, bool faults)
 {
-    using platform::write_status;
+    using object_store::write_status;
     switch (faults ? draw(16) : 16) {
     case 0:
         return {.status = write_status::unavailable, .at = 0};
@@ -313,7 +313,7 @@
 {
     const auto object_key = shard_object_key(shard);
     const auto current = read(object_key, faults);
-    auto next = current.status == platform::read_status::found
+    auto next = current.status == object_store::read_status::found
                     ? parse_ledger_shard(current.value.value)
                     : ledger_shard(shard);
     switch (part) {
@@ -324,17 +324,17 @@
         return;
     case 1: {
         const auto batch = at.state.next_batch(next);
-        if (batch.has_value() && current.status == platform::read_status::found) {
+        if (batch.has_value() && current.status == object_store::read_status::found) {
             const auto key = bill_object_key(shard, at.target, batch->number);
             const auto result = write(key, to_json(*batch).dump(), 0, faults);
-            if (result.status == platform::write_status::applied) {
+            if (result.status == object_store::write_status::applied) {
                 at.state.add_batch(*batch);
             }
         }
         return;
     }
     case 2:
-        if (current.status != platform::read_status::unavailable && at.state.apply(next)) {
+        if (current.status != object_store::read_status::unavailable && at.state.apply(next)) {
             write(object_key, to_json(next).dump(), current.value.at, faults);
         }
         return;
@@ -396,8 +396,8 @@
     const auto key = void_object_key(shard, found->number);
     const auto result = write(key, to_json(*found).dump(), 0, faults);
     const auto written = store_.read(key);
-    if (result.status != platform::write_status::unavailable &&
-        written.status == platform::read_status::found) {
+    if (result.status != object_store::write_status::unavailable &&
+        written.status == object_store::read_status::found) {
         session.add_voids(parse_void_batch(written.value.value));
     }
 }
--- a/src/dotterelport/budget/schedule_model.hpp
+++ b/src/dotterelport/budget/schedule_model.hpp
@@ -12,7 +12,7 @@
 #include "dotterelport/budget/bill_audit.hpp"
 #include "dotterelport/budget/holder_closing.hpp"
 #include "dotterelport/budget/shard_session.hpp"
-#include "dotterelport/platform/store.hpp"
+#include "dotterelport/object_store/store.hpp"
 #include "dotterelport/request/admission_table.hpp"
 
 namespace dotterelport::budget {
@@ -51,7 +51,7 @@
     struct delayed_write {
         std::string key;
         std::string value;
-        platform::version if_version;
+        object_store::version if_version;
     };
     struct closer {
         incarnation target;
@@ -68,9 +68,9 @@
     void finish_run(agent& at, bool kill);
     void push_outcomes(agent& at);
     void step_session(holder& at, bool faults);
-    platform::read_result read(const std::string& key, bool faults);
-    platform::write_result write(const std::string& key, const std::string& value,
-                                 platform::version if_version, bool faults);
+    object_store::read_result read(const std::string& key, bool faults);
+    object_store::write_result write(const std::string& key, const std::string& value,
+                                     object_store::version if_version, bool faults);
     void apply_delayed();
     void replace_holder(holder& at);
     void replace_agent(agent& at);
@@ -86,7 +86,7 @@
     sizing_policy policy_;
     std::uint64_t random_ = 0;
     milliseconds now_{0};
-    platform::store store_;
+    object_store::store store_;
     std::vector<holder> holders_;
     std::map<incarnation, record> records_;
     std::vector<agent> agents_;
@@ -96,7 +96,7 @@
     std::unique_ptr<bill_audit> audit_;
     declaration declared_;
     std::optional<ledger_shard> checked_ledger_;
-    platform::version checked_revision_ = 0;
+    object_store::version checked_revision_ = 0;
     std::map<std::string, std::uint32_t> attempts_;
     /// Tokens that agents really used, by budget.
     std::map<std::string, tokens> used_;
--- a/src/dotterelport/budget/shard_session.cpp
+++ b/src/dotterelport/budget/shard_session.cpp
@@ -116,12 +116,12 @@
                    .if_version = 0};
 }
 
-std::optional<io_step> shard_session::resume(const platform::read_result& result)
+std::optional<io_step> shard_session::resume(const object_store::read_result& result)
 {
-    if (result.status == platform::read_status::unavailable) {
+    if (result.status == object_store::read_status::unavailable) {
         return finish(round_outcome::unavailable);
     }
-    const bool found = result.status == platform::read_status::found;
+    const bool found = result.status == object_store::read_status::found;
     if (phase_ == phase::reading_batch) {
         if (!found) {
             // The write may still be on its way; it is repeated in the next round.
@@ -129,35 +129,35 @@
         }
         return result.value.value == sealed_text_ ? batch_is_durable() : close();
     }
-    const auto at = found ? result.value.at : platform::version{0};
+    const auto at = found ? result.value.at : object_store::version{0};
     if (!adopt(found ? parse_ledger_shard(result.value.value) : ledger_shard(shard_), at)) {
         return close();
     }
     return plan();
 }
 
-std::optional<io_step> shard_session::resume(const platform::write_result& result)
+std::optional<io_step> shard_session::resume(const object_store::write_result& result)
 {
-    if (result.status == platform::write_status::too_large) {
+    if (result.status == object_store::write_status::too_large) {
         log(events::shard_too_large, {{"shard", shard_}, {"holder", to_string(self_)}});
     }
     return phase_ == phase::writing_batch ? batch_written(result) : shard_written(result);
 }
 
-std::optional<io_step> shard_session::batch_written(const platform::write_result& result)
+std::optional<io_step> shard_session::batch_written(const object_store::write_result& result)
 {
     switch (result.status) {
-    case platform::write_status::applied:
+    case object_store::write_status::applied:
         return batch_is_durable();
-    case platform::write_status::conflict:
-    case platform::write_status::unknown:
+    case object_store::write_status::conflict:
+    case object_store::write_status::unknown:
         phase_ = phase::reading_batch;
         return io_step{.operation = io_step::kind::read,
                        .key = bill_object_key(shard_, self_, sealed_->number),
                        .value = {},
                        .if_version = 0};
-    case platform::write_status::unavailable:
-    case platform::write_status::too_large:
+    case object_store::write_status::unavailable:
+    case object_store::write_status::too_large:
         break;
     }
     return finish(round_outcome::unavailable);
@@ -173,10 +173,10 @@
     }
 }
 
-std::optional<io_step> shard_session::shard_written(const platform::write_result& result)
+std::optional<io_step> shard_session::shard_written(const object_store::write_result& result)
 {
     switch (result.status) {
-    case platform::write_status::applied:
+    case object_store::write_status::applied:
         for (const auto& change : proposals_) {
             auto& owner = holder_.accounts()[change.account];
             owner.amount = change.amount;
@@ -191,13 +191,13 @@
         unapplied_.clear();
         voids_.reset();
         return finish(round_outcome::complete);
-    case platform::write_status::conflict:
+    case object_store::write_status::conflict:
         return read_shard();
-    case platform::write_status::unknown:
+    case object_store::write_status::unknown:
         unresolved_ = ledger_version_;
         return read_shard();
-    case platform::write_status::unavailable:
-    case platform::write_status::too_large:
+    case object_store::write_status::unavailable:
+    case object_store::write_status::too_large:
         if (!unresolved_.has_value()) {
             resolve_proposals();
         }
@@ -206,7 +206,7 @@
     return finish(round_outcome::unavailable);
 }
 
-bool shard_session::adopt(const ledger_shard& value, platform::version at)
+bool shard_session::adopt(const ledger_shard& value, object_store::version at)
 {
     if (value.is_closed(self_)) {
         return false;
--- a/src/dotterelport/budget/shared_budgets.cpp
+++ b/src/dotterelport/budget/shared_budgets.cpp
@@ -5,7 +5,7 @@
 
 namespace dotterelport::budget {
 
-round_outcome run_round(shard_session& session, const object_store& store,
+round_outcome run_round(shard_session& session, const shard_objects& store,
                         const round_environment& environment)
 {
     auto step = session.start(environment);
@@ -17,7 +17,7 @@
     return session.last_outcome();
 }
 
-shared_budgets::shared_budgets(object_store store, std::uint32_t shard, incarnation self,
+shared_budgets::shared_budgets(shard_objects store, std::uint32_t shard, incarnation self,
                                const sizing_policy& policy)
     : store_(std::move(store)), session_(shard, std::move(self), policy)
 {}
--- a/src/dotterelport/config/follower.cpp
+++ b/src/dotterelport/config/follower.cpp
@@ -67,7 +67,7 @@
                    });
 }
 
-void follower::native::take_changes(const platform::listing& changes, milliseconds asked)
+void follower::native::take_changes(const object_store::listing& changes, milliseconds asked)
 {
     watching = false;
     if (!changes.available) {
@@ -100,7 +100,7 @@
                           return;
                       }
                       self->reading = false;
-                      if (result.status == platform::read_status::found) {
+                      if (result.status == object_store::read_status::found) {
                           self->hinted = 0;
                           self->take_manifest_text(result.value.value, asked);
                       }
@@ -121,7 +121,7 @@
     }
 }
 
-follower::follower(net::event_loop& loop, platform::client& platform, net::rpc_client& rpc,
+follower::follower(net::event_loop& loop, object_store::client& platform, net::rpc_client& rpc,
                    options settings)
     : native_(std::make_shared<native>(loop, platform, rpc, std::move(settings)))
 {}
--- a/src/dotterelport/config/follower_native.hpp
+++ b/src/dotterelport/config/follower_native.hpp
@@ -22,14 +22,14 @@
         milliseconds confirmed_at{0};
     };
 
-    native(net::event_loop& event_loop, platform::client& platform_client, net::rpc_client& client,
-           options follower_options)
+    native(net::event_loop& event_loop, object_store::client& platform_client,
+           net::rpc_client& client, options follower_options)
         : loop(event_loop), platform(platform_client), rpc(client),
           settings(std::move(follower_options))
     {}
 
     net::event_loop& loop;
-    platform::client& platform;
+    object_store::client& platform;
     net::rpc_client& rpc;
     options settings;
     std::function<void(const snapshot_ptr&)> on_change;
@@ -50,7 +50,7 @@
 
     bool watching = false;
     bool reading = false;
-    platform::version watched_revision = 0;
+    object_store::version watched_revision = 0;
     std::uint64_t watched_generation = 0;
 
     bool polling = false;
@@ -72,7 +72,7 @@
 
     // Platform: a watch in the processes that are watchers, single reads otherwise.
     void watch();
-    void take_changes(const platform::listing& changes, milliseconds asked);
+    void take_changes(const object_store::listing& changes, milliseconds asked);
     void read_platform();
     std::uint64_t take_manifest_text(const std::string& text, milliseconds confirmed_at);
 
--- a/src/dotterelport/config/follower_test.cpp
+++ b/src/dotterelport/config/follower_test.cpp
@@ -23,7 +23,7 @@
 /// A process that follows the configuration, with its own connection to the platform.
 struct process {
     net::http_client http;
-    platform::client client;
+    object_store::client client;
     net::rpc_client rpc{http};
     net::http_server server;
     net::rpc_server rpc_server{server};
@@ -56,7 +56,7 @@
     net::event_loop loop;
     standin::platform_server server{loop, {}};
     net::http_client http{loop};
-    platform::client client{http, server.address()};
+    object_store::client client{http, server.address()};
     publisher publishing{loop, client, {}};
 
     std::unique_ptr<process> start(bool watcher, std::vector<net::endpoint> routers = {})
@@ -240,7 +240,7 @@
     std::uint64_t read_before = 0;
     fleet.server.objects().watch(
         manifest_key, fleet.server.objects().revision(),
-        [&](const platform::listing&) { read_before = bytes("read", "bytes_out"); });
+        [&](const object_store::listing&) { read_before = bytes("read", "bytes_out"); });
     fleet.publish(with_changed_prepaid(parsed, 5));
     fleet.run_until([&] { return watcher->generation() == 2; });
     CHECK(watcher->generation() == 2);
--- a/src/dotterelport/config/part_fetcher.cpp
+++ b/src/dotterelport/config/part_fetcher.cpp
@@ -72,11 +72,11 @@
     std::make_shared<fetch_operation>(hashes, std::move(source), std::move(done))->start();
 }
 
-part_source platform_source(platform::client& platform)
+part_source platform_source(object_store::client& platform)
 {
     return [&platform](const std::string& hash, auto done) {
         platform.read(part_key(hash), [done = std::move(done)](const auto& result) {
-            const bool found = result.status == platform::read_status::found;
+            const bool found = result.status == object_store::read_status::found;
             done(found ? std::optional(result.value.value) : std::nullopt);
         });
     };
--- a/src/dotterelport/config/part_fetcher.hpp
+++ b/src/dotterelport/config/part_fetcher.hpp
@@ -7,7 +7,7 @@
 #include <string>
 #include <vector>
 
-#include "dotterelport/platform/client.hpp"
+#include "dotterelport/object_store/client.hpp"
 
 namespace dotterelport::config {
 
@@ -25,7 +25,7 @@
                  std::function<void(const part_contents&)> done);
 
 /// @brief Source that reads parts from the platform.
-part_source platform_source(platform::client& platform);
+part_source platform_source(object_store::client& platform);
 
 } // namespace dotterelport::config
 
--- a/src/dotterelport/config/parts.cpp
+++ b/src/dotterelport/config/parts.cpp
@@ -7,7 +7,7 @@
 #include "dotterelport/base/hash.hpp"
 #include "dotterelport/base/settings.hpp"
 #include "dotterelport/config/document_json.hpp"
-#include "dotterelport/platform/store.hpp"
+#include "dotterelport/object_store/store.hpp"
 
 namespace dotterelport::config {
 namespace {
@@ -22,9 +22,9 @@
               const std::string& source)
 {
     std::string text = content.dump();
-    if (text.size() > platform::max_value_bytes) {
+    if (text.size() > object_store::max_value_bytes) {
         throw format_error(source, what,
-                           "expected at most " + std::to_string(platform::max_value_bytes) +
+                           "expected at most " + std::to_string(object_store::max_value_bytes) +
                                " bytes in one part, not " + std::to_string(text.size()));
     }
     result.parts.push_back(hash128_hex(text));
--- a/src/dotterelport/config/publisher.cpp
+++ b/src/dotterelport/config/publisher.cpp
@@ -11,8 +11,8 @@
 namespace dotterelport::config {
 namespace {
 
-using platform::read_status;
-using platform::write_status;
+using object_store::read_status;
+using object_store::write_status;
 
 constexpr milliseconds retry_delay{200};
 
@@ -24,7 +24,7 @@
 public:
     struct context {
         net::event_loop& loop;
-        platform::client& platform;
+        object_store::client& platform;
         milliseconds deadline;
         std::function<void(const publish_result&)> done;
     };
@@ -67,7 +67,7 @@
                            [self = shared_from_this(), next] { (self.get()->*next)(); });
     }
 
-    void take_manifest(const platform::read_result& result)
+    void take_manifest(const object_store::read_result& result)
     {
         present_ = {};
         version_ = result.value.at;
@@ -102,7 +102,7 @@
                            });
     }
 
-    void check_settings(const platform::read_result& result)
+    void check_settings(const object_store::read_result& result)
     {
         if (result.status == read_status::absent) {
             finish(publish_refused{"the settings of the accepted configuration are missing"});
@@ -157,7 +157,7 @@
         const std::string hash = unwritten_.back();
         unwritten_.pop_back();
         ++writes_in_progress_;
-        constexpr platform::version only_if_absent = 0;
+        constexpr object_store::version only_if_absent = 0;
         env_.platform.write(part_key(hash), document_.contents.at(hash), only_if_absent,
                             [self = shared_from_this(), hash](const auto& result) {
                                 --self->writes_in_progress_;
@@ -196,7 +196,7 @@
                             });
     }
 
-    void take_manifest_answer(const platform::write_result& result)
+    void take_manifest_answer(const object_store::write_result& result)
     {
         switch (result.status) {
         case write_status::applied:
@@ -232,7 +232,7 @@
         });
     }
 
-    void take_read_back(const platform::read_result& result)
+    void take_read_back(const object_store::read_result& result)
     {
         manifest found;
         try {
@@ -257,7 +257,7 @@
     std::optional<std::uint64_t> if_generation_;
     std::string id_;
     manifest present_;
-    platform::version version_ = 0;
+    object_store::version version_ = 0;
     std::vector<std::string> unwritten_;
     std::size_t writes_in_progress_ = 0;
     bool manifest_sent_ = false;
@@ -267,7 +267,7 @@
 
 } // namespace
 
-publisher::publisher(net::event_loop& loop, platform::client& platform, options settings)
+publisher::publisher(net::event_loop& loop, object_store::client& platform, options settings)
     : loop_(loop), platform_(platform), settings_(settings)
 {}
 
--- a/src/dotterelport/config/publisher_test.cpp
+++ b/src/dotterelport/config/publisher_test.cpp
@@ -20,7 +20,7 @@
     net::event_loop loop;
     standin::platform_server server{loop, {}};
     net::http_client http{loop};
-    platform::client client{http, server.address()};
+    object_store::client client{http, server.address()};
     publisher publishing{loop, client, {.patience = milliseconds{1'500}}};
 
     publish_result publish(const document& value, const std::string& id,
@@ -151,7 +151,7 @@
     fleet.store_parts(small_document());
     fleet.server.set_faults({.lose_answers = 1});
     const bool other_replaces_manifest = GENERATE(false, true);
-    fleet.server.objects().watch(manifest_key, 0, [&](const platform::listing& changes) {
+    fleet.server.objects().watch(manifest_key, 0, [&](const object_store::listing& changes) {
         if (!other_replaces_manifest) {
             return;
         }
@@ -171,7 +171,7 @@
     const bool answer_lost = GENERATE(false, true);
     if (answer_lost) {
         fleet.server.set_faults({.lose_answers = 1});
-        fleet.server.objects().watch(manifest_key, 0, [&](const platform::listing&) {
+        fleet.server.objects().watch(manifest_key, 0, [&](const object_store::listing&) {
             fleet.loop.post([&] { fleet.server.set_faults({.outage = true}); });
         });
     } else {
--- a/src/dotterelport/config/reader.cpp
+++ b/src/dotterelport/config/reader.cpp
@@ -34,15 +34,15 @@
 
 } // namespace
 
-void read_accepted(platform::client& platform,
+void read_accepted(object_store::client& platform,
                    std::function<void(const std::optional<accepted_configuration>&)> done)
 {
     platform.read(manifest_key, [&platform, done = std::move(done)](const auto& result) {
-        if (result.status == platform::read_status::absent) {
+        if (result.status == object_store::read_status::absent) {
             done(accepted_configuration{});
             return;
         }
-        const auto accepted = result.status == platform::read_status::found
+        const auto accepted = result.status == object_store::read_status::found
                                   ? read_manifest(result.value.value)
                                   : std::nullopt;
         if (!accepted) {
--- a/src/dotterelport/ctl/process_commands.cpp
+++ b/src/dotterelport/ctl/process_commands.cpp
@@ -12,10 +12,10 @@
 
 std::uint64_t accepted_generation(session& run)
 {
-    const auto result = run.read<platform::read_result>(
+    const auto result = run.read<object_store::read_result>(
         [&](auto done) { run.platform().read(config::manifest_key, std::move(done)); },
-        [](const auto& value) { return value.status != platform::read_status::unavailable; });
-    return result.status == platform::read_status::found
+        [](const auto& value) { return value.status != object_store::read_status::unavailable; });
+    return result.status == object_store::read_status::found
                ? config::parse_manifest(result.value.value, config::manifest_key).generation
                : 0;
 }
--- a/src/dotterelport/ctl/session.cpp
+++ b/src/dotterelport/ctl/session.cpp
@@ -25,10 +25,11 @@
     }
 }
 
-platform::listing session::list(const std::string& prefix)
+object_store::listing session::list(const std::string& prefix)
 {
-    return read<platform::listing>([&](auto done) { platform_.list(prefix, 0, std::move(done)); },
-                                   [](const platform::listing& value) { return value.available; });
+    return read<object_store::listing>(
+        [&](auto done) { platform_.list(prefix, 0, std::move(done)); },
+        [](const object_store::listing& value) { return value.available; });
 }
 
 config::accepted_configuration session::read_configuration()
--- a/src/dotterelport/ctl/session.hpp
+++ b/src/dotterelport/ctl/session.hpp
@@ -12,7 +12,7 @@
 #include "dotterelport/ctl/options.hpp"
 #include "dotterelport/net/http_client.hpp"
 #include "dotterelport/net/rpc.hpp"
-#include "dotterelport/platform/client.hpp"
+#include "dotterelport/object_store/client.hpp"
 
 namespace dotterelport::ctl {
 
@@ -40,7 +40,7 @@
     net::event_loop& loop() { return loop_; }
     net::http_client& http() { return http_; }
     net::rpc_client& rpc() { return rpc_; }
-    platform::client& platform() { return platform_; }
+    object_store::client& platform() { return platform_; }
     std::ostream& out() { return out_; }
 
     /// @brief The only argument of the command.
@@ -84,7 +84,7 @@
     }
 
     /// @brief Lists the objects under a prefix.
-    platform::listing list(const std::string& prefix);
+    object_store::listing list(const std::string& prefix);
 
     /// @brief Reads the accepted configuration.
     config::accepted_configuration read_configuration();
@@ -102,7 +102,7 @@
     const options& options_;
     net::http_client http_;
     net::rpc_client rpc_;
-    platform::client platform_;
+    object_store::client platform_;
     std::ostream& out_;
 };
 
--- a/src/dotterelport/membership/directory.cpp
+++ b/src/dotterelport/membership/directory.cpp
@@ -20,7 +20,7 @@
 } // namespace
 
 struct directory::native {
-    native(net::event_loop& event_loop, platform::client& client, const node_record& self)
+    native(net::event_loop& event_loop, object_store::client& client, const node_record& self)
         : loop(event_loop), platform(client), view(self), own(event_loop, client, self),
           closer(client)
     {}
@@ -28,7 +28,7 @@
     void poll_records();
     void poll_vms();
     void show_life();
-    void take(const platform::listing& changes);
+    void take(const object_store::listing& changes);
     void changed() const;
     void post_changed();
 
@@ -42,7 +42,7 @@
     }
 
     net::event_loop& loop;
-    platform::client& platform;
+    object_store::client& platform;
     node_view view;
     own_record own;
     incarnation_closer closer;
@@ -77,13 +77,13 @@
         return;
     }
     platform.list(std::string(node_prefix), view.revision(),
-                  guarded([this](const platform::listing& changes) {
+                  guarded([this](const object_store::listing& changes) {
                       listing_records = false;
                       take(changes);
                   }));
 }
 
-void directory::native::take(const platform::listing& changes)
+void directory::native::take(const object_store::listing& changes)
 {
     if (const int unreadable = view.apply(changes, steady_now()); unreadable > 0) {
         log(event_records_unreadable, {{"objects", unreadable}});
@@ -106,7 +106,7 @@
     if (std::exchange(listing_vms, true)) {
         return;
     }
-    platform.vms(guarded([this](const platform::vm_listing& list) {
+    platform.vms(guarded([this](const object_store::vm_listing& list) {
         listing_vms = false;
         view.apply(list, steady_now());
         if (list.available) {
@@ -124,7 +124,7 @@
     }
 }
 
-directory::directory(net::event_loop& loop, platform::client& platform, const node_record& self)
+directory::directory(net::event_loop& loop, object_store::client& platform, const node_record& self)
     : native_(std::make_unique<native>(loop, platform, self))
 {}
 
--- a/src/dotterelport/membership/directory_test.cpp
+++ b/src/dotterelport/membership/directory_test.cpp
@@ -32,7 +32,7 @@
     std::optional<node_record> stored(const std::string& key)
     {
         const auto result = platform.objects().read(key);
-        return result.status == platform::read_status::found
+        return result.status == object_store::read_status::found
                    ? std::optional(parse_node_record(result.value.value))
                    : std::nullopt;
     }
@@ -40,7 +40,7 @@
 
 /// A node in the fixture's platform.
 struct node {
-    platform::client client;
+    object_store::client client;
     directory nodes;
     int registrations = 0;
 
--- a/src/dotterelport/membership/incarnation_closer.cpp
+++ b/src/dotterelport/membership/incarnation_closer.cpp
@@ -11,9 +11,9 @@
 /// Conflicts and lost answers after which the owner is told to try again later.
 constexpr int attempt_limit = 4;
 
-std::optional<node_record> parse_found(const platform::read_result& result)
+std::optional<node_record> parse_found(const object_store::read_result& result)
 {
-    if (result.status != platform::read_status::found) {
+    if (result.status != object_store::read_status::found) {
         return std::nullopt;
     }
     try {
@@ -24,10 +24,10 @@
     }
 }
 
-bool is_undecided(const platform::write_result& result)
+bool is_undecided(const object_store::write_result& result)
 {
-    return result.status == platform::write_status::conflict ||
-           result.status == platform::write_status::unknown;
+    return result.status == object_store::write_status::conflict ||
+           result.status == object_store::write_status::unknown;
 }
 
 } // namespace
@@ -37,10 +37,11 @@
     const auto read_key = [this, other](const std::string& key,
                                         std::function<void(const located&)> found) {
         platform_.read(
-            key, guarded([key, other, found = std::move(found)](const platform::read_result& read) {
+            key,
+            guarded([key, other, found = std::move(found)](const object_store::read_result& read) {
                 located result;
                 result.key = key;
-                if (read.status == platform::read_status::unavailable) {
+                if (read.status == object_store::read_status::unavailable) {
                     found(result);
                     return;
                 }
@@ -84,8 +85,8 @@
         next.state = node_state::closing;
         platform_.write(
             place.key, to_json(next).dump(), place.at,
-            guarded([this, other, attempts, next, done](const platform::write_result& result) {
-                if (result.status == platform::write_status::applied) {
+            guarded([this, other, attempts, next, done](const object_store::write_result& result) {
+                if (result.status == object_store::write_status::applied) {
                     log(event_closing_started, {{"incarnation", to_string(other)}});
                     done(next);
                 } else if (is_undecided(result)) {
@@ -115,8 +116,8 @@
             return;
         }
         const auto take_result =
-            guarded([this, other, attempts, done](const platform::write_result& result) {
-                if (result.status == platform::write_status::applied) {
+            guarded([this, other, attempts, done](const object_store::write_result& result) {
+                if (result.status == object_store::write_status::applied) {
                     log(event_closing_finished, {{"incarnation", to_string(other)}});
                     done(true);
                 } else if (is_undecided(result)) {
--- a/src/dotterelport/membership/incarnation_closer.hpp
+++ b/src/dotterelport/membership/incarnation_closer.hpp
@@ -7,14 +7,14 @@
 #include <string>
 
 #include "dotterelport/membership/node_record.hpp"
-#include "dotterelport/platform/client.hpp"
+#include "dotterelport/object_store/client.hpp"
 
 namespace dotterelport::membership {
 
 /// Changes the records of other routers' incarnations, wherever they are kept.
 class incarnation_closer {
 public:
-    explicit incarnation_closer(platform::client& platform) : platform_(platform) {}
+    explicit incarnation_closer(object_store::client& platform) : platform_(platform) {}
 
     /// @brief Sets a record to closing, after which its holder can add no agent.
     /// @param done the record, or nothing if it is closed or could not be changed
@@ -36,7 +36,7 @@
         status outcome = status::unavailable;
         std::string key;
         node_record record;
-        platform::version at = 0;
+        object_store::version at = 0;
     };
 
     void locate(const incarnation& other, std::function<void(const located&)> done);
@@ -53,7 +53,7 @@
         };
     }
 
-    platform::client& platform_;
+    object_store::client& platform_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/src/dotterelport/membership/node_view.cpp
+++ b/src/dotterelport/membership/node_view.cpp
@@ -19,13 +19,13 @@
 node_view::node_view(node_record self, view_timing timing) : timing_(timing), self_(std::move(self))
 {}
 
-void node_view::update_self(const node_record& self, platform::version at, milliseconds now)
+void node_view::update_self(const node_record& self, object_store::version at, milliseconds now)
 {
     self_ = self;
     take(self.id.node, self, at, now);
 }
 
-int node_view::apply(const platform::listing& changes, milliseconds now)
+int node_view::apply(const object_store::listing& changes, milliseconds now)
 {
     if (!changes.available) {
         return 0;
@@ -50,7 +50,7 @@
     return unreadable;
 }
 
-void node_view::take(const std::string& key, node_record record, platform::version at,
+void node_view::take(const std::string& key, node_record record, object_store::version at,
                      milliseconds now)
 {
     auto& value = entries_[key];
@@ -65,7 +65,7 @@
     value.changed = now;
 }
 
-void node_view::apply(const platform::vm_listing& list, milliseconds now)
+void node_view::apply(const object_store::vm_listing& list, milliseconds now)
 {
     // A list without this node's own VM is incomplete, so what it lacks proves nothing.
     const bool is_complete = self_.vm.empty() ? !list.vms.empty() : list.vms.contains(self_.vm);
@@ -175,7 +175,7 @@
         return false;
     }
     const auto vm = vms_.find(record.vm);
-    const bool vm_leaving = vm != vms_.end() && vm->second == platform::vm_state::leaving;
+    const bool vm_leaving = vm != vms_.end() && vm->second == object_store::vm_state::leaving;
     const bool vm_dropped = vms_absent_.contains(record.vm) && vms_seen_.contains(record.vm);
     if (vm_leaving || vm_dropped || vm_gone_since(record.vm, now)) {
         return false;
--- a/src/dotterelport/membership/node_view_test.cpp
+++ b/src/dotterelport/membership/node_view_test.cpp
@@ -21,7 +21,7 @@
 struct fleet {
     std::vector<node_record> records;
     std::map<std::string, node_view> views;
-    platform::version revision = 0;
+    object_store::version revision = 0;
 
     explicit fleet(std::vector<node_record> nodes) : records(std::move(nodes))
     {
@@ -34,9 +34,9 @@
         list_vms(0ms);
     }
 
-    [[nodiscard]] platform::listing no_changes() const
+    [[nodiscard]] object_store::listing no_changes() const
     {
-        platform::listing result;
+        object_store::listing result;
         result.available = true;
         result.revision = revision;
         return result;
@@ -45,7 +45,7 @@
     void write(const std::string& key, const node_record& record, milliseconds now)
     {
         ++revision;
-        platform::listing changes = no_changes();
+        object_store::listing changes = no_changes();
         changes.objects.push_back({node_key(key), revision, to_json(record).dump()});
         for (auto& [name, view] : views) {
             CHECK(view.apply(changes, now) == 0);
@@ -62,11 +62,11 @@
     void list_vms(milliseconds now, const std::string& missing = "",
                   const std::string& leaving = "")
     {
-        platform::vm_listing list{.available = true, .vms = {}};
+        object_store::vm_listing list{.available = true, .vms = {}};
         for (const auto& record : records) {
             if (record.vm != missing) {
-                list.vms[record.vm] =
-                    record.vm == leaving ? platform::vm_state::leaving : platform::vm_state::live;
+                list.vms[record.vm] = record.vm == leaving ? object_store::vm_state::leaving
+                                                           : object_store::vm_state::live;
             }
         }
         for (auto& [name, view] : views) {
--- a/src/dotterelport/membership/own_record.cpp
+++ b/src/dotterelport/membership/own_record.cpp
@@ -29,7 +29,7 @@
 
 } // namespace
 
-own_record::own_record(net::event_loop& loop, platform::client& platform, node_record self)
+own_record::own_record(net::event_loop& loop, object_store::client& platform, node_record self)
     : loop_(loop), platform_(platform), record_(std::move(self)), retry_delay_(first_retry_delay)
 {}
 
@@ -66,49 +66,49 @@
 
 void own_record::register_next()
 {
-    platform_.read(node_key(record_.id.node), guarded([this](const platform::read_result& result) {
-                       if (result.status == platform::read_status::unavailable) {
-                           retry_registration("read");
-                           return;
-                       }
-                       if (result.status == platform::read_status::absent) {
-                           write_registration(std::nullopt, 0);
-                           return;
-                       }
-                       node_record previous;
-                       try {
-                           previous = parse_node_record(result.value.value);
-                       } catch (const error& failure) {
-                           log(event_own_record_unreadable, {{"error", failure.what()}});
-                           retry_registration("parse");
-                           return;
-                       }
-                       if (previous.token == record_.token) {
-                           adopt_registration(previous, result.value.at);
-                       } else if (previous.role == node_role::router &&
-                                  previous.state != node_state::closed) {
-                           keep_previous(previous, result.value.at);
-                       } else {
-                           write_registration(previous, result.value.at);
-                       }
-                   }));
+    platform_.read(
+        node_key(record_.id.node), guarded([this](const object_store::read_result& result) {
+            if (result.status == object_store::read_status::unavailable) {
+                retry_registration("read");
+                return;
+            }
+            if (result.status == object_store::read_status::absent) {
+                write_registration(std::nullopt, 0);
+                return;
+            }
+            node_record previous;
+            try {
+                previous = parse_node_record(result.value.value);
+            } catch (const error& failure) {
+                log(event_own_record_unreadable, {{"error", failure.what()}});
+                retry_registration("parse");
+                return;
+            }
+            if (previous.token == record_.token) {
+                adopt_registration(previous, result.value.at);
+            } else if (previous.role == node_role::router && previous.state != node_state::closed) {
+                keep_previous(previous, result.value.at);
+            } else {
+                write_registration(previous, result.value.at);
+            }
+        }));
 }
 
 // The record of the previous incarnation lists the agents that its grants depend on. It moves to
 // a key of its own before the next incarnation takes its place. Several processes may do so at
 // once: agents are only added and the state only moves forward, so no order of writes loses any.
-void own_record::keep_previous(const node_record& previous, platform::version previous_at)
+void own_record::keep_previous(const node_record& previous, object_store::version previous_at)
 {
     const std::string key = earlier_incarnation_key(previous.id);
     platform_.read(
-        key, guarded([this, key, previous, previous_at](const platform::read_result& result) {
+        key, guarded([this, key, previous, previous_at](const object_store::read_result& result) {
             node_record merged = previous;
-            platform::version at = 0;
-            if (result.status == platform::read_status::unavailable) {
+            object_store::version at = 0;
+            if (result.status == object_store::read_status::unavailable) {
                 retry_registration("read_previous");
                 return;
             }
-            if (result.status == platform::read_status::found) {
+            if (result.status == object_store::read_status::found) {
                 at = result.value.at;
                 try {
                     const node_record kept = parse_node_record(result.value.value);
@@ -125,8 +125,8 @@
             }
             platform_.write(
                 key, value, at,
-                guarded([this, previous, previous_at](const platform::write_result& written) {
-                    if (written.status == platform::write_status::applied) {
+                guarded([this, previous, previous_at](const object_store::write_result& written) {
+                    if (written.status == object_store::write_status::applied) {
                         write_registration(previous, previous_at);
                     } else {
                         retry_registration("keep_previous");
@@ -136,12 +136,12 @@
 }
 
 void own_record::write_registration(std::optional<node_record> previous,
-                                    platform::version previous_at)
+                                    object_store::version previous_at)
 {
     record_.id.epoch = previous ? previous->id.epoch + 1 : 1;
     platform_.write(node_key(record_.id.node), to_json(record_).dump(), previous_at,
-                    guarded([this](const platform::write_result& written) {
-                        if (written.status == platform::write_status::applied) {
+                    guarded([this](const object_store::write_result& written) {
+                        if (written.status == object_store::write_status::applied) {
                             adopt_registration(record_, written.at);
                         } else {
                             // Reading tells by the token whether the write took effect.
@@ -150,7 +150,7 @@
                     }));
 }
 
-void own_record::adopt_registration(const node_record& registered, platform::version at)
+void own_record::adopt_registration(const node_record& registered, object_store::version at)
 {
     registering_ = false;
     record_ = registered;
@@ -171,7 +171,7 @@
     return seen.token == record_.token && seen.state <= node_state::leaving;
 }
 
-void own_record::observe(const node_record& seen, platform::version at)
+void own_record::observe(const node_record& seen, object_store::version at)
 {
     if (!registered_ || at <= at_ || !in_flight_.empty()) {
         return;
@@ -234,9 +234,9 @@
         return;
     }
     platform_.write(node_key(record_.id.node), value, at_,
-                    guarded([this, next](const platform::write_result& result) {
+                    guarded([this, next](const object_store::write_result& result) {
                         switch (result.status) {
-                        case platform::write_status::applied:
+                        case object_store::write_status::applied:
                             record_ = next;
                             at_ = result.at;
                             if (record_.state > node_state::leaving) {
@@ -247,15 +247,15 @@
                             answer_in_flight(true);
                             write_changes();
                             return;
-                        case platform::write_status::unknown:
+                        case object_store::write_status::unknown:
                             doubtful_ = at_;
                             resolve_by_reading();
                             return;
-                        case platform::write_status::conflict:
+                        case object_store::write_status::conflict:
                             resolve_by_reading();
                             return;
-                        case platform::write_status::unavailable:
-                        case platform::write_status::too_large:
+                        case object_store::write_status::unavailable:
+                        case object_store::write_status::too_large:
                             answer_in_flight(false);
                             write_changes();
                             return;
@@ -265,8 +265,9 @@
 
 void own_record::resolve_by_reading()
 {
-    platform_.read(node_key(record_.id.node), guarded([this](const platform::read_result& result) {
-                       if (result.status == platform::read_status::unavailable) {
+    platform_.read(node_key(record_.id.node),
+                   guarded([this](const object_store::read_result& result) {
+                       if (result.status == object_store::read_status::unavailable) {
                            answer_in_flight(false);
                            write_changes();
                            return;
@@ -275,7 +276,7 @@
                    }));
 }
 
-void own_record::resolve(const platform::read_result& result)
+void own_record::resolve(const object_store::read_result& result)
 {
     node_record seen;
     try {
--- a/src/dotterelport/membership/own_record.hpp
+++ b/src/dotterelport/membership/own_record.hpp
@@ -8,7 +8,7 @@
 
 #include "dotterelport/membership/node_record.hpp"
 #include "dotterelport/net/event_loop.hpp"
-#include "dotterelport/platform/client.hpp"
+#include "dotterelport/object_store/client.hpp"
 
 namespace dotterelport::membership {
 
@@ -26,7 +26,7 @@
         std::function<void()> on_lost;
     };
 
-    own_record(net::event_loop& loop, platform::client& platform, node_record self);
+    own_record(net::event_loop& loop, object_store::client& platform, node_record self);
 
     /// @brief Registers with the next epoch; tries until it succeeds.
     void start(listener functions);
@@ -40,11 +40,11 @@
     void change(change_function function, bool always, std::function<void(bool)> done);
 
     /// @brief Takes this node's record as a listing shows it.
-    void observe(const node_record& seen, platform::version at);
+    void observe(const node_record& seen, object_store::version at);
 
     [[nodiscard]] bool is_registered() const { return registered_; }
     [[nodiscard]] const node_record& record() const { return record_; }
-    [[nodiscard]] platform::version at() const { return at_; }
+    [[nodiscard]] object_store::version at() const { return at_; }
 
 private:
     struct pending_change {
@@ -56,13 +56,13 @@
 
     void register_next();
     void retry_registration(const char* step);
-    void keep_previous(const node_record& previous, platform::version previous_at);
-    void write_registration(std::optional<node_record> previous, platform::version previous_at);
-    void adopt_registration(const node_record& registered, platform::version at);
+    void keep_previous(const node_record& previous, object_store::version previous_at);
+    void write_registration(std::optional<node_record> previous, object_store::version previous_at);
+    void adopt_registration(const node_record& registered, object_store::version at);
 
     void write_changes();
     void resolve_by_reading();
-    void resolve(const platform::read_result& result);
+    void resolve(const object_store::read_result& result);
     void retry_in_flight();
     void answer_in_flight(bool written);
     void lose();
@@ -80,9 +80,9 @@
     }
 
     net::event_loop& loop_;
-    platform::client& platform_;
+    object_store::client& platform_;
     node_record record_;
-    platform::version at_ = 0;
+    object_store::version at_ = 0;
     listener listener_;
     bool registered_ = false;
     bool registering_ = false;
@@ -93,7 +93,7 @@
     std::vector<pending_change> in_flight_;
     /// Version that a write with a lost answer was conditional on. While the record has this
     /// version, that write may still take effect.
-    std::optional<platform::version> doubtful_;
+    std::optional<object_store::version> doubtful_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/src/dotterelport/platform/client.cpp
+++ b/src/dotterelport/object_store/client.cpp
@@ -1,11 +1,11 @@
-#include "dotterelport/platform/client.hpp"
+#include "dotterelport/object_store/client.hpp"
 
 #include <utility>
 
 #include "dotterelport/base/json.hpp"
-#include "dotterelport/platform/wire.hpp"
+#include "dotterelport/object_store/wire.hpp"
 
-namespace dotterelport::platform {
+namespace dotterelport::object_store {
 namespace {
 
 constexpr milliseconds call_timeout{5'000};
@@ -188,4 +188,4 @@
     return state_->calls;
 }
 
-} // namespace dotterelport::platform
+} // namespace dotterelport::object_store
--- a/src/dotterelport/platform/store.cpp
+++ b/src/dotterelport/object_store/store.cpp
@@ -1,9 +1,9 @@
-#include "dotterelport/platform/store.hpp"
+#include "dotterelport/object_store/store.hpp"
 
 #include <utility>
 #include <vector>
 
-namespace dotterelport::platform {
+namespace dotterelport::object_store {
 
 read_result store::read(const std::string& key) const
 {
@@ -120,4 +120,4 @@
     }
 }
 
-} // namespace dotterelport::platform
+} // namespace dotterelport::object_store
--- a/src/dotterelport/platform/store_test.cpp
+++ b/src/dotterelport/object_store/store_test.cpp
@@ -7,9 +7,9 @@
 
 #include <rapidcheck.h>
 
-#include "dotterelport/platform/store.hpp"
+#include "dotterelport/object_store/store.hpp"
 
-namespace dotterelport::platform {
+namespace dotterelport::object_store {
 namespace {
 
 std::vector<std::string> keys_of(const listing& value)
@@ -135,4 +135,4 @@
 }
 
 } // namespace
-} // namespace dotterelport::platform
+} // namespace dotterelport::object_store
--- a/src/dotterelport/platform/wire.cpp
+++ b/src/dotterelport/object_store/wire.cpp
@@ -1,8 +1,8 @@
-#include "dotterelport/platform/wire.hpp"
+#include "dotterelport/object_store/wire.hpp"
 
 #include "dotterelport/base/enum_names.hpp"
 
-namespace dotterelport::platform {
+namespace dotterelport::object_store {
 namespace {
 
 constexpr enum_names<vm_state, 2> vm_state_names{{
@@ -76,4 +76,4 @@
     return result;
 }
 
-} // namespace dotterelport::platform
+} // namespace dotterelport::object_store
--- a/src/dotterelport/router/booking_run.cpp
+++ b/src/dotterelport/router/booking_run.cpp
@@ -46,23 +46,23 @@
 void booking_run::read_record()
 {
     context_.platform.read(object_,
-                           [self = shared_from_this()](const platform::read_result& result) {
+                           [self = shared_from_this()](const object_store::read_result& result) {
                                self->take_record(result);
                            });
 }
 
-void booking_run::take_record(const platform::read_result& result)
+void booking_run::take_record(const object_store::read_result& result)
 {
     switch (result.status) {
-    case platform::read_status::unavailable:
+    case object_store::read_status::unavailable:
         release_reservation();
         platform_unavailable();
         return;
-    case platform::read_status::absent:
+    case object_store::read_status::absent:
         record_.reset();
         version_ = 0;
         break;
-    case platform::read_status::found:
+    case object_store::read_status::found:
         try {
             record_ = parse_booking_record(result.value.value);
         } catch (const error& failure) {
@@ -197,29 +197,29 @@
     token_ = intent.token;
     context_.platform.write(
         object_, to_json(intent).dump(), version_,
-        [self = shared_from_this(), intent](const platform::write_result& result) {
+        [self = shared_from_this(), intent](const object_store::write_result& result) {
             self->take_write(intent, result);
         });
 }
 
-void booking_run::take_write(const booking_record& intent, const platform::write_result& result)
+void booking_run::take_write(const booking_record& intent, const object_store::write_result& result)
 {
     switch (result.status) {
-    case platform::write_status::applied:
+    case object_store::write_status::applied:
         record_ = intent;
         version_ = result.at;
         decide();
         return;
-    case platform::write_status::conflict:
+    case object_store::write_status::conflict:
         contested_ = true;
         read_record();
         return;
-    case platform::write_status::unknown:
+    case object_store::write_status::unknown:
         // The intent may be this run's own, written by a message whose answer was lost.
         read_record();
         return;
-    case platform::write_status::unavailable:
-    case platform::write_status::too_large:
+    case object_store::write_status::unavailable:
+    case object_store::write_status::too_large:
         break;
     }
     release_reservation();
@@ -319,7 +319,7 @@
         (!rule.redirect && !context_.take_retry(job_.service))) {
         // Without this write a retry asks the agent, which answers the same.
         context_.platform.write(object_, to_json(*record_).dump(), version_,
-                                [](const platform::write_result&) {});
+                                [](const object_store::write_result&) {});
         fail(*last_failure_);
         return;
     }
@@ -339,12 +339,12 @@
 {
     record_->state = booking_state::finished;
     record_->answer = data;
-    auto deliver_anyway = [self = shared_from_this()](const platform::write_result& result) {
-        if (result.status == platform::write_status::too_large) {
+    auto deliver_anyway = [self = shared_from_this()](const object_store::write_result& result) {
+        if (result.status == object_store::write_status::too_large) {
             auto without_answer = *self->record_;
             without_answer.answer = nullptr;
             self->context_.platform.write(self->object_, to_json(without_answer).dump(),
-                                          self->version_, [](const platform::write_result&) {});
+                                          self->version_, [](const object_store::write_result&) {});
         }
         // If the write failed, a retry asks the agent, which has the answer too.
         self->deliver(self->record_->answer);
--- a/src/dotterelport/router/booking_run.hpp
+++ b/src/dotterelport/router/booking_run.hpp
@@ -25,13 +25,13 @@
 
 private:
     void read_record();
-    void take_record(const platform::read_result& result);
+    void take_record(const object_store::read_result& result);
     void decide();
     void prepare_attempt();
     void take_reservation(const membership::node_record& agent, const reserve_result& result);
     void wait_for_reservation();
     void write_intent(const membership::node_record& agent, const reserve_result& reservation);
-    void take_write(const booking_record& intent, const platform::write_result& result);
+    void take_write(const booking_record& intent, const object_store::write_result& result);
     void send(bool join_only);
     void take_result(const attempt_result& result);
     void take_failure(const request::error_frame& failure);
@@ -57,7 +57,7 @@
     std::function<void(const caller_error*)> on_finished_;
     std::string object_;
     std::optional<booking_record> record_;
-    platform::version version_ = 0;
+    object_store::version version_ = 0;
     /// Token of the intent that this run wrote last.
     std::string token_;
     std::shared_ptr<agent_attempt> attempt_;
--- a/src/dotterelport/router/booking_run_test.cpp
+++ b/src/dotterelport/router/booking_run_test.cpp
@@ -50,7 +50,7 @@
     std::optional<booking_record> record()
     {
         const auto found = store.objects().read(booking_object({"depot", "k1"}));
-        return found.status == platform::read_status::found
+        return found.status == object_store::read_status::found
                    ? std::optional(parse_booking_record(found.value.value))
                    : std::nullopt;
     }
--- a/src/dotterelport/router/budget_service_test.cpp
+++ b/src/dotterelport/router/budget_service_test.cpp
@@ -53,7 +53,7 @@
     net::rpc_client rpc;
 
 protected:
-    platform::client platform_;
+    object_store::client platform_;
 
 public:
     membership::directory directory;
@@ -143,7 +143,7 @@
         const config::manifest manifest{.generation = 1, .parts = parts.parts, .history = {}};
         platform.objects().write(config::manifest_key, to_json(manifest).dump(), std::nullopt);
         for (const char* vm : {"router-a", "router-b", "agent-1"}) {
-            platform.vms().set(vm, platform::vm_state::live, steady_now());
+            platform.vms().set(vm, object_store::vm_state::live, steady_now());
         }
         first.emplace(loop, platform.address(), "router-a", "lota");
         second.emplace(loop, platform.address(), "router-b", second_domain);
--- a/src/dotterelport/router/crash_guard.cpp
+++ b/src/dotterelport/router/crash_guard.cpp
@@ -30,7 +30,7 @@
 
 void crash_guard::load()
 {
-    context_.platform.list(object_prefix, revision_, [this](const platform::listing& found) {
+    context_.platform.list(object_prefix, revision_, [this](const object_store::listing& found) {
         if (!found.available) {
             return;
         }
@@ -95,7 +95,7 @@
     }
     const json content = {{"crashes", value.crashes}, {"keys", keys}};
     context_.platform.write(object_prefix + digest, content.dump(), std::nullopt,
-                            [](const platform::write_result&) {});
+                            [](const object_store::write_result&) {});
 }
 
 void crash_guard::report(const crash& seen, const std::function<void()>& done)
--- a/src/dotterelport/router/crash_guard.hpp
+++ b/src/dotterelport/router/crash_guard.hpp
@@ -11,7 +11,7 @@
 
 #include "dotterelport/base/identifiers.hpp"
 #include "dotterelport/net/rpc.hpp"
-#include "dotterelport/platform/client.hpp"
+#include "dotterelport/object_store/client.hpp"
 
 namespace dotterelport::router {
 
@@ -34,7 +34,7 @@
 
     struct context {
         net::rpc_client& rpc;
-        platform::client& platform;
+        object_store::client& platform;
         /// Peers endpoints of the other live routers.
         std::function<std::vector<net::endpoint>()> other_routers;
     };
@@ -74,7 +74,7 @@
     void store(const std::string& digest, record& value);
 
     context context_;
-    platform::version revision_ = 0;
+    object_store::version revision_ = 0;
     std::unordered_map<std::string, record> records_;
 };
 
--- a/src/dotterelport/router/holder_closer.cpp
+++ b/src/dotterelport/router/holder_closer.cpp
@@ -155,7 +155,7 @@
 {
     context_.platform.list(
         budget::bill_prefix(shard, target_), 0,
-        [self = shared_from_this(), shard](const platform::listing& listed) {
+        [self = shared_from_this(), shard](const object_store::listing& listed) {
             auto& item = self->parts_.at(shard);
             if (!listed.available) {
                 item.busy = false;
@@ -177,25 +177,26 @@
 
 void holder_closer::read_ledger(std::uint32_t shard)
 {
-    context_.platform.read(budget::shard_object_key(shard), [self = shared_from_this(), shard](
-                                                                const platform::read_result& read) {
-        try {
-            self->take_ledger(shard, read);
-        } catch (const error& failure) {
-            log(events::object_unreadable, {{"shard", shard}, {"message", failure.what()}});
-            self->parts_.at(shard).busy = false;
-        }
-    });
+    context_.platform.read(
+        budget::shard_object_key(shard),
+        [self = shared_from_this(), shard](const object_store::read_result& read) {
+            try {
+                self->take_ledger(shard, read);
+            } catch (const error& failure) {
+                log(events::object_unreadable, {{"shard", shard}, {"message", failure.what()}});
+                self->parts_.at(shard).busy = false;
+            }
+        });
 }
 
-void holder_closer::take_ledger(std::uint32_t shard, const platform::read_result& result)
+void holder_closer::take_ledger(std::uint32_t shard, const object_store::read_result& result)
 {
     auto& item = parts_.at(shard);
-    if (result.status == platform::read_status::unavailable) {
+    if (result.status == object_store::read_status::unavailable) {
         item.busy = false;
         return;
     }
-    const bool found = result.status == platform::read_status::found;
+    const bool found = result.status == object_store::read_status::found;
     auto ledger =
         found ? budget::parse_ledger_shard(result.value.value) : budget::ledger_shard(shard);
     const auto batch = item.state.next_batch(ledger);
@@ -218,10 +219,10 @@
 {
     context_.platform.write(
         budget::bill_object_key(shard, target_, batch.number), budget::to_json(batch).dump(), 0,
-        [self = shared_from_this(), shard, batch](const platform::write_result& result) {
+        [self = shared_from_this(), shard, batch](const object_store::write_result& result) {
             // After any other result, the next listing tells what is in the platform.
             auto& item = self->parts_.at(shard);
-            if (result.status == platform::write_status::applied) {
+            if (result.status == object_store::write_status::applied) {
                 item.state.add_batch(batch);
                 self->read_ledger(shard);
                 return;
@@ -231,12 +232,12 @@
 }
 
 void holder_closer::write_ledger(std::uint32_t shard, const budget::ledger_shard& next,
-                                 platform::version at)
+                                 object_store::version at)
 {
     context_.platform.write(
         budget::shard_object_key(shard), to_json(next).dump(), at,
-        [self = shared_from_this(), shard](const platform::write_result& result) {
-            if (result.status == platform::write_status::applied) {
+        [self = shared_from_this(), shard](const object_store::write_result& result) {
+            if (result.status == object_store::write_status::applied) {
                 self->read_ledger(shard);
                 return;
             }
--- a/src/dotterelport/router/holder_closer.hpp
+++ b/src/dotterelport/router/holder_closer.hpp
@@ -41,8 +41,9 @@
     void acknowledge(const incarnation& agent);
     void list_batches(std::uint32_t shard);
     void read_ledger(std::uint32_t shard);
-    void take_ledger(std::uint32_t shard, const platform::read_result& result);
-    void write_ledger(std::uint32_t shard, const budget::ledger_shard& next, platform::version at);
+    void take_ledger(std::uint32_t shard, const object_store::read_result& result);
+    void write_ledger(std::uint32_t shard, const budget::ledger_shard& next,
+                      object_store::version at);
     void write_batch(std::uint32_t shard, const budget::bill_batch& batch);
     void finish_if_done();
 
--- a/src/dotterelport/router/request_run.hpp
+++ b/src/dotterelport/router/request_run.hpp
@@ -24,7 +24,7 @@
     net::event_loop& loop;
     net::http_client& http;
     net::rpc_client& rpc;
-    platform::client& platform;
+    object_store::client& platform;
     agent_pool& agents;
     crash_guard& crashes;
     recent_agents& recent;
--- a/src/dotterelport/router/router_daemon.hpp
+++ b/src/dotterelport/router/router_daemon.hpp
@@ -47,7 +47,7 @@
     process::settings settings_;
     net::http_client http_;
     net::rpc_client rpc_;
-    platform::client platform_;
+    object_store::client platform_;
     membership::directory nodes_;
     config::follower configuration_;
     budget_service budgets_;
--- a/src/dotterelport/router/router_fixture.hpp
+++ b/src/dotterelport/router/router_fixture.hpp
@@ -67,7 +67,7 @@
     net::http_client http{loop};
     net::rpc_client rpc{http};
     net::endpoint platform_address{"127.0.0.1", 1};
-    std::unique_ptr<platform::client> platform;
+    std::unique_ptr<object_store::client> platform;
     agent_pool agents{"coronel"};
     std::unique_ptr<crash_guard> crashes;
     recent_agents recent{100};
--- a/src/dotterelport/router/router_fixture_test.cpp
+++ b/src/dotterelport/router/router_fixture_test.cpp
@@ -120,7 +120,7 @@
 
 void router_fixture::listen()
 {
-    platform = std::make_unique<platform::client>(http, platform_address);
+    platform = std::make_unique<object_store::client>(http, platform_address);
     crashes = std::make_unique<crash_guard>(
         crash_guard::context{rpc, *platform, [this] { return other_routers; }});
     dispatch = std::make_unique<dispatch_context>(dispatch_context{
--- a/src/dotterelport/router/shard_auditor.cpp
+++ b/src/dotterelport/router/shard_auditor.cpp
@@ -17,7 +17,7 @@
         return;
     }
     context_.platform.list(budget::bill_prefix(shard_), audit_.cursor(),
-                           [self = shared_from_this(), owner](const platform::listing& listed) {
+                           [self = shared_from_this(), owner](const object_store::listing& listed) {
                                if (listed.available &&
                                    (!listed.objects.empty() || self->audit_.has_findings())) {
                                    self->take_listing(listed, owner);
@@ -27,14 +27,15 @@
                            });
 }
 
-void shard_auditor::take_listing(const platform::listing& listed,
+void shard_auditor::take_listing(const object_store::listing& listed,
                                  const std::shared_ptr<shard_owner>& owner)
 {
     // The ledger must not be older than the listing, so that counted batches show as such.
     context_.platform.read(budget::shard_object_key(shard_), [self = shared_from_this(), listed,
-                                                              owner](const platform::read_result&
-                                                                         read) {
-        if (read.status != platform::read_status::found) {
+                                                              owner](
+                                                                 const object_store::read_result&
+                                                                     read) {
+        if (read.status != object_store::read_status::found) {
             self->busy_ = false;
             return;
         }
@@ -47,7 +48,7 @@
     });
 }
 
-void shard_auditor::audit(const platform::listing& listed, const budget::ledger_shard& ledger,
+void shard_auditor::audit(const object_store::listing& listed, const budget::ledger_shard& ledger,
                           const std::shared_ptr<shard_owner>& owner)
 {
     audit_.read(listed.objects, ledger);
@@ -67,9 +68,9 @@
     const auto key = budget::void_object_key(shard_, found.number);
     context_.platform.write(
         key, budget::to_json(found).dump(), 0,
-        [self = shared_from_this(), key, owner](const platform::write_result& result) {
-            if (result.status == platform::write_status::unavailable ||
-                result.status == platform::write_status::too_large) {
+        [self = shared_from_this(), key, owner](const object_store::write_result& result) {
+            if (result.status == object_store::write_status::unavailable ||
+                result.status == object_store::write_status::too_large) {
                 log(events::audit_failed, {{"shard", self->shard_}});
                 self->busy_ = false;
                 return;
@@ -82,9 +83,9 @@
 void shard_auditor::read_back(const std::string& key, const std::shared_ptr<shard_owner>& owner)
 {
     context_.platform.read(key, [self = shared_from_this(),
-                                 owner](const platform::read_result& read) {
+                                 owner](const object_store::read_result& read) {
         self->busy_ = false;
-        if (read.status != platform::read_status::found) {
+        if (read.status != object_store::read_status::found) {
             log(events::audit_failed, {{"shard", self->shard_}});
             return;
         }
--- a/src/dotterelport/router/shard_auditor.hpp
+++ b/src/dotterelport/router/shard_auditor.hpp
@@ -20,8 +20,9 @@
     void tick(const std::shared_ptr<shard_owner>& owner);
 
 private:
-    void take_listing(const platform::listing& listed, const std::shared_ptr<shard_owner>& owner);
-    void audit(const platform::listing& listed, const budget::ledger_shard& ledger,
+    void take_listing(const object_store::listing& listed,
+                      const std::shared_ptr<shard_owner>& owner);
+    void audit(const object_store::listing& listed, const budget::ledger_shard& ledger,
                const std::shared_ptr<shard_owner>& owner);
     void write(const budget::void_batch& found, const std::shared_ptr<shard_owner>& owner);
     void read_back(const std::string& key, const std::shared_ptr<shard_owner>& owner);
--- a/src/dotterelport/router/shard_owner.cpp
+++ b/src/dotterelport/router/shard_owner.cpp
@@ -188,7 +188,7 @@
         step = session_.resume(result);
     } catch (const format_error& failure) {
         log(events::object_unreadable, {{"shard", session_.shard()}, {"message", failure.what()}});
-        step = session_.resume(platform::read_result{});
+        step = session_.resume(object_store::read_result{});
     }
     go_on(std::move(step));
 }
@@ -196,14 +196,14 @@
 void shard_owner::perform(const budget::io_step& step)
 {
     if (step.operation == budget::io_step::kind::read) {
-        context_.platform.read(step.key,
-                               [self = shared_from_this()](const platform::read_result& result) {
-                                   self->resume(result);
-                               });
+        context_.platform.read(
+            step.key, [self = shared_from_this()](const object_store::read_result& result) {
+                self->resume(result);
+            });
         return;
     }
     context_.platform.write(step.key, step.value, step.if_version,
-                            [self = shared_from_this()](const platform::write_result& result) {
+                            [self = shared_from_this()](const object_store::write_result& result) {
                                 self->resume(result);
                             });
 }
--- a/src/dotterelport/standin/platform_server.cpp
+++ b/src/dotterelport/standin/platform_server.cpp
@@ -4,13 +4,13 @@
 #include <utility>
 
 #include "dotterelport/base/error.hpp"
-#include "dotterelport/platform/wire.hpp"
+#include "dotterelport/object_store/wire.hpp"
 
 namespace dotterelport::standin {
 namespace {
 
 /// A value may grow to a multiple of its size when it is written as a JSON string.
-constexpr std::size_t max_body_bytes = 8 * platform::max_value_bytes;
+constexpr std::size_t max_body_bytes = 8 * object_store::max_value_bytes;
 
 constexpr std::string_view objects_path = "/v1/objects/";
 
@@ -162,7 +162,7 @@
 void platform_server::read(const call& item)
 {
     const auto result = objects_.read(item.key);
-    if (result.status == platform::read_status::absent) {
+    if (result.status == object_store::read_status::absent) {
         answer(item, 404, error_body("no such object"));
         return;
     }
@@ -172,9 +172,9 @@
 void platform_server::write(const call& item)
 {
     const json body = json::parse(item.request.body);
-    std::optional<platform::version> if_version;
+    std::optional<object_store::version> if_version;
     if (body.contains("if_version")) {
-        if_version = body.at("if_version").get<platform::version>();
+        if_version = body.at("if_version").get<object_store::version>();
     }
     answer_write(item, objects_.write(item.key, body.at("value").get<std::string>(), if_version));
 }
@@ -184,9 +184,9 @@
     answer_write(item, objects_.remove(item.key, number_parameter(item.request, "if_version")));
 }
 
-void platform_server::answer_write(const call& item, const platform::write_result& result)
+void platform_server::answer_write(const call& item, const object_store::write_result& result)
 {
-    if (faults_.lose_answers > 0 && result.status == platform::write_status::applied) {
+    if (faults_.lose_answers > 0 && result.status == object_store::write_status::applied) {
         --faults_.lose_answers;
         ++counters_.at(item.kind, item.key).lost_answers;
         item.response->abort();
@@ -194,9 +194,9 @@
     }
     const json body = {{"version", result.at}};
     switch (result.status) {
-    case platform::write_status::applied:
+    case object_store::write_status::applied:
         return answer(item, 200, body);
-    case platform::write_status::too_large:
+    case object_store::write_status::too_large:
         return answer(item, 413, body);
     default:
         return answer(item, 409, body);
@@ -215,7 +215,7 @@
     const std::uint64_t id = ++last_watch_;
     watches_.emplace(id, waiting_watch{item, 0, 0});
     const auto watch =
-        objects_.watch(item.key, since, [this, id](const platform::listing& changes) {
+        objects_.watch(item.key, since, [this, id](const object_store::listing& changes) {
             finish_watch(id, 200, to_json(changes));
         });
     const auto found = watches_.find(id);
@@ -265,7 +265,7 @@
 json platform_server::change_vm(const json& change)
 {
     const auto state = change.at("state").get<std::string>();
-    const auto parsed = platform::parse_vm_state(state);
+    const auto parsed = object_store::parse_vm_state(state);
     if (!parsed && state != "gone") {
         throw bad_request("state must be live, leaving or gone");
     }
--- a/src/dotterelport/standin/platform_server.hpp
+++ b/src/dotterelport/standin/platform_server.hpp
@@ -7,7 +7,7 @@
 #include <string>
 
 #include "dotterelport/net/http_server.hpp"
-#include "dotterelport/platform/store.hpp"
+#include "dotterelport/object_store/store.hpp"
 #include "dotterelport/standin/call_counters.hpp"
 #include "dotterelport/standin/token_bucket.hpp"
 #include "dotterelport/standin/vm_list.hpp"
@@ -44,7 +44,7 @@
     /// @brief Sets the faults; an outage also ends the waiting watches.
     void set_faults(const platform_faults& faults);
 
-    [[nodiscard]] platform::store& objects() { return objects_; }
+    [[nodiscard]] object_store::store& objects() { return objects_; }
     [[nodiscard]] vm_list& vms() { return vms_; }
     [[nodiscard]] const call_counters& counters() const { return counters_; }
 
@@ -62,7 +62,7 @@
 
     struct waiting_watch {
         call item;
-        platform::watch_id watch;
+        object_store::watch_id watch;
         net::timer_id timer;
     };
 
@@ -72,7 +72,7 @@
     void accept(const call& item);
     void execute(const call& item);
     void answer(const call& item, int status, const json& body);
-    void answer_write(const call& item, const platform::write_result& result);
+    void answer_write(const call& item, const object_store::write_result& result);
     void read(const call& item);
     void write(const call& item);
     void remove(const call& item);
@@ -84,7 +84,7 @@
 
     net::event_loop& loop_;
     net::http_server server_;
-    platform::store objects_;
+    object_store::store objects_;
     vm_list vms_;
     token_bucket writes_;
     token_bucket reads_;
--- a/src/dotterelport/standin/vm_list.cpp
+++ b/src/dotterelport/standin/vm_list.cpp
@@ -2,12 +2,13 @@
 
 namespace dotterelport::standin {
 
-void vm_list::set(const std::string& vm, std::optional<platform::vm_state> state, milliseconds now)
+void vm_list::set(const std::string& vm, std::optional<object_store::vm_state> state,
+                  milliseconds now)
 {
     pending_.push_back({now + lag_, vm, state});
 }
 
-platform::vm_listing vm_list::visible(milliseconds now)
+object_store::vm_listing vm_list::visible(milliseconds now)
 {
     auto due = pending_.begin();
     for (; due != pending_.end() && due->visible_at <= now; ++due) {
--- a/src/dotterelport/standin/vm_list.hpp
+++ b/src/dotterelport/standin/vm_list.hpp
@@ -5,7 +5,7 @@
 #include <string>
 #include <vector>
 
-#include "dotterelport/platform/client.hpp"
+#include "dotterelport/object_store/client.hpp"
 
 namespace dotterelport::standin {
 
@@ -16,21 +16,21 @@
 
     /// @brief Changes the state of a VM.
     /// @param state nothing if the VM is gone
-    void set(const std::string& vm, std::optional<platform::vm_state> state, milliseconds now);
+    void set(const std::string& vm, std::optional<object_store::vm_state> state, milliseconds now);
 
     /// @brief The list as the platform shows it at a time.
-    platform::vm_listing visible(milliseconds now);
+    object_store::vm_listing visible(milliseconds now);
 
 private:
     struct change {
         milliseconds visible_at;
         std::string vm;
-        std::optional<platform::vm_state> state;
+        std::optional<object_store::vm_state> state;
     };
 
     milliseconds lag_;
     std::vector<change> pending_;
-    platform::vm_listing shown_{.available = true, .vms = {}};
+    object_store::vm_listing shown_{.available = true, .vms = {}};
 };
 
 } // namespace dotterelport::standin
--- a/src/programs/capacity-probe.cpp
+++ b/src/programs/capacity-probe.cpp
@@ -74,7 +74,7 @@
 
 point measure_nodes(int size)
 {
-    platform::listing list;
+    object_store::listing list;
     list.available = true;
     list.revision = 1;
     double bytes = 0;
