--- a/include/dotterelport/base/log.hpp
+++ b/include/dotterelport/base/log.hpp
@@ -28,7 +28,8 @@
 };
 
 /// @brief Sets up logging for the process.
-/// @param file path of the log file, or "-" for standard error
+/// @param file path of the log file, "-" for standard error, or "stdout" for standard output, which
+/// is never waited for
 /// @param lowest least severity that is written
 /// @param process name written with each line
 void configure_logging(const std::string& file, severity lowest, const std::string& process);
--- /dev/null
+++ b/include/dotterelport/gateway/events.hpp
@@ -0,0 +1,54 @@
+#ifndef DOTTERELPORT_GATEWAY_EVENTS_HPP
+#define DOTTERELPORT_GATEWAY_EVENTS_HPP
+
+#include "dotterelport/base/log.hpp"
+
+/// Log events of the gateway (900 to 999).
+namespace dotterelport::gateway::events {
+
+inline constexpr log_event started{900, severity::info, "gateway_started",
+                                   "The gateway listens for callers."};
+inline constexpr log_event ready{901, severity::info, "gateway_ready",
+                                 "A configuration and a list of backend servers are known."};
+inline constexpr log_event drain_started{902, severity::info, "gateway_drain_started",
+                                         "The process was told to stop; it is not ready any more."};
+inline constexpr log_event drained{903, severity::info, "gateway_drained",
+                                   "All requests ended and all grants were returned."};
+inline constexpr log_event drain_timeout{904, severity::warning, "gateway_drain_timeout",
+                                         "The grace period ended with requests in progress."};
+inline constexpr log_event settings_reloaded{905, severity::info, "settings_reloaded",
+                                             "The settings file was read again."};
+inline constexpr log_event settings_rejected{
+    906, severity::error, "settings_rejected",
+    "A changed settings file was not accepted; the settings before it stay in force."};
+inline constexpr log_event request_answered{910, severity::info, "request_answered",
+                                            "A request ended with a backend server's answer."};
+inline constexpr log_event request_refused{
+    911, severity::info, "gateway_request_refused",
+    "A request was answered by the gateway itself; the fields say why."};
+inline constexpr log_event request_abandoned{912, severity::info, "request_abandoned",
+                                             "The caller left before the answer was complete."};
+inline constexpr log_event request_cut{
+    913, severity::warning, "request_cut",
+    "An answer that had begun was broken off; the caller sees it as incomplete."};
+inline constexpr log_event request_sent{914, severity::info, "request_sent",
+                                        "A request was sent to a backend server."};
+inline constexpr log_event attempt_ended{
+    915, severity::info, "gateway_attempt_failed",
+    "A backend server gave no usable answer; the verdict says whether it may have run."};
+inline constexpr log_event catalogue_in_force{920, severity::info, "catalogue_in_force",
+                                              "A configuration was taken into force."};
+inline constexpr log_event catalogue_ignored{
+    921, severity::warning, "catalogue_ignored",
+    "A configuration that is not newer than the one in force was ignored."};
+inline constexpr log_event server_changed{922, severity::info, "server_changed",
+                                          "A backend server registered or changed its state."};
+inline constexpr log_event server_removed{923, severity::info, "server_removed",
+                                          "A backend server is not used any more."};
+inline constexpr log_event ledger_unavailable{
+    930, severity::warning, "ledger_unavailable",
+    "The budget ledger could not be read or written; the grants stay as they are."};
+
+} // namespace dotterelport::gateway::events
+
+#endif
--- /dev/null
+++ b/include/dotterelport/gateway/gateway.hpp
@@ -0,0 +1,58 @@
+#ifndef DOTTERELPORT_GATEWAY_GATEWAY_HPP
+#define DOTTERELPORT_GATEWAY_GATEWAY_HPP
+
+#include <functional>
+#include <memory>
+
+#include "dotterelport/base/identifiers.hpp"
+#include "dotterelport/base/json.hpp"
+#include "dotterelport/gateway/protocol.hpp"
+#include "dotterelport/gateway/server_directory.hpp"
+#include "dotterelport/gateway/service_catalogue.hpp"
+#include "dotterelport/gateway/settings.hpp"
+#include "dotterelport/net/event_loop.hpp"
+#include "dotterelport/object_store/conditional_objects.hpp"
+
+namespace dotterelport::gateway {
+
+/// Router that sends requests straight to backend servers which register themselves. What it must
+/// share with other gateways is only in the object store: each one serves as long as it knows a
+/// configuration and servers, whether or not it reaches the others.
+class gateway {
+public:
+    /// @param self incarnation that was never used before; owns the grants of this process
+    /// @throws error if an address cannot be bound
+    gateway(net::event_loop& loop, const settings& values, const protocol& wire,
+            object_store::conditional_objects& objects, const incarnation& self);
+    ~gateway();
+    gateway(const gateway&) = delete;
+    gateway& operator=(const gateway&) = delete;
+
+    /// @brief Takes a configuration into force, unless it is older than the present one.
+    void apply(std::shared_ptr<const service_catalogue> catalogue);
+
+    /// @brief Takes the whole list of registered servers.
+    void replace_servers(const std::vector<backend_server>& servers, bool after_outage);
+    void update_server(const backend_server& server);
+    void remove_server(const std::string& id, bool after_outage);
+
+    /// @brief Takes settings that may change while the process runs.
+    void reconfigure(const settings& values);
+
+    /// @brief Finishes the requests in progress and returns the grants.
+    /// @param stopped called when the process may end
+    void drain(std::function<void()> stopped);
+
+    [[nodiscard]] bool is_ready() const;
+    [[nodiscard]] net::endpoint callers_address() const;
+    [[nodiscard]] json dump() const;
+
+private:
+    struct state;
+
+    std::unique_ptr<state> state_;
+};
+
+} // namespace dotterelport::gateway
+
+#endif
--- /dev/null
+++ b/include/dotterelport/gateway/service_catalogue.hpp
@@ -0,0 +1,148 @@
+#ifndef DOTTERELPORT_GATEWAY_SERVICE_CATALOGUE_HPP
+#define DOTTERELPORT_GATEWAY_SERVICE_CATALOGUE_HPP
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "dotterelport/base/clock.hpp"
+#include "dotterelport/base/tokens.hpp"
+
+namespace dotterelport::gateway {
+
+/// What may be done again with the requests of a route.
+enum class route_kind {
+    /// A request may run more than once.
+    idempotent,
+    /// A request runs at most once.
+    non_idempotent,
+    /// The answer is a series of events; runs at most once unless the route is resumable.
+    streaming,
+};
+
+/// @brief Name of a route kind for logs.
+std::string_view to_string(route_kind value);
+
+/// A service that a route sends to, with its share of the requests.
+struct weighted_service {
+    std::string service;
+    double weight = 1;
+};
+
+/// Rule that sends requests to services by host and path.
+struct route {
+    std::string name;
+    std::string host;
+    /// Begins and ends with a slash.
+    std::string path_prefix;
+    route_kind kind = route_kind::non_idempotent;
+    std::vector<weighted_service> services;
+    /// Longest time for which a request may be kept waiting for its whole answer.
+    milliseconds timeout{0};
+    /// Time to the answer, or to the first event, that callers expect.
+    milliseconds target_latency{0};
+    /// Backend servers to which one request may be sent.
+    std::uint32_t max_attempts = 1;
+    /// 0 is the most urgent.
+    int priority = 0;
+    /// Callers need no key.
+    bool anonymous = false;
+    bool resumable = false;
+
+    /// @brief Tells whether running a request twice does no harm.
+    [[nodiscard]] bool may_repeat() const
+    {
+        return kind == route_kind::idempotent || (kind == route_kind::streaming && resumable);
+    }
+};
+
+/// What is known about the backend servers of a service in advance.
+struct service_definition {
+    std::string name;
+    std::string health_path;
+    /// Connections that a backend server accepts from all callers together.
+    std::size_t max_connections = 0;
+    /// Model engines only: memory for prompts and answers, in tokens; 0 for other services.
+    tokens cache_capacity = 0;
+    /// Model engines only: requests in one batch.
+    std::size_t batch_size = 0;
+    /// Model engines only: tokens in one event of a stream.
+    tokens tokens_per_event = 1;
+};
+
+/// A workspace and what it prepaid.
+struct workspace {
+    std::string name;
+    std::vector<std::string> keys;
+    /// Replaces the priority of the route.
+    std::optional<int> priority;
+    /// Tokens that the workspace may use in all; nothing if it is not limited.
+    std::optional<tokens> prepaid;
+};
+
+/// Limits on what a caller may send and how long it may take.
+struct caller_limits {
+    std::size_t max_header_bytes = 16'384;
+    std::size_t max_body_bytes = 4U << 20U;
+    milliseconds header_timeout{3'000};
+    milliseconds idle_timeout{15'000};
+};
+
+/// A whole configuration: routes, services, workspaces and limits. Never changed once made.
+class service_catalogue {
+public:
+    class builder;
+
+    [[nodiscard]] std::uint64_t version() const { return version_; }
+
+    /// @brief Finds the route with the longest prefix of a path.
+    [[nodiscard]] const route* find_route(std::string_view host, std::string_view path) const;
+
+    [[nodiscard]] const service_definition* find_service(std::string_view name) const;
+
+    /// @brief Finds the workspace that holds a key.
+    [[nodiscard]] const workspace* find_workspace(std::string_view key) const;
+
+    /// @brief Tells whether callers need keys at all.
+    [[nodiscard]] bool has_workspaces() const { return !workspaces_.empty(); }
+
+    [[nodiscard]] const std::vector<workspace>& workspaces() const { return workspaces_; }
+    [[nodiscard]] const caller_limits& limits() const { return limits_; }
+    [[nodiscard]] std::size_t route_count() const { return route_count_; }
+
+private:
+    std::uint64_t version_ = 0;
+    std::size_t route_count_ = 0;
+    /// Routes of each host by their prefix.
+    std::unordered_map<std::string, std::unordered_map<std::string, route>> routes_;
+    std::map<std::string, service_definition, std::less<>> services_;
+    std::vector<workspace> workspaces_;
+    std::unordered_map<std::string, std::size_t> workspace_of_key_;
+    caller_limits limits_;
+};
+
+/// Puts a service_catalogue together.
+class service_catalogue::builder {
+public:
+    explicit builder(std::uint64_t version) { catalogue_.version_ = version; }
+
+    builder& add(route value);
+    builder& add(service_definition value);
+    builder& add(workspace value);
+    builder& set(const caller_limits& value);
+
+    [[nodiscard]] service_catalogue build() { return std::move(catalogue_); }
+
+private:
+    service_catalogue catalogue_;
+};
+
+} // namespace dotterelport::gateway
+
+#endif
--- /dev/null
+++ b/include/dotterelport/net/backend_client.hpp
@@ -0,0 +1,105 @@
+#ifndef DOTTERELPORT_NET_BACKEND_CLIENT_HPP
+#define DOTTERELPORT_NET_BACKEND_CLIENT_HPP
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "dotterelport/net/endpoint.hpp"
+#include "dotterelport/net/event_loop.hpp"
+#include "dotterelport/net/http1.hpp"
+#include "dotterelport/net/http_client.hpp"
+
+namespace dotterelport::net {
+
+/// A request whose bytes are ready to be sent.
+struct backend_call {
+    endpoint to;
+    /// Request line, headers and body.
+    std::string bytes;
+    std::string method = "GET";
+    /// Limit for opening a connection.
+    milliseconds connect_timeout{300};
+    /// A kept connection may die under the request, whose fate is then unknown; requests that may
+    /// not be repeated use one only if it was idle for at most this time.
+    milliseconds max_idle{10'000};
+};
+
+/// Why a call has no complete answer.
+enum class backend_failure {
+    /// No connection could be opened: nothing was sent.
+    not_connected,
+    /// The connection was reset.
+    reset,
+    /// The connection ended in order before the answer was complete.
+    truncated,
+    /// The bytes that arrived are no answer.
+    malformed,
+};
+
+/// @brief Name of a failure for logs.
+std::string_view to_string(backend_failure value);
+
+/// Functions that receive an answer as it arrives. After on_complete or on_failure nothing more is
+/// called. None is called from inside start().
+struct backend_handler {
+    /// @return false for an answer to another request, which is skipped
+    std::function<bool(const http1_answer_head& head)> on_head;
+    std::function<void(std::string_view data)> on_data;
+    std::function<void()> on_complete;
+    std::function<void(backend_failure failure)> on_failure;
+};
+
+/// Counters of a backend_client.
+struct backend_client_statistics {
+    std::uint64_t connections_opened = 0;
+    std::uint64_t connections_reused = 0;
+    std::uint64_t connects_failed = 0;
+    /// Kept connections dropped because bytes arrived that no request had asked for.
+    std::uint64_t stray_bytes = 0;
+    /// Answers skipped because they belong to another request.
+    std::uint64_t foreign_answers = 0;
+};
+
+/// HTTP/1.1 client for proxies. Tells a reset from an orderly end, notices bytes after an answer,
+/// keeps to the server's Keep-Alive time and watches idle connections.
+class backend_client {
+public:
+    explicit backend_client(event_loop& loop);
+    ~backend_client();
+    backend_client(const backend_client&) = delete;
+    backend_client& operator=(const backend_client&) = delete;
+
+    exchange_id start(backend_call call, backend_handler handler);
+
+    /// @brief Ends a call and closes its connection at once, without calling its functions.
+    void cancel(exchange_id exchange);
+
+    /// @brief Tells whether a call has a connection, so that bytes of it may have arrived.
+    [[nodiscard]] bool was_sent(exchange_id exchange) const;
+
+    /// @brief Pushes back on the server, or stops to.
+    void set_paused(exchange_id exchange, bool paused);
+
+    /// @brief Closes the idle connections to a server, for example because another one has taken
+    /// over its address.
+    void drop_idle(const endpoint& to);
+
+    [[nodiscard]] std::size_t calls_in_progress() const;
+    [[nodiscard]] std::size_t connection_count() const;
+    [[nodiscard]] const backend_client_statistics& statistics() const;
+
+private:
+    struct native;
+
+    std::unique_ptr<native> native_;
+};
+
+} // namespace dotterelport::net
+
+#endif
--- a/include/dotterelport/net/event_loop.hpp
+++ b/include/dotterelport/net/event_loop.hpp
@@ -46,6 +46,9 @@
     /// @brief Calls a function, once, when the process receives SIGTERM or SIGINT.
     void on_terminate(std::function<void()> function);
 
+    /// @brief Calls a function each time the process receives SIGHUP.
+    void on_reload(std::function<void()> function);
+
     /// @brief The h2o loop, for the HTTP server and client.
     [[nodiscard]] st_h2o_evloop_t* native() const { return loop_; }
 
@@ -62,6 +65,7 @@
     std::map<timer_key, std::function<void()>> timers_;
     std::unordered_map<timer_id, milliseconds> due_;
     std::function<void()> terminate_;
+    std::function<void()> reload_;
 };
 
 /// Runs a function at a fixed interval for as long as the object lives.
--- /dev/null
+++ b/include/dotterelport/net/stream_server.hpp
@@ -0,0 +1,125 @@
+#ifndef DOTTERELPORT_NET_STREAM_SERVER_HPP
+#define DOTTERELPORT_NET_STREAM_SERVER_HPP
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+#include "dotterelport/net/endpoint.hpp"
+#include "dotterelport/net/event_loop.hpp"
+#include "dotterelport/net/http1.hpp"
+
+namespace dotterelport::net {
+
+class stream_connection;
+class stream_server;
+class tcp_listener;
+
+/// One request of a client and the answer to it. Unlike http_response, it tells at once when the
+/// client leaves, and can end an answer so that it does not look complete. Calls after the end of
+/// the answer or of the connection have no effect.
+class stream_exchange {
+public:
+    stream_exchange(http1_request_head head, std::string body, milliseconds received);
+
+    [[nodiscard]] const http1_request_head& head() const { return head_; }
+    [[nodiscard]] const std::string& body() const { return body_; }
+    /// @brief Time at which the first byte of the request arrived.
+    [[nodiscard]] milliseconds received() const { return received_; }
+
+    /// @brief Sends a complete answer.
+    void respond(int status, const header_list& headers, std::string_view body);
+
+    /// @brief Starts an answer whose body follows in chunks.
+    void start(int status, const header_list& headers);
+    void write(std::string_view data);
+    void finish();
+
+    /// @brief Closes the connection before the answer is complete.
+    void abort();
+
+    /// @brief Tells whether the client is still connected.
+    [[nodiscard]] bool is_open() const { return connection_ != nullptr; }
+    [[nodiscard]] bool is_started() const { return started_; }
+
+    /// @brief Bytes of the answer that the connection has not taken yet.
+    [[nodiscard]] std::size_t unsent() const;
+
+    /// @brief Sets a function that is called once if the client leaves before the end.
+    void on_gone(std::function<void()> function) { on_gone_ = std::move(function); }
+
+private:
+    friend class stream_server;
+    friend class stream_connection;
+
+    void send_head(int status, const header_list& headers, std::string_view framing);
+
+    http1_request_head head_;
+    std::string body_;
+    milliseconds received_;
+    stream_connection* connection_ = nullptr;
+    std::function<void()> on_gone_;
+    bool started_ = false;
+    bool chunked_ = false;
+};
+
+/// HTTP/1.1 server on the event loop for proxies: reads while an answer is under way.
+class stream_server {
+public:
+    struct options {
+        /// Larger request heads are answered with 431.
+        std::size_t max_header_bytes = 16'384;
+        /// Larger request bodies are answered with 413.
+        std::size_t max_body_bytes = 4U << 20U;
+        /// Time from the first byte of a request to the end of its head.
+        milliseconds header_timeout{3'000};
+        /// Idle connections are closed after this time; also the limit for receiving a body.
+        milliseconds idle_timeout{15'000};
+    };
+
+    using handler = std::function<void(std::shared_ptr<stream_exchange>)>;
+
+    /// @param handle receives each request once it has been read as a whole
+    /// @throws error if the address cannot be bound
+    stream_server(event_loop& loop, const endpoint& address, const options& settings,
+                  handler handle);
+    ~stream_server();
+    stream_server(const stream_server&) = delete;
+    stream_server& operator=(const stream_server&) = delete;
+
+    /// @brief Changes the limits for requests that have not begun.
+    void set_options(const options& settings);
+
+    /// @brief Answers with "Connection: close" from now on, so that clients move elsewhere.
+    void start_draining() { draining_ = true; }
+    /// @brief Closes the listening socket and the connections that wait for a request.
+    void stop();
+
+    [[nodiscard]] const endpoint& address() const { return address_; }
+    [[nodiscard]] std::size_t connection_count() const { return connections_.size(); }
+    [[nodiscard]] std::size_t exchange_count() const;
+
+private:
+    friend class stream_connection;
+    /// @brief Drops a connection; it is destroyed in the next iteration of the loop, as one of its
+    /// functions may be running.
+    void remove(std::uint64_t id);
+
+    event_loop& loop_;
+    endpoint address_;
+    options options_;
+    handler handle_;
+    std::unique_ptr<tcp_listener> listener_;
+    std::unordered_map<std::uint64_t, std::unique_ptr<stream_connection>> connections_;
+    std::uint64_t last_id_ = 0;
+    bool draining_ = false;
+};
+
+} // namespace dotterelport::net
+
+#endif
--- /dev/null
+++ b/include/dotterelport/net/tcp_connection.hpp
@@ -0,0 +1,124 @@
+#ifndef DOTTERELPORT_NET_TCP_CONNECTION_HPP
+#define DOTTERELPORT_NET_TCP_CONNECTION_HPP
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "dotterelport/net/endpoint.hpp"
+#include "dotterelport/net/event_loop.hpp"
+
+struct st_h2o_socket_t;
+
+namespace dotterelport::net {
+
+/// How the peer ended a connection.
+enum class stream_end {
+    /// In order, with a FIN.
+    finished,
+    /// With a reset or another error: bytes may be missing.
+    reset,
+};
+
+/// A TCP connection on the event loop. Tells a connection that ended in order from one that was
+/// reset, and reads while it writes, so that a peer that leaves is noticed at once.
+class tcp_connection {
+public:
+    struct callbacks {
+        /// More bytes are in input().
+        std::function<void()> on_input;
+        /// The peer ended the connection; called at most once.
+        std::function<void(stream_end end)> on_end;
+        /// Everything that was written has been handed to the kernel.
+        std::function<void()> on_drained = {};
+    };
+
+    /// @brief Takes over an accepted socket of h2o.
+    explicit tcp_connection(st_h2o_socket_t* socket);
+    ~tcp_connection();
+    tcp_connection(const tcp_connection&) = delete;
+    tcp_connection& operator=(const tcp_connection&) = delete;
+
+    /// @brief Starts to read. The functions may not destroy this connection while they run; see
+    /// event_loop::post().
+    void start(callbacks functions);
+
+    /// @brief Bytes that arrived and were not consumed.
+    [[nodiscard]] std::string_view input() const;
+    void consume(std::size_t size);
+
+    /// @brief Stops and resumes reading, which pushes back on the peer.
+    void pause_reading();
+    void resume_reading();
+
+    /// @brief Queues bytes for sending.
+    void write(std::string_view bytes);
+
+    /// @brief Bytes that the kernel has not taken yet.
+    [[nodiscard]] std::size_t unsent() const { return in_flight_.size() + pending_.size(); }
+
+    /// @brief Limits the time for which sent bytes may stay unacknowledged.
+    void limit_unacknowledged(milliseconds limit);
+
+private:
+    struct native;
+
+    void read(const char* failure);
+    void written(const char* failure);
+    void send_pending();
+
+    st_h2o_socket_t* socket_;
+    callbacks functions_;
+    std::string in_flight_;
+    std::string pending_;
+    bool ended_ = false;
+};
+
+/// An attempt to connect. Destroying it gives the attempt up.
+class tcp_connector {
+public:
+    /// @param done receives the connection, or null if there is none; called at most once, never
+    /// before the constructor returns
+    tcp_connector(event_loop& loop, const endpoint& to, milliseconds timeout,
+                  std::function<void(std::unique_ptr<tcp_connection>)> done);
+    ~tcp_connector();
+    tcp_connector(const tcp_connector&) = delete;
+    tcp_connector& operator=(const tcp_connector&) = delete;
+
+private:
+    struct native;
+
+    void finish(bool connected);
+
+    event_loop& loop_;
+    std::function<void(std::unique_ptr<tcp_connection>)> done_;
+    st_h2o_socket_t* socket_ = nullptr;
+    timer_id timer_ = 0;
+};
+
+/// Accepts connections on an address.
+class tcp_listener {
+public:
+    /// @throws error if the address cannot be bound
+    tcp_listener(event_loop& loop, const endpoint& address,
+                 std::function<void(std::unique_ptr<tcp_connection>)> accept);
+    ~tcp_listener();
+    tcp_listener(const tcp_listener&) = delete;
+    tcp_listener& operator=(const tcp_listener&) = delete;
+
+    /// @brief The address, with the port that was chosen if port 0 was asked for.
+    [[nodiscard]] const endpoint& address() const { return address_; }
+
+private:
+    struct native;
+
+    endpoint address_;
+    std::function<void(std::unique_ptr<tcp_connection>)> accept_;
+    st_h2o_socket_t* socket_ = nullptr;
+};
+
+} // namespace dotterelport::net
+
+#endif
--- /dev/null
+++ b/include/dotterelport/object_store/events.hpp
@@ -0,0 +1,23 @@
+#ifndef DOTTERELPORT_OBJECT_STORE_EVENTS_HPP
+#define DOTTERELPORT_OBJECT_STORE_EVENTS_HPP
+
+#include "dotterelport/base/log.hpp"
+
+/// Log events of feeds from the object store (880 to 899).
+namespace dotterelport::object_store::events {
+
+inline constexpr log_event feed_lost{880, severity::warning, "feed_lost",
+                                     "Objects of a kind can no longer be read; what is known "
+                                     "stays in use."};
+inline constexpr log_event feed_regained{881, severity::info, "feed_regained",
+                                         "Objects of a kind can be read again."};
+inline constexpr log_event feed_history_gone{
+    882, severity::info, "feed_history_gone",
+    "The store dropped the changes that a watch would go on from; the objects are listed anew."};
+inline constexpr log_event object_ignored{
+    883, severity::warning, "object_ignored",
+    "An object does not have the required form; the field is named."};
+
+} // namespace dotterelport::object_store::events
+
+#endif
--- /dev/null
+++ b/include/dotterelport/object_store/object_feed.hpp
@@ -0,0 +1,131 @@
+#ifndef DOTTERELPORT_OBJECT_STORE_OBJECT_FEED_HPP
+#define DOTTERELPORT_OBJECT_STORE_OBJECT_FEED_HPP
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "dotterelport/base/clock.hpp"
+#include "dotterelport/base/json.hpp"
+#include "dotterelport/net/event_loop.hpp"
+#include "dotterelport/object_store/conditional_objects.hpp"
+
+namespace dotterelport::object_store {
+
+/// An object of a kind that is followed.
+struct typed_object {
+    std::string name;
+    version at = 0;
+    json value;
+};
+
+/// How a call that lists or watches objects ended.
+enum class feed_status {
+    answered,
+    /// The store no longer has the changes after the revision that was asked for.
+    history_gone,
+    /// No answer, or a refusal.
+    unavailable,
+};
+
+/// A page of a list of objects.
+struct list_page {
+    feed_status status = feed_status::unavailable;
+    std::vector<typed_object> objects;
+    /// Further pages follow.
+    bool more = false;
+    version revision = 0;
+};
+
+/// One change of an object.
+struct object_change {
+    typed_object object;
+    bool removed = false;
+};
+
+/// Changes after a revision.
+struct change_batch {
+    feed_status status = feed_status::unavailable;
+    std::vector<object_change> changes;
+    version revision = 0;
+};
+
+/// Objects that can be listed and watched by kind.
+class watchable_objects {
+public:
+    virtual ~watchable_objects() = default;
+
+    /// @param after name after which the page begins; empty for the first one
+    virtual void list(const std::string& kind, const std::string& after,
+                      std::function<void(const list_page&)> done) = 0;
+
+    /// @brief Waits for a change after a revision; answers an empty batch after the time.
+    virtual void watch(const std::string& kind, version since, milliseconds wait,
+                       std::function<void(const change_batch&)> done) = 0;
+};
+
+/// Receives what a feed learns.
+struct feed_handler {
+    /// @param after_outage the store could not be read for a while before
+    std::function<void(const std::vector<typed_object>& objects, bool after_outage)> on_list;
+    std::function<void(const object_change& change, bool after_outage)> on_change;
+};
+
+struct feed_settings {
+    /// Longest time for which a watch waits. A connection that has gone silent is noticed after
+    /// this time and the client's own margin, so it bounds the age of what is known.
+    milliseconds watch_time{1'500};
+    /// Pause before a call is repeated, doubled after each failure in a row.
+    milliseconds first_pause{80};
+    milliseconds longest_pause{500};
+    /// Time after an outage in which registrations that lapsed meanwhile come back.
+    milliseconds after_outage{2'000};
+};
+
+/// Follows the objects of one kind: lists them, then watches, and lists again when the store has
+/// dropped its history.
+class object_feed {
+public:
+    object_feed(net::event_loop& loop, watchable_objects& objects, std::string kind,
+                feed_handler handler, const feed_settings& settings = {});
+    ~object_feed();
+    object_feed(const object_feed&) = delete;
+    object_feed& operator=(const object_feed&) = delete;
+
+    /// @brief Time since the last answer of the store.
+    [[nodiscard]] milliseconds age() const;
+
+private:
+    void list(const std::string& after);
+    void listed(const list_page& page);
+    void watch();
+    void watched(const change_batch& batch);
+    void failed(const std::string& what);
+    void answered();
+    [[nodiscard]] bool is_after_outage() const;
+
+    net::event_loop& loop_;
+    watchable_objects& objects_;
+    std::string kind_;
+    feed_handler handler_;
+    feed_settings settings_;
+    std::vector<typed_object> pages_;
+    version list_revision_ = 0;
+    version revision_ = 0;
+    bool has_list_ = false;
+    int failures_ = 0;
+    milliseconds last_answer_;
+    /// End of the time in which lapsed registrations come back.
+    milliseconds outage_until_{-1};
+    net::timer_id timer_ = 0;
+    std::mt19937_64 random_{std::random_device{}()};
+    /// Functions of calls that are under way check it.
+    std::shared_ptr<object_feed*> alive_;
+};
+
+} // namespace dotterelport::object_store
+
+#endif
--- a/src/dotterelport/base/log.cpp
+++ b/src/dotterelport/base/log.cpp
@@ -1,13 +1,18 @@
 #include "dotterelport/base/log.hpp"
 
+#include <cstdint>
 #include <memory>
 
+#include <fcntl.h>
+#include <log4cplus/appender.h>
 #include <log4cplus/consoleappender.h>
 #include <log4cplus/fileappender.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
+#include <log4cplus/spi/loggingevent.h>
+#include <unistd.h>
 
 #include "dotterelport/base/clock.hpp"
 #include "dotterelport/base/enum_names.hpp"
@@ -50,10 +55,59 @@
     return log4cplus::ERROR_LOG_LEVEL;
 }
 
+/// Writes to standard output without ever waiting for its reader. Lines that find no room are
+/// dropped and counted; the count is written once there is room.
+class nonblocking_appender final : public log4cplus::Appender {
+public:
+    nonblocking_appender()
+    {
+        ::fcntl(STDOUT_FILENO, F_SETFL, ::fcntl(STDOUT_FILENO, F_GETFL) | O_NONBLOCK);
+    }
+    ~nonblocking_appender() override { destructorImpl(); }
+    void close() override { closed = true; }
+
+protected:
+    void append(const log4cplus::spi::InternalLoggingEvent& event) override
+    {
+        flush();
+        if (pending_.size() > max_pending_bytes) {
+            ++dropped_;
+            return;
+        }
+        if (dropped_ > 0) {
+            pending_ += json{{"name", "log_lines_dropped"}, {"lines", dropped_}}.dump() + "\n";
+            dropped_ = 0;
+        }
+        pending_ += event.getMessage() + "\n";
+        flush();
+    }
+
+private:
+    /// Lines kept for a reader that is behind.
+    static constexpr std::size_t max_pending_bytes = 65'536;
+
+    void flush()
+    {
+        while (!pending_.empty()) {
+            const ssize_t size = ::write(STDOUT_FILENO, pending_.data(), pending_.size());
+            if (size <= 0) {
+                return;
+            }
+            pending_.erase(0, static_cast<std::size_t>(size));
+        }
+    }
+
+    std::string pending_;
+    std::uint64_t dropped_ = 0;
+};
+
 log4cplus::SharedAppenderPtr make_appender(const std::string& file)
 {
     constexpr bool log_to_stderr = true;
     constexpr bool immediate_flush = true;
+    if (file == "stdout") {
+        return log4cplus::SharedAppenderPtr(new nonblocking_appender());
+    }
     if (file == "-") {
         return log4cplus::SharedAppenderPtr(
             new log4cplus::ConsoleAppender(log_to_stderr, immediate_flush));
--- /dev/null
+++ b/src/dotterelport/gateway/budget_keeper.cpp
@@ -0,0 +1,275 @@
+#include "dotterelport/gateway/budget_keeper.hpp"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+#include <vector>
+
+#include "dotterelport/base/enum_names.hpp"
+#include "dotterelport/gateway/events.hpp"
+
+namespace dotterelport::gateway {
+namespace {
+
+constexpr enum_names<reservation_outcome, 3> outcome_names{{
+    {reservation_outcome::reserved, "reserved"},
+    {reservation_outcome::exhausted, "exhausted"},
+    {reservation_outcome::no_grant, "no_grant"},
+}};
+
+/// All workspaces of a fleet of this size fit into one ledger object.
+constexpr std::uint32_t ledger_shard_number = 0;
+
+/// Stands for the agent, which requests that go straight to a backend server do not have.
+const incarnation no_agent{.node = "direct", .epoch = 1};
+
+} // namespace
+
+std::string_view to_string(reservation_outcome value)
+{
+    return name_of(outcome_names, value);
+}
+
+budget::demand_share budget_keeper_settings::default_sizing()
+{
+    budget::demand_share result;
+    result.horizon = milliseconds{4'000};
+    result.trouble_factor = 0.5;
+    result.reserve_requests = 1.5;
+    result.largest_share = 0.9;
+    result.near_end = 0.1;
+    result.least_factor = 0.5;
+    result.assumed_request = 10'000;
+    result.open_early = true;
+    result.idle_limit = milliseconds{600'000};
+    return result;
+}
+
+budget_keeper::budget_keeper(net::event_loop& loop, object_store::conditional_objects& objects,
+                             incarnation self, const budget_keeper_settings& settings)
+    : loop_(loop), objects_(objects), settings_(settings), self_(std::move(self)),
+      session_(ledger_shard_number, self_, settings.sizing),
+      alive_(std::make_shared<budget_keeper*>(this))
+{
+    schedule_round(settings_.round_interval);
+}
+
+budget_keeper::~budget_keeper()
+{
+    loop_.cancel(round_timer_);
+}
+
+void budget_keeper::declare(const service_catalogue& catalogue)
+{
+    auto declared = std::make_shared<budget::declaration>();
+    declared->generation = catalogue.version();
+    for (const auto& item : catalogue.workspaces()) {
+        if (item.prepaid) {
+            declared->budgets.push_back(
+                {.workspace = item.name, .budget = item.name, .prepaid = *item.prepaid});
+        }
+    }
+    session_.set_declaration(std::move(declared));
+    schedule_round(settings_.urgent_spacing);
+}
+
+reservation_outcome budget_keeper::try_reserve(const request_key& key, tokens upper)
+{
+    const auto outcome = session_.holder().reserve({.key = key,
+                                                    .budget = key.workspace,
+                                                    .upper = upper,
+                                                    .agent = no_agent,
+                                                    .digest = {},
+                                                    .router = self_.node,
+                                                    .now = steady_now()});
+    return outcome == budget::reserve_outcome::no_room ? reservation_outcome::no_grant
+                                                       : reservation_outcome::reserved;
+}
+
+bool budget_keeper::is_exhausted(const std::string& workspace, tokens upper) const
+{
+    const auto* ledger = session_.ledger();
+    const auto* entry = ledger == nullptr ? nullptr : ledger->find(workspace);
+    if (entry == nullptr) {
+        return false;
+    }
+    // What other routers have open may come back; only what is known to be used counts here.
+    const auto* owner = session_.holder().find_account(workspace);
+    const tokens own_use = owner == nullptr ? 0 : owner->reserved;
+    return entry->settled + entry->unproved + own_use + upper > entry->prepaid;
+}
+
+void budget_keeper::reserve(const std::string& workspace, const std::string& id, tokens upper,
+                            reservation_handler done)
+{
+    const request_key key{.workspace = workspace, .key = id};
+    if (try_reserve(key, upper) == reservation_outcome::reserved) {
+        done(reservation_outcome::reserved);
+        return;
+    }
+    if (is_exhausted(workspace, upper)) {
+        done(reservation_outcome::exhausted);
+        return;
+    }
+    waiting_.push_back({.key = key,
+                        .upper = upper,
+                        .until = steady_now() + settings_.grant_wait,
+                        .done = std::move(done)});
+    if (!session_.in_round()) {
+        const milliseconds next = last_round_ + settings_.urgent_spacing;
+        schedule_round(std::max(milliseconds{0}, next - steady_now()));
+    }
+}
+
+void budget_keeper::abandon(const std::string& workspace, const std::string& id)
+{
+    waiting_.remove_if([&](const waiting_reservation& item) {
+        return item.key.workspace == workspace && item.key.key == id;
+    });
+}
+
+void budget_keeper::settle(const std::string& workspace, const std::string& id, verdict ran,
+                           tokens prompt_tokens, tokens output_tokens)
+{
+    session_.holder().settle({.key = {.workspace = workspace, .key = id},
+                              .attempt = 1,
+                              .budget = workspace,
+                              .holder = self_,
+                              .verdict = ran,
+                              .charged = prompt_tokens + output_tokens,
+                              .prompt_tokens = prompt_tokens,
+                              .completion_tokens = output_tokens,
+                              .service = {},
+                              .agent = no_agent});
+}
+
+void budget_keeper::set_wanted()
+{
+    for (auto& account : session_.holder().accounts()) {
+        account.wanted = 0;
+    }
+    for (const auto& item : waiting_) {
+        session_.holder().account(item.key.workspace).wanted += item.upper;
+    }
+}
+
+void budget_keeper::schedule_round(milliseconds delay)
+{
+    loop_.cancel(round_timer_);
+    round_timer_ = loop_.schedule(delay, [this] {
+        round_timer_ = 0;
+        start_round();
+    });
+}
+
+void budget_keeper::start_round()
+{
+    if (session_.in_round()) {
+        return;
+    }
+    set_wanted();
+    const milliseconds now = steady_now();
+    last_round_ = now;
+    const bool flush = drained_ != nullptr || now - last_flush_ >= settings_.flush_interval;
+    if (flush) {
+        last_flush_ = now;
+    }
+    const auto step = session_.start({.now = now,
+                                      .platform_trouble = milliseconds{0},
+                                      .failure_domains = holder_count(),
+                                      .flush = flush});
+    if (step) {
+        perform(*step);
+    } else {
+        round_ended();
+    }
+}
+
+void budget_keeper::perform(const budget::io_step& step)
+{
+    const auto go_on = [this, alive = std::weak_ptr<budget_keeper*>(alive_)](const auto& result) {
+        if (alive.expired()) {
+            return;
+        }
+        const auto next = session_.resume(result);
+        if (next) {
+            perform(*next);
+        } else {
+            round_ended();
+        }
+    };
+    if (step.operation == budget::io_step::kind::read) {
+        objects_.read(step.key, go_on);
+    } else {
+        objects_.write(step.key, step.value, step.if_version, go_on);
+    }
+}
+
+void budget_keeper::round_ended()
+{
+    const bool complete = session_.last_outcome() == budget::round_outcome::complete;
+    if (session_.last_outcome() == budget::round_outcome::unavailable) {
+        log(events::ledger_unavailable, {{"waiting", waiting_.size()}});
+    }
+    serve_waiting(complete);
+    if (drained_ && (session_.is_settled() || session_.is_closed())) {
+        std::exchange(drained_, nullptr)();
+        return;
+    }
+    schedule_round(waiting_.empty() && !drained_ ? settings_.round_interval
+                                                 : settings_.urgent_spacing);
+}
+
+void budget_keeper::serve_waiting(bool round_complete)
+{
+    const milliseconds now = steady_now();
+    std::vector<std::pair<reservation_handler, reservation_outcome>> answers;
+    for (auto item = waiting_.begin(); item != waiting_.end();) {
+        auto outcome = try_reserve(item->key, item->upper);
+        if (outcome == reservation_outcome::no_grant && round_complete &&
+            is_exhausted(item->key.workspace, item->upper)) {
+            outcome = reservation_outcome::exhausted;
+        }
+        if (outcome == reservation_outcome::no_grant && now < item->until) {
+            ++item;
+            continue;
+        }
+        answers.emplace_back(std::move(item->done), outcome);
+        item = waiting_.erase(item);
+    }
+    // The functions may reserve again.
+    for (const auto& [done, outcome] : answers) {
+        done(outcome);
+    }
+}
+
+void budget_keeper::drain(std::function<void()> done)
+{
+    drained_ = std::move(done);
+    session_.set_draining();
+    schedule_round(milliseconds{0});
+}
+
+std::size_t budget_keeper::holder_count() const
+{
+    const auto* ledger = session_.ledger();
+    std::set<std::string_view> nodes{self_.node};
+    if (ledger != nullptr) {
+        for (const auto& [budget, entry] : ledger->budgets()) {
+            for (const auto& [holder, part] : entry.grants) {
+                nodes.insert(holder.node);
+            }
+        }
+    }
+    return nodes.size();
+}
+
+json budget_keeper::dump() const
+{
+    json result = session_.dump();
+    result["waiting"] = waiting_.size();
+    result["holders"] = holder_count();
+    return result;
+}
+
+} // namespace dotterelport::gateway
--- /dev/null
+++ b/src/dotterelport/gateway/forwarding.cpp
@@ -0,0 +1,598 @@
+#include "forwarding.hpp"
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <utility>
+
+#include "dotterelport/gateway/events.hpp"
+
+namespace dotterelport::gateway {
+namespace {
+
+/// A request that may not be repeated goes only over a kept connection that was in use this lately,
+/// as the server may be about to close an older one.
+constexpr milliseconds fresh_idle{1'500};
+
+/// Idle time after which a kept connection is not used for requests that may be repeated either.
+constexpr milliseconds longest_idle{8'000};
+
+/// Route without a time limit of its own.
+constexpr milliseconds default_timeout{30'000};
+
+/// A request that may be repeated is given up at a silent server after this multiple of the time
+/// that callers expect.
+constexpr int stall_factor = 2;
+
+/// Time after which a server that has no room is likely to have some.
+constexpr milliseconds room_retry{300};
+
+/// Time in which a lapsed registration, or a grant, is back once the store is.
+constexpr milliseconds store_retry{1'000};
+
+/// Answers that are not streamed are kept in memory up to this size.
+constexpr std::size_t max_answer_bytes = 8U << 20U;
+
+constexpr int bad_request = 400;
+constexpr int unauthorized = 401;
+constexpr int payment_required = 402;
+constexpr int not_found = 404;
+constexpr int request_timeout = 408;
+constexpr int misdirected = 421;
+constexpr int too_many_requests = 429;
+constexpr int bad_gateway = 502;
+constexpr int unavailable = 503;
+
+/// @brief Tells whether a status promises that the request has not run.
+bool promises_not_run(int status)
+{
+    return status == request_timeout || status == misdirected || status == too_many_requests ||
+           status == unavailable;
+}
+
+constexpr int first_server_error = 500;
+
+bool is_success(int status)
+{
+    constexpr int first = 200;
+    constexpr int end = 300;
+    return status >= first && status < end;
+}
+
+std::string format_seconds(milliseconds duration)
+{
+    std::array<char, 32> text{};
+    const int size = std::snprintf(text.data(), text.size(), "%.3f",
+                                   std::chrono::duration<double>(duration).count());
+    return {text.data(), static_cast<std::size_t>(size)};
+}
+
+net::header_list end_to_end_headers(const net::header_list& headers)
+{
+    net::header_list result;
+    result.reserve(headers.size());
+    for (const auto& header : headers) {
+        if (!net::is_hop_by_hop(header.first, headers)) {
+            result.push_back(header);
+        }
+    }
+    return result;
+}
+
+} // namespace
+
+forwarding::forwarding(forwarding_context& context, std::shared_ptr<net::stream_exchange> exchange,
+                       std::shared_ptr<const service_catalogue> catalogue,
+                       std::function<void()> done)
+    : context_(context), exchange_(std::move(exchange)), catalogue_(std::move(catalogue)),
+      done_(std::move(done))
+{}
+
+json forwarding::log_fields() const
+{
+    json fields = {{"request", request_.id},
+                   {"after_ms", (steady_now() - exchange_->received()).count()}};
+    if (route_ != nullptr) {
+        fields["route"] = route_->name;
+        fields["service"] = service_;
+    }
+    if (workspace_ != nullptr) {
+        fields["workspace"] = workspace_->name;
+    }
+    if (attempt_) {
+        fields["server"] = attempt_->server;
+    }
+    return fields;
+}
+
+void forwarding::start()
+{
+    request_ = context_.wire.decode_request(exchange_->head());
+    const auto self = shared_from_this();
+    exchange_->on_gone([self] { self->caller_gone(); });
+    if (catalogue_ == nullptr) {
+        refuse(unavailable, "no_configuration", store_retry);
+        return;
+    }
+    if (context_.refusing) {
+        refuse(unavailable, "stopping", milliseconds{1});
+        return;
+    }
+    const auto& head = exchange_->head();
+    const std::string_view target = head.target;
+    route_ = catalogue_->find_route(net::find_header(head.headers, "host").value_or(""),
+                                    target.substr(0, target.find('?')));
+    if (route_ == nullptr) {
+        refuse(not_found, "unknown_route");
+        return;
+    }
+    if (!authorize()) {
+        refuse(unauthorized, "unknown_key");
+        return;
+    }
+    if (request_.id.empty()) {
+        refuse(bad_request, "no_request_id");
+        return;
+    }
+    choose_service();
+    arm_timers();
+    reserve();
+}
+
+bool forwarding::authorize()
+{
+    if (request_.key) {
+        workspace_ = catalogue_->find_workspace(*request_.key);
+    }
+    return workspace_ != nullptr || route_->anonymous || !catalogue_->has_workspaces();
+}
+
+void forwarding::choose_service()
+{
+    double total = 0;
+    for (const auto& item : route_->services) {
+        total += item.weight;
+    }
+    double place = std::uniform_real_distribution<double>(0, total)(context_.random);
+    for (const auto& item : route_->services) {
+        service_ = item.service;
+        place -= item.weight;
+        if (place < 0) {
+            break;
+        }
+    }
+    if (const auto* definition = catalogue_->find_service(service_)) {
+        tokens_per_event_ = definition->tokens_per_event;
+        cache_capacity_ = definition->cache_capacity;
+    }
+    retries().note_first_attempt();
+}
+
+request::retry_budget& forwarding::retries() const
+{
+    return context_.retries.try_emplace(service_, context_.retry_options).first->second;
+}
+
+void forwarding::arm_timers()
+{
+    const milliseconds timeout =
+        route_->timeout > milliseconds{0} ? route_->timeout : default_timeout;
+    until_ = exchange_->received() + std::min(timeout, request_.deadline.value_or(timeout));
+    const auto self = shared_from_this();
+    deadline_timer_ = context_.loop.schedule(time_left(), [self] { self->expired(); });
+}
+
+milliseconds forwarding::time_left() const
+{
+    return std::max(milliseconds{0}, until_ - steady_now());
+}
+
+void forwarding::reserve()
+{
+    const bool is_limited = workspace_ != nullptr && workspace_->prepaid.has_value();
+    if (!is_limited || request_.most_tokens() <= 0) {
+        dispatch();
+        return;
+    }
+    reserving_ = true;
+    context_.budgets.reserve(
+        workspace_->name, request_.id, request_.most_tokens(),
+        [self = shared_from_this()](reservation_outcome outcome) { self->reserved(outcome); });
+}
+
+void forwarding::reserved(reservation_outcome outcome)
+{
+    reserving_ = false;
+    if (finished_) {
+        return;
+    }
+    switch (outcome) {
+    case reservation_outcome::reserved:
+        has_reservation_ = true;
+        dispatch();
+        return;
+    case reservation_outcome::exhausted:
+        refuse(payment_required, "budget_exhausted");
+        return;
+    case reservation_outcome::no_grant:
+        refuse(unavailable, "no_grant", store_retry);
+        return;
+    }
+}
+
+routing::placement_request forwarding::placement_request() const
+{
+    return {.parts = request_.parts,
+            .prompt_tokens = request_.prompt_tokens,
+            .failure_domain = context_.failure_domain,
+            .excluded = tried_};
+}
+
+std::optional<routing::placement_choice> forwarding::choose_server() const
+{
+    std::vector<routing::placement_candidate> candidates;
+    for (const auto* server : context_.servers.available(service_)) {
+        candidates.push_back({.server = server->id,
+                              .failure_domain = server->failure_domain,
+                              .capacity = server->capacity});
+    }
+    return context_.placement.choose(placement_request(), candidates, steady_now());
+}
+
+void forwarding::dispatch()
+{
+    const auto choice = choose_server();
+    const backend_server* server = choice ? context_.servers.find(choice->server) : nullptr;
+    if (server == nullptr) {
+        attempt_failed(may_have_run_ ? verdict::may_have_run : verdict::not_run, "no_server");
+        return;
+    }
+    send(*server, *choice);
+}
+
+void forwarding::send(const backend_server& server, const routing::placement_choice& choice)
+{
+    const milliseconds now = steady_now();
+    attempt_.emplace();
+    attempt_->id = ++context_.last_attempt;
+    attempt_->server = server.id;
+    attempt_->sent = now;
+    attempt_->events_before = events_.events();
+    tried_.push_back(server.id);
+    ++sends_;
+
+    const auto last_event = events_.last_id() ? events_.last_id() : request_.last_event;
+    net::backend_call call;
+    call.to = server.address;
+    call.method = exchange_->head().method;
+    call.bytes = context_.wire.encode_request(
+        exchange_->head(), exchange_->body(),
+        {.server = server.id,
+         .deadline = time_left(),
+         .workspace = workspace_ == nullptr ? std::string() : workspace_->name,
+         .last_event = last_event});
+    call.max_idle = route_->may_repeat() ? longest_idle : fresh_idle;
+    context_.placement.sent(server.id, attempt_->id, placement_request(), cache_capacity_, now);
+    json fields = log_fields();
+    fields["send"] = sends_;
+    fields["cost_ms"] = choice.cost_ms;
+    fields["cached_tokens"] = choice.cached_tokens;
+    fields["prompt_tokens"] = request_.prompt_tokens;
+    fields["time_left_ms"] = time_left().count();
+    fields["configuration"] = catalogue_->version();
+    log(events::request_sent, fields);
+    attempt_->exchange = context_.backends.start(std::move(call), make_handler(attempt_->id));
+    arm_stall_timer();
+}
+
+net::backend_handler forwarding::make_handler(std::uint64_t attempt_id)
+{
+    const auto self = shared_from_this();
+    const auto is_current = [self, attempt_id] {
+        return !self->finished_ && self->attempt_ && self->attempt_->id == attempt_id;
+    };
+    net::backend_handler handler;
+    handler.on_head = [self, is_current](const net::http1_answer_head& head) {
+        return !is_current() || self->received_head(head);
+    };
+    handler.on_data = [self, is_current](std::string_view data) {
+        if (is_current()) {
+            self->received_data(data);
+        }
+    };
+    handler.on_complete = [self, is_current] {
+        if (is_current()) {
+            self->received_all();
+        }
+    };
+    handler.on_failure = [self, is_current](net::backend_failure failure) {
+        if (is_current()) {
+            self->received_failure(failure);
+        }
+    };
+    return handler;
+}
+
+bool forwarding::received_head(const net::http1_answer_head& head)
+{
+    const auto answer = context_.wire.decode_answer(head);
+    if (answer.id && *answer.id != request_.id) {
+        return false;
+    }
+    attempt_->head = head;
+    attempt_->answer = answer;
+    attempt_->streams = route_->kind == route_kind::streaming && is_success(head.status);
+    if (answer.load) {
+        context_.placement.take_report(attempt_->server, *answer.load, steady_now());
+    }
+    return true;
+}
+
+void forwarding::received_data(std::string_view data)
+{
+    context_.placement.answered(attempt_->server, attempt_->id, steady_now());
+    if (attempt_->streams) {
+        context_.loop.cancel(std::exchange(stall_timer_, 0));
+        pass_on(events_.take(data));
+        return;
+    }
+    attempt_->body.append(data);
+    if (attempt_->body.size() > max_answer_bytes) {
+        context_.backends.cancel(attempt_->exchange);
+        attempt_failed(verdict::may_have_run, "answer_too_large");
+    }
+}
+
+void forwarding::pass_on(std::string_view events)
+{
+    if (events.empty()) {
+        return;
+    }
+    if (!exchange_->is_started()) {
+        first_output_ = steady_now();
+        exchange_->start(attempt_->head->status, end_to_end_headers(attempt_->head->headers));
+    }
+    exchange_->write(events);
+}
+
+void forwarding::received_all()
+{
+    const int status = attempt_->head->status;
+    if (attempt_->answer.not_run || status == misdirected) {
+        attempt_failed(verdict::not_run, "server_refused");
+        return;
+    }
+    if (is_success(status) && !attempt_->answer.authentic) {
+        attempt_failed(verdict::may_have_run, "answer_without_signature");
+        return;
+    }
+    if (status >= first_server_error && route_->may_repeat() && !exchange_->is_started() &&
+        sends_ < route_->max_attempts && time_left() > milliseconds{0} && retries().try_retry()) {
+        close_attempt("server_error");
+        may_have_run_ = true;
+        attempt_.reset();
+        dispatch();
+        return;
+    }
+    if (promises_not_run(status)) {
+        // The server does not say that it has not run the request, so neither may the answer.
+        attempt_failed(verdict::may_have_run, "server_unclear");
+        return;
+    }
+    deliver();
+}
+
+void forwarding::deliver()
+{
+    may_have_run_ = true;
+    if (attempt_->streams) {
+        pass_on(events_.take_rest());
+    }
+    const int status = attempt_->head->status;
+    const milliseconds now = steady_now();
+    context_.counters.note_answer(service_, status,
+                                  first_output_.value_or(now) - exchange_->received(),
+                                  now - exchange_->received());
+    json fields = log_fields();
+    fields["status"] = status;
+    fields["events"] = events_.events();
+    fields["sends"] = sends_;
+    log(events::request_answered, fields);
+    if (exchange_->is_started()) {
+        exchange_->finish();
+    } else {
+        exchange_->respond(status, end_to_end_headers(attempt_->head->headers), attempt_->body);
+    }
+    close_attempt(status >= first_server_error ? "server_error" : "answered");
+    finish();
+}
+
+void forwarding::received_failure(net::backend_failure failure)
+{
+    if (failure == net::backend_failure::not_connected) {
+        --sends_;
+        ++failed_connects_;
+        attempt_failed(may_have_run_ ? verdict::may_have_run : verdict::not_run, "not_connected");
+        return;
+    }
+    attempt_failed(verdict::may_have_run, net::to_string(failure));
+}
+
+void forwarding::close_attempt(std::string_view outcome)
+{
+    const milliseconds now = steady_now();
+    auto& placement = context_.placement;
+    const auto& item = *attempt_;
+    context_.counters.note_attempt(service_, std::string(outcome));
+    if (outcome == "answered") {
+        const auto units =
+            static_cast<double>(item.streams ? events_.events() - item.events_before : 1);
+        placement.finished(item.server, item.id, units, now);
+    } else if (outcome == "not_connected") {
+        placement.unreachable(item.server, item.id, now);
+    } else if (outcome == "caller_gone" || outcome == "server_refused") {
+        placement.cancelled(item.server, item.id, now);
+    } else {
+        placement.failed(item.server, item.id, now);
+    }
+}
+
+void forwarding::attempt_failed(verdict outcome, std::string_view reason, bool timed_out)
+{
+    if (outcome == verdict::may_have_run) {
+        may_have_run_ = true;
+    }
+    const verdict total = may_have_run_ ? verdict::may_have_run : outcome;
+    auto& retry_budget = retries();
+    // A server that has refused has not run the request, whatever others did before.
+    const attempt_report report{.outcome = route_->may_repeat() ? outcome : total,
+                                .may_repeat = route_->may_repeat(),
+                                .has_output = exchange_->is_started(),
+                                .sends = sends_,
+                                .max_sends = route_->max_attempts,
+                                .failed_connects = failed_connects_,
+                                .time_left = time_left(),
+                                .timed_out = timed_out};
+    attempt_decision decision = refuse_not_run{};
+    if (attempt_ || sends_ > 0) {
+        decision = reason == "no_server" && total == verdict::not_run
+                       ? attempt_decision(refuse_not_run{})
+                       : decide_after_attempt(report, retry_budget);
+        if (reason == "no_server" && std::holds_alternative<send_again>(decision)) {
+            decision = report_failure{};
+        }
+    }
+    json fields = log_fields();
+    fields["reason"] = reason;
+    fields["verdict"] = dotterelport::to_string(outcome);
+    fields["sends"] = sends_;
+    fields["decision"] = to_string(decision);
+    fields["status"] = attempt_ && attempt_->head ? attempt_->head->status : 0;
+    log(events::attempt_ended, fields);
+    if (attempt_) {
+        close_attempt(reason);
+        attempt_.reset();
+    }
+    if (std::holds_alternative<send_again>(decision)) {
+        events_.resume();
+        dispatch();
+    } else if (std::holds_alternative<refuse_not_run>(decision) && total == verdict::not_run) {
+        refuse(unavailable, reason, reason == "no_server" ? store_retry : room_retry);
+    } else if (std::holds_alternative<break_off>(decision)) {
+        log(events::request_cut, fields);
+        exchange_->abort();
+        finish();
+    } else {
+        const auto* failure = std::get_if<report_failure>(&decision);
+        refuse(failure == nullptr ? bad_gateway : failure->status, reason);
+    }
+}
+
+void forwarding::arm_stall_timer()
+{
+    context_.loop.cancel(std::exchange(stall_timer_, 0));
+    if (!route_->may_repeat() || sends_ >= route_->max_attempts ||
+        route_->target_latency <= milliseconds{0}) {
+        return;
+    }
+    stall_timer_ = context_.loop.schedule(
+        route_->target_latency * stall_factor, [self = shared_from_this(), id = attempt_->id] {
+            if (!self->finished_ && self->attempt_ && self->attempt_->id == id) {
+                self->stall_timer_ = 0;
+                self->stalled();
+            }
+        });
+}
+
+void forwarding::stalled()
+{
+    if (context_.servers.available(service_).size() <= tried_.size()) {
+        return;
+    }
+    context_.backends.cancel(attempt_->exchange);
+    attempt_failed(verdict::may_have_run, "stalled");
+}
+
+void forwarding::expired()
+{
+    deadline_timer_ = 0;
+    if (finished_) {
+        return;
+    }
+    if (!attempt_) {
+        refuse(unavailable, reserving_ ? "no_grant" : "timeout", store_retry);
+        return;
+    }
+    const bool was_sent = context_.backends.was_sent(attempt_->exchange);
+    context_.backends.cancel(attempt_->exchange);
+    attempt_failed(was_sent ? verdict::may_have_run : verdict::not_run, "timeout", true);
+}
+
+void forwarding::caller_gone()
+{
+    if (finished_) {
+        return;
+    }
+    log(events::request_abandoned, log_fields());
+    context_.counters.note_abandoned(service_);
+    if (attempt_) {
+        may_have_run_ = may_have_run_ || context_.backends.was_sent(attempt_->exchange);
+        context_.backends.cancel(attempt_->exchange);
+        close_attempt("caller_gone");
+        attempt_.reset();
+    }
+    finish();
+}
+
+void forwarding::refuse(int status, std::string_view reason, milliseconds retry_after)
+{
+    json fields = log_fields();
+    fields["status"] = status;
+    fields["reason"] = reason;
+    net::header_list headers{{"Content-Type", "application/json"}};
+    if (retry_after > milliseconds{0}) {
+        headers.emplace_back("Retry-After", format_seconds(retry_after));
+        fields["retry_after_ms"] = retry_after.count();
+    }
+    log(events::request_refused, fields);
+    context_.counters.note_refusal(service_, status, std::string(reason));
+    exchange_->respond(status, headers, json{{"error", reason}}.dump());
+    finish();
+}
+
+tokens forwarding::delivered_tokens() const
+{
+    return std::min(request_.max_output_tokens,
+                    static_cast<tokens>(events_.events()) * tokens_per_event_);
+}
+
+void forwarding::settle()
+{
+    if (!has_reservation_) {
+        if (reserving_) {
+            context_.budgets.abandon(workspace_->name, request_.id);
+        }
+        return;
+    }
+    has_reservation_ = false;
+    if (may_have_run_) {
+        context_.budgets.settle(workspace_->name, request_.id, verdict::ran, request_.prompt_tokens,
+                                delivered_tokens());
+    } else {
+        context_.budgets.settle(workspace_->name, request_.id, verdict::not_run, 0, 0);
+    }
+}
+
+void forwarding::finish()
+{
+    if (std::exchange(finished_, true)) {
+        return;
+    }
+    context_.loop.cancel(deadline_timer_);
+    context_.loop.cancel(stall_timer_);
+    settle();
+    exchange_->on_gone(nullptr);
+    done_();
+}
+
+} // namespace dotterelport::gateway
--- /dev/null
+++ b/src/dotterelport/gateway/forwarding.hpp
@@ -0,0 +1,138 @@
+#ifndef DOTTERELPORT_GATEWAY_FORWARDING_HPP
+#define DOTTERELPORT_GATEWAY_FORWARDING_HPP
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "dotterelport/gateway/attempt_policy.hpp"
+#include "dotterelport/gateway/budget_keeper.hpp"
+#include "dotterelport/gateway/event_stream.hpp"
+#include "dotterelport/gateway/protocol.hpp"
+#include "dotterelport/gateway/server_directory.hpp"
+#include "dotterelport/gateway/service_catalogue.hpp"
+#include "dotterelport/net/backend_client.hpp"
+#include "dotterelport/net/stream_server.hpp"
+#include "dotterelport/request/retry_budget.hpp"
+#include "dotterelport/routing/placement.hpp"
+#include "metrics.hpp"
+
+namespace dotterelport::gateway {
+
+/// What all requests of a gateway share.
+struct forwarding_context {
+    net::event_loop& loop;
+    const protocol& wire;
+    std::string failure_domain;
+    net::backend_client& backends;
+    server_directory& servers;
+    routing::placement& placement;
+    budget_keeper& budgets;
+    metrics& counters;
+    /// Further sends to each service.
+    std::map<std::string, request::retry_budget>& retries;
+    /// Settings of a retry budget that is made when a service is first used.
+    request::retry_budget::options& retry_options;
+    std::mt19937_64& random;
+    std::uint64_t& last_attempt;
+    /// Requests that arrive now are refused, as the process ends soon.
+    bool& refusing;
+};
+
+/// One request on its way: route, key, budget, choice of a server, sending, answer, settling.
+class forwarding : public std::enable_shared_from_this<forwarding> {
+public:
+    /// @param done called once when nothing is left to do
+    forwarding(forwarding_context& context, std::shared_ptr<net::stream_exchange> exchange,
+               std::shared_ptr<const service_catalogue> catalogue, std::function<void()> done);
+
+    void start();
+
+private:
+    /// The backend server that has the request now.
+    struct attempt {
+        std::uint64_t id = 0;
+        std::string server;
+        net::exchange_id exchange = 0;
+        milliseconds sent{0};
+        std::optional<net::http1_answer_head> head;
+        backend_answer answer;
+        /// Body of an answer that is not passed on as it arrives.
+        std::string body;
+        bool streams = false;
+        std::uint64_t events_before = 0;
+    };
+
+    [[nodiscard]] bool authorize();
+    void choose_service();
+    void reserve();
+    void reserved(reservation_outcome outcome);
+    void dispatch();
+    [[nodiscard]] std::optional<routing::placement_choice> choose_server() const;
+    void send(const backend_server& server, const routing::placement_choice& choice);
+    [[nodiscard]] net::backend_handler make_handler(std::uint64_t attempt_id);
+
+    bool received_head(const net::http1_answer_head& head);
+    void received_data(std::string_view data);
+    void received_all();
+    void received_failure(net::backend_failure failure);
+    void pass_on(std::string_view events);
+    void deliver();
+    /// @brief Ends the attempt and decides what follows.
+    void attempt_failed(verdict outcome, std::string_view reason, bool timed_out = false);
+    /// @brief Tells placement and metrics how the attempt ended.
+    void close_attempt(std::string_view outcome);
+
+    void arm_timers();
+    void arm_stall_timer();
+    void expired();
+    void stalled();
+    void caller_gone();
+
+    void refuse(int status, std::string_view reason, milliseconds retry_after = milliseconds{0});
+    void settle();
+    void finish();
+
+    [[nodiscard]] request::retry_budget& retries() const;
+    [[nodiscard]] milliseconds time_left() const;
+    [[nodiscard]] tokens delivered_tokens() const;
+    [[nodiscard]] routing::placement_request placement_request() const;
+    [[nodiscard]] json log_fields() const;
+
+    forwarding_context& context_;
+    std::shared_ptr<net::stream_exchange> exchange_;
+    std::shared_ptr<const service_catalogue> catalogue_;
+    std::function<void()> done_;
+
+    caller_request request_;
+    const route* route_ = nullptr;
+    const workspace* workspace_ = nullptr;
+    std::string service_;
+    tokens tokens_per_event_ = 1;
+    tokens cache_capacity_ = 0;
+    /// End of the time that the caller and the route allow.
+    milliseconds until_{0};
+
+    std::optional<attempt> attempt_;
+    std::vector<std::string> tried_;
+    std::uint32_t sends_ = 0;
+    std::uint32_t failed_connects_ = 0;
+    bool may_have_run_ = false;
+    event_stream events_;
+    std::optional<milliseconds> first_output_;
+    bool reserving_ = false;
+    bool has_reservation_ = false;
+    bool finished_ = false;
+    net::timer_id deadline_timer_ = 0;
+    net::timer_id stall_timer_ = 0;
+};
+
+} // namespace dotterelport::gateway
+
+#endif
--- /dev/null
+++ b/src/dotterelport/gateway/gateway.cpp
@@ -0,0 +1,283 @@
+#include "dotterelport/gateway/gateway.hpp"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+#include "dotterelport/gateway/events.hpp"
+#include "dotterelport/process/operators_server.hpp"
+#include "forwarding.hpp"
+
+namespace dotterelport::gateway {
+namespace {
+
+/// Time for which connections still arrive after the process stopped being ready: the balancer asks
+/// once a second and needs two answers.
+constexpr milliseconds balancer_lag{2'300};
+
+/// Requests that arrive later than this after the order to stop are refused.
+constexpr milliseconds accept_after_stop{3'500};
+
+/// Time kept free at the end of the grace period to leave in order.
+constexpr milliseconds stop_margin{350};
+
+/// Time for returning the grants.
+constexpr milliseconds grant_return_limit{250};
+
+/// Interval of the checks while the process stops, and of expiring registrations.
+constexpr milliseconds check_interval{100};
+
+/// Share of the fleet's retry reserve that is used; the rest covers a wrong count of gateways.
+constexpr double reserve_share = 0.6;
+
+/// Share of the allowed retries per request that is used.
+constexpr double retry_share_used = 0.8;
+
+} // namespace
+
+struct gateway::state {
+    net::event_loop& loop;
+    settings values;
+    std::shared_ptr<const service_catalogue> catalogue;
+    net::backend_client backends;
+    routing::placement placement;
+    server_directory servers;
+    budget_keeper budgets;
+    process::operators_server operators;
+    metrics counters;
+    std::map<std::string, request::retry_budget> retries;
+    request::retry_budget::options retry_options;
+    std::mt19937_64 random{std::random_device{}()};
+    std::uint64_t last_attempt = 0;
+    bool refusing = false;
+    bool draining = false;
+    bool returning_grants = false;
+    bool was_ready = false;
+    milliseconds drain_began{0};
+    std::function<void()> stopped;
+    std::uint64_t last_request = 0;
+    std::map<std::uint64_t, std::shared_ptr<forwarding>> requests;
+    forwarding_context context;
+    std::unique_ptr<net::stream_server> callers;
+    std::unique_ptr<net::periodic_timer> checks;
+
+    state(net::event_loop& event_loop, const settings& configured, const protocol& wire,
+          object_store::conditional_objects& objects, const incarnation& self,
+          std::function<json()> dump)
+        : loop(event_loop), values(configured), backends(loop),
+          servers({}, [this](const backend_server& server) { server_removed(server); }),
+          budgets(loop, objects, self),
+          operators(loop, {.address = configured.operators,
+                           .not_ready_reason = [this] { return not_ready_reason(); },
+                           .dump = std::move(dump)}),
+          counters(operators.metrics()), context{.loop = loop,
+                                                 .wire = wire,
+                                                 .failure_domain = configured.failure_domain,
+                                                 .backends = backends,
+                                                 .servers = servers,
+                                                 .placement = placement,
+                                                 .budgets = budgets,
+                                                 .counters = counters,
+                                                 .retries = retries,
+                                                 .retry_options = retry_options,
+                                                 .random = random,
+                                                 .last_attempt = last_attempt,
+                                                 .refusing = refusing}
+    {
+        set_retry_options();
+        callers = std::make_unique<net::stream_server>(
+            loop, values.callers, net::stream_server::options{},
+            [this](std::shared_ptr<net::stream_exchange> exchange) {
+                accept(std::move(exchange));
+            });
+        checks = std::make_unique<net::periodic_timer>(loop, check_interval, [this] { check(); });
+    }
+
+    void set_retry_options()
+    {
+        // Each gateway has its own requests' share, and an equal part of the common reserve.
+        const auto gateways = static_cast<double>(std::max<std::size_t>(2, budgets.holder_count()));
+        retry_options.share = values.retry_share * retry_share_used;
+        retry_options.max_saved = std::max(1.0, values.retry_reserve * reserve_share / gateways);
+    }
+
+    [[nodiscard]] std::string not_ready_reason() const
+    {
+        if (draining) {
+            return "stopping";
+        }
+        if (catalogue == nullptr) {
+            return "no configuration";
+        }
+        return servers.has_list() ? "" : "no list of backend servers";
+    }
+
+    void note_readiness()
+    {
+        const bool ready = not_ready_reason().empty();
+        if (ready && !was_ready) {
+            log(events::ready,
+                {{"configuration", catalogue->version()}, {"servers", servers.size()}});
+        }
+        was_ready = ready;
+    }
+
+    void server_removed(const backend_server& server)
+    {
+        log(events::server_removed, {{"server", server.id}, {"service", server.service}});
+        placement.forget(server.id);
+        backends.drop_idle(server.address);
+    }
+
+    void accept(std::shared_ptr<net::stream_exchange> exchange)
+    {
+        const std::uint64_t id = ++last_request;
+        const auto request = std::make_shared<forwarding>(context, std::move(exchange), catalogue,
+                                                          [this, id] { requests.erase(id); });
+        requests.emplace(id, request);
+        request->start();
+    }
+
+    void check()
+    {
+        servers.expire(steady_now());
+        if (draining) {
+            check_drain();
+        }
+    }
+
+    void check_drain()
+    {
+        const milliseconds elapsed = steady_now() - drain_began;
+        refusing = elapsed >= accept_after_stop;
+        if (returning_grants || elapsed < balancer_lag) {
+            return;
+        }
+        const bool out_of_time = elapsed >= values.grace - stop_margin;
+        if (callers->exchange_count() > 0 && !out_of_time) {
+            return;
+        }
+        if (!requests.empty()) {
+            log(events::drain_timeout, {{"requests", requests.size()}});
+        }
+        returning_grants = true;
+        callers->stop();
+        loop.schedule(grant_return_limit, [this] { leave(); });
+        budgets.drain([this] { leave(); });
+    }
+
+    void leave()
+    {
+        const auto function = std::exchange(stopped, nullptr);
+        if (function) {
+            log(events::drained, {{"after_ms", (steady_now() - drain_began).count()}});
+            function();
+        }
+    }
+};
+
+gateway::gateway(net::event_loop& loop, const settings& values, const protocol& wire,
+                 object_store::conditional_objects& objects, const incarnation& self)
+    : state_(std::make_unique<state>(loop, values, wire, objects, self, [this] { return dump(); }))
+{
+    log(events::started, {{"name", values.name},
+                          {"incarnation", to_string(self)},
+                          {"callers", net::to_string(state_->callers->address())},
+                          {"failure_domain", values.failure_domain}});
+}
+
+gateway::~gateway() = default;
+
+void gateway::apply(std::shared_ptr<const service_catalogue> catalogue)
+{
+    auto& present = state_->catalogue;
+    if (present != nullptr && catalogue->version() <= present->version()) {
+        if (catalogue->version() < present->version()) {
+            log(events::catalogue_ignored,
+                {{"version", catalogue->version()}, {"in_force", present->version()}});
+        }
+        return;
+    }
+    log(events::catalogue_in_force, {{"version", catalogue->version()},
+                                     {"before", present == nullptr ? 0 : present->version()},
+                                     {"routes", catalogue->route_count()},
+                                     {"workspaces", catalogue->workspaces().size()}});
+    present = std::move(catalogue);
+    const auto& limits = present->limits();
+    state_->callers->set_options({.max_header_bytes = limits.max_header_bytes,
+                                  .max_body_bytes = limits.max_body_bytes,
+                                  .header_timeout = limits.header_timeout,
+                                  .idle_timeout = limits.idle_timeout});
+    state_->budgets.declare(*present);
+    state_->note_readiness();
+}
+
+void gateway::replace_servers(const std::vector<backend_server>& servers, bool after_outage)
+{
+    state_->servers.replace(servers, after_outage, steady_now());
+    state_->note_readiness();
+}
+
+void gateway::update_server(const backend_server& server)
+{
+    const auto* known = state_->servers.find(server.id);
+    if (known == nullptr || *known != server) {
+        log(events::server_changed, {{"server", server.id},
+                                     {"service", server.service},
+                                     {"address", net::to_string(server.address)},
+                                     {"draining", server.draining}});
+    }
+    state_->servers.update(server);
+}
+
+void gateway::remove_server(const std::string& id, bool after_outage)
+{
+    state_->servers.remove(id, after_outage, steady_now());
+}
+
+void gateway::reconfigure(const settings& values)
+{
+    state_->values.grace = values.grace;
+    state_->values.retry_share = values.retry_share;
+    state_->values.retry_reserve = values.retry_reserve;
+    state_->set_retry_options();
+    log(events::settings_reloaded, {{"grace_ms", values.grace.count()},
+                                    {"retry_share", values.retry_share},
+                                    {"retry_reserve", values.retry_reserve}});
+}
+
+void gateway::drain(std::function<void()> stopped)
+{
+    if (state_->draining) {
+        return;
+    }
+    log(events::drain_started, {{"requests", state_->requests.size()}});
+    state_->draining = true;
+    state_->drain_began = steady_now();
+    state_->stopped = std::move(stopped);
+    state_->callers->start_draining();
+}
+
+bool gateway::is_ready() const
+{
+    return state_->not_ready_reason().empty();
+}
+
+net::endpoint gateway::callers_address() const
+{
+    return state_->callers->address();
+}
+
+json gateway::dump() const
+{
+    return {{"ready", is_ready()},
+            {"configuration", state_->catalogue == nullptr ? 0 : state_->catalogue->version()},
+            {"requests", state_->requests.size()},
+            {"caller_connections", state_->callers->connection_count()},
+            {"backend_connections", state_->backends.connection_count()},
+            {"servers", state_->servers.dump()},
+            {"placement", state_->placement.dump(steady_now())},
+            {"budgets", state_->budgets.dump()}};
+}
+
+} // namespace dotterelport::gateway
--- /dev/null
+++ b/src/dotterelport/gateway/metrics.cpp
@@ -0,0 +1,67 @@
+#include "metrics.hpp"
+
+namespace dotterelport::gateway {
+namespace {
+
+const prometheus::Histogram::BucketBoundaries duration_buckets_s{0.01, 0.025, 0.05, 0.1, 0.2, 0.4,
+                                                                 0.8,  1.2,   2,    4,   8,   16};
+
+double seconds(milliseconds duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+} // namespace
+
+metrics::metrics(prometheus::Registry& registry)
+    : answers_(prometheus::BuildCounter()
+                   .Name("dotterelport_gateway_answers_total")
+                   .Help("Answers of backend servers passed on, by service and status")
+                   .Register(registry)),
+      refusals_(prometheus::BuildCounter()
+                    .Name("dotterelport_gateway_refusals_total")
+                    .Help("Answers of the gateway itself, by service, status and reason")
+                    .Register(registry)),
+      abandoned_(prometheus::BuildCounter()
+                     .Name("dotterelport_gateway_abandoned_total")
+                     .Help("Requests whose caller left before the end, by service")
+                     .Register(registry)),
+      attempts_(prometheus::BuildCounter()
+                    .Name("dotterelport_gateway_attempts_total")
+                    .Help("Sends to backend servers, by service and outcome")
+                    .Register(registry)),
+      first_(prometheus::BuildHistogram()
+                 .Name("dotterelport_gateway_first_byte_seconds")
+                 .Help("Time from the receipt of a request to the first part of its answer")
+                 .Register(registry)),
+      whole_(prometheus::BuildHistogram()
+                 .Name("dotterelport_gateway_answer_seconds")
+                 .Help("Time from the receipt of a request to the end of its answer")
+                 .Register(registry))
+{}
+
+void metrics::note_answer(const std::string& service, int status, milliseconds until_first,
+                          milliseconds until_end)
+{
+    answers_.Add({{"service", service}, {"status", std::to_string(status)}}).Increment();
+    first_.Add({{"service", service}}, duration_buckets_s).Observe(seconds(until_first));
+    whole_.Add({{"service", service}}, duration_buckets_s).Observe(seconds(until_end));
+}
+
+void metrics::note_refusal(const std::string& service, int status, const std::string& reason)
+{
+    refusals_.Add({{"service", service}, {"status", std::to_string(status)}, {"reason", reason}})
+        .Increment();
+}
+
+void metrics::note_abandoned(const std::string& service)
+{
+    abandoned_.Add({{"service", service}}).Increment();
+}
+
+void metrics::note_attempt(const std::string& service, const std::string& outcome)
+{
+    attempts_.Add({{"service", service}, {"outcome", outcome}}).Increment();
+}
+
+} // namespace dotterelport::gateway
--- /dev/null
+++ b/src/dotterelport/gateway/metrics.hpp
@@ -0,0 +1,38 @@
+#ifndef DOTTERELPORT_GATEWAY_METRICS_HPP
+#define DOTTERELPORT_GATEWAY_METRICS_HPP
+
+#include <string>
+
+#include <prometheus/counter.h>
+#include <prometheus/family.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+#include "dotterelport/base/clock.hpp"
+
+namespace dotterelport::gateway {
+
+/// Counters and latency histograms of a gateway.
+class metrics {
+public:
+    explicit metrics(prometheus::Registry& registry);
+
+    void note_answer(const std::string& service, int status, milliseconds until_first,
+                     milliseconds until_end);
+    void note_refusal(const std::string& service, int status, const std::string& reason);
+    void note_abandoned(const std::string& service);
+    void note_attempt(const std::string& service, const std::string& outcome);
+
+private:
+    prometheus::Family<prometheus::Counter>& answers_;
+    prometheus::Family<prometheus::Counter>& refusals_;
+    prometheus::Family<prometheus::Counter>& abandoned_;
+    prometheus::Family<prometheus::Counter>& attempts_;
+    prometheus::Family<prometheus::Histogram>& first_;
+    prometheus::Family<prometheus::Histogram>& whole_;
+};
+
+} // namespace dotterelport::gateway
+
+#endif
--- /dev/null
+++ b/src/dotterelport/gateway/settings.cpp
@@ -0,0 +1,78 @@
+#include "dotterelport/gateway/settings.hpp"
+
+#include <cmath>
+
+#include "dotterelport/base/error.hpp"
+#include "dotterelport/base/settings.hpp"
+
+namespace dotterelport::gateway {
+namespace {
+
+constexpr double ms_per_s = 1'000.0;
+
+const json& schema()
+{
+    static const json document = json::parse(R"({
+        "type": "object",
+        "required": ["name", "failure_domain", "callers", "operators", "store"],
+        "properties": {
+            "name": {"type": "string", "minLength": 1},
+            "failure_domain": {"type": "string", "minLength": 1},
+            "callers": {"type": "string"},
+            "operators": {"type": "string"},
+            "store": {"type": "string"},
+            "log_level": {"enum": ["debug", "info", "warning", "error"]},
+            "grace_s": {"type": "number", "exclusiveMinimum": 0},
+            "retry_share": {"type": "number", "minimum": 0},
+            "retry_reserve": {"type": "number", "minimum": 0}
+        }
+    })");
+    return document;
+}
+
+net::endpoint address(const json& document, const char* name, const std::string& source)
+{
+    try {
+        return net::parse_endpoint(document.at(name).get<std::string>());
+    } catch (const format_error& failure) {
+        throw format_error(source, std::string("/") + name, failure.expected());
+    }
+}
+
+severity log_level(const json& document)
+{
+    const std::string name = document.value("log_level", "info");
+    for (const auto level : {severity::debug, severity::info, severity::warning, severity::error}) {
+        if (to_string(level) == name) {
+            return level;
+        }
+    }
+    return severity::info;
+}
+
+} // namespace
+
+settings parse_settings(const json& document, const std::string& source)
+{
+    check_schema(document, schema(), source);
+    settings result;
+    result.name = document.at("name");
+    result.failure_domain = document.at("failure_domain");
+    result.callers = address(document, "callers", source);
+    result.operators = address(document, "operators", source);
+    result.store = address(document, "store", source);
+    result.log_level = log_level(document);
+    const double grace_s =
+        document.value("grace_s", static_cast<double>(result.grace.count()) / ms_per_s);
+    result.grace = milliseconds{std::llround(grace_s * ms_per_s)};
+    result.retry_share = document.value("retry_share", result.retry_share);
+    result.retry_reserve = document.value("retry_reserve", result.retry_reserve);
+    return result;
+}
+
+settings read_settings(const std::string& path)
+{
+    return parse_settings(read_json_file(path), path);
+}
+
+} // namespace dotterelport::gateway
--- /dev/null
+++ b/src/dotterelport/net/backend_client.cpp
@@ -0,0 +1,478 @@
+#include "dotterelport/net/backend_client.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <deque>
+#include <optional>
+#include <unordered_map>
+#include <utility>
+
+#include "dotterelport/base/enum_names.hpp"
+#include "dotterelport/net/tcp_connection.hpp"
+
+namespace dotterelport::net {
+namespace {
+
+constexpr enum_names<backend_failure, 4> failure_names{{
+    {backend_failure::not_connected, "not_connected"},
+    {backend_failure::reset, "reset"},
+    {backend_failure::truncated, "truncated"},
+    {backend_failure::malformed, "malformed"},
+}};
+
+/// Idle connections whose server names no time are kept for this long.
+constexpr milliseconds default_keep_alive{4'000};
+
+/// Subtracted from the server's time, for its timer and the way to it.
+constexpr milliseconds keep_alive_margin{700};
+
+/// Idle connections kept to one server.
+constexpr std::size_t max_idle_per_server = 64;
+
+/// Heads of answers larger than this are malformed.
+constexpr std::size_t max_answer_head_bytes = 32'768;
+
+/// @brief Time for which a server keeps an idle connection; 0 if it closes it.
+milliseconds keep_alive_time(const http1_answer_head& head)
+{
+    if (header_lists(head.headers, "connection", "close") || head.minor_version == 0) {
+        return milliseconds{0};
+    }
+    const auto value = find_header(head.headers, "keep-alive");
+    if (!value) {
+        return default_keep_alive;
+    }
+    constexpr std::string_view name = "timeout=";
+    const auto at = value->find(name);
+    if (at == std::string_view::npos) {
+        return default_keep_alive;
+    }
+    std::int64_t seconds = 0;
+    const std::string_view digits = value->substr(at + name.size());
+    const auto [end, code] = std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+    if (code != std::errc{} || seconds < 0) {
+        return default_keep_alive;
+    }
+    return std::max(milliseconds{0},
+                    milliseconds{std::chrono::seconds{seconds}} - keep_alive_margin);
+}
+
+} // namespace
+
+std::string_view to_string(backend_failure value)
+{
+    return name_of(failure_names, value);
+}
+
+struct backend_client::native {
+    struct call_state;
+
+    /// A connection to a server, in use by a call or idle.
+    struct connection {
+        std::uint64_t id = 0;
+        endpoint to;
+        std::unique_ptr<tcp_connection> socket;
+        exchange_id owner = 0;
+        milliseconds idle_since{0};
+        milliseconds idle_limit{0};
+        /// Fires when the connection has been idle for long enough.
+        timer_id timer = 0;
+        bool closed = false;
+    };
+
+    struct call_state {
+        exchange_id id = 0;
+        backend_call call;
+        backend_handler handler;
+        std::unique_ptr<tcp_connector> connector;
+        std::shared_ptr<connection> transport;
+        std::optional<http1_answer_head> head;
+        std::optional<body_decoder> body;
+        milliseconds keep_alive{0};
+        bool skipping = false;
+        /// The connection carried an answer to another request, so more may follow.
+        bool spoiled = false;
+    };
+
+    event_loop& loop;
+    exchange_id last_id = 0;
+    std::uint64_t last_connection = 0;
+    std::unordered_map<exchange_id, std::shared_ptr<call_state>> calls;
+    std::map<endpoint, std::deque<std::shared_ptr<connection>>> idle;
+    std::size_t connections = 0;
+    backend_client_statistics counters;
+    /// Expires with this object; posted functions check it.
+    std::shared_ptr<native*> self = std::make_shared<native*>(this);
+
+    explicit native(event_loop& event_loop) : loop(event_loop) {}
+
+    std::shared_ptr<call_state> find(exchange_id id) const
+    {
+        const auto found = calls.find(id);
+        return found == calls.end() ? nullptr : found->second;
+    }
+
+    void begin(exchange_id id)
+    {
+        const auto call = find(id);
+        if (call == nullptr) {
+            return;
+        }
+        if (auto kept = take_idle(call->call.to, call->call.max_idle)) {
+            ++counters.connections_reused;
+            send(*call, std::move(kept));
+            return;
+        }
+        call->connector =
+            std::make_unique<tcp_connector>(loop, call->call.to, call->call.connect_timeout,
+                                            [this, id](std::unique_ptr<tcp_connection> socket) {
+                                                connected(id, std::move(socket));
+                                            });
+    }
+
+    void connected(exchange_id id, std::unique_ptr<tcp_connection> socket)
+    {
+        const auto call = find(id);
+        if (call == nullptr) {
+            return;
+        }
+        if (socket == nullptr) {
+            ++counters.connects_failed;
+            fail(call, backend_failure::not_connected);
+            return;
+        }
+        ++counters.connections_opened;
+        auto transport = std::make_shared<connection>();
+        transport->id = ++last_connection;
+        transport->to = call->call.to;
+        transport->socket = std::move(socket);
+        ++connections;
+        auto* raw = transport.get();
+        transport->socket->start({.on_input = [this, raw] { received(*raw); },
+                                  .on_end = [this, raw](stream_end end) { ended(*raw, end); }});
+        send(*call, std::move(transport));
+    }
+
+    static void send(call_state& call, std::shared_ptr<connection> transport)
+    {
+        transport->owner = call.id;
+        call.transport = std::move(transport);
+        call.transport->socket->write(call.call.bytes);
+        call.call.bytes.clear();
+        call.call.bytes.shrink_to_fit();
+    }
+
+    std::shared_ptr<connection> take_idle(const endpoint& to, milliseconds max_idle)
+    {
+        const auto found = idle.find(to);
+        if (found == idle.end()) {
+            return nullptr;
+        }
+        const milliseconds now = steady_now();
+        while (!found->second.empty()) {
+            auto kept = std::move(found->second.back());
+            found->second.pop_back();
+            loop.cancel(std::exchange(kept->timer, 0));
+            if (now - kept->idle_since <= std::min(max_idle, kept->idle_limit)) {
+                return kept;
+            }
+            close(kept);
+        }
+        idle.erase(found);
+        return nullptr;
+    }
+
+    /// Closes a connection. It is destroyed in the next iteration, as its functions may be running.
+    void close(const std::shared_ptr<connection>& transport)
+    {
+        if (transport->closed) {
+            return;
+        }
+        transport->closed = true;
+        transport->owner = 0;
+        --connections;
+        loop.cancel(std::exchange(transport->timer, 0));
+        loop.post([transport] {});
+    }
+
+    void drop(connection& transport)
+    {
+        const auto found = idle.find(transport.to);
+        if (found == idle.end()) {
+            return;
+        }
+        auto& kept = found->second;
+        const auto position = std::find_if(
+            kept.begin(), kept.end(), [&](const auto& item) { return item.get() == &transport; });
+        if (position == kept.end()) {
+            return;
+        }
+        const auto owned = *position;
+        kept.erase(position);
+        if (kept.empty()) {
+            idle.erase(found);
+        }
+        close(owned);
+    }
+
+    void keep(const std::shared_ptr<connection>& transport, milliseconds limit)
+    {
+        transport->owner = 0;
+        auto& kept = idle[transport->to];
+        if (limit <= milliseconds{0} || kept.size() >= max_idle_per_server) {
+            close(transport);
+            if (kept.empty()) {
+                idle.erase(transport->to);
+            }
+            return;
+        }
+        transport->idle_since = steady_now();
+        transport->idle_limit = limit;
+        auto* raw = transport.get();
+        transport->timer = loop.schedule(limit, [this, raw] { drop(*raw); });
+        kept.push_back(transport);
+    }
+
+    void received(connection& transport)
+    {
+        if (transport.closed) {
+            return;
+        }
+        const auto call = find(transport.owner);
+        if (call == nullptr) {
+            ++counters.stray_bytes;
+            drop(transport);
+            return;
+        }
+        read(call);
+    }
+
+    void ended(connection& transport, stream_end end)
+    {
+        if (transport.closed) {
+            return;
+        }
+        const auto call = find(transport.owner);
+        if (call == nullptr) {
+            drop(transport);
+            return;
+        }
+        if (end == stream_end::finished && call->body) {
+            call->body->finish();
+            if (call->body->progress() == body_decoder::state::complete) {
+                call->spoiled = true;
+                complete(call);
+                return;
+            }
+        }
+        fail(call, end == stream_end::reset ? backend_failure::reset : backend_failure::truncated);
+    }
+
+    [[nodiscard]] bool is_current(const std::shared_ptr<call_state>& call) const
+    {
+        return calls.contains(call->id) && call->transport != nullptr && !call->transport->closed;
+    }
+
+    void read(const std::shared_ptr<call_state>& call)
+    {
+        while (is_current(call)) {
+            if (!call->head && !read_head(call)) {
+                return;
+            }
+            if (!call->head) {
+                continue;
+            }
+            if (!read_body(call)) {
+                return;
+            }
+        }
+    }
+
+    /// @return false if more bytes are needed or the call has ended
+    bool read_head(const std::shared_ptr<call_state>& call)
+    {
+        auto& socket = *call->transport->socket;
+        if (socket.input().empty()) {
+            return false;
+        }
+        const auto result = parse_answer_head(socket.input());
+        if (std::holds_alternative<http1_incomplete>(result)) {
+            if (socket.input().size() > max_answer_head_bytes) {
+                fail(call, backend_failure::malformed);
+            }
+            return false;
+        }
+        if (std::holds_alternative<http1_malformed>(result)) {
+            fail(call, backend_failure::malformed);
+            return false;
+        }
+        const auto& parsed = std::get<http1_parsed<http1_answer_head>>(result);
+        socket.consume(parsed.size);
+        constexpr int first_final_status = 200;
+        if (parsed.head.status < first_final_status) {
+            return true;
+        }
+        const auto framing = answer_framing(parsed.head, call->call.method);
+        if (!framing) {
+            fail(call, backend_failure::malformed);
+            return false;
+        }
+        call->head = parsed.head;
+        call->body.emplace(*framing);
+        call->keep_alive = keep_alive_time(parsed.head);
+        if (std::holds_alternative<close_framing>(*framing)) {
+            call->spoiled = true;
+        }
+        call->skipping = !call->handler.on_head(*call->head);
+        if (call->skipping) {
+            ++counters.foreign_answers;
+            call->spoiled = true;
+        }
+        return true;
+    }
+
+    /// @return false if more bytes are needed or the call has ended
+    bool read_body(const std::shared_ptr<call_state>& call)
+    {
+        if (!is_current(call)) {
+            return false;
+        }
+        auto& socket = *call->transport->socket;
+        std::string content;
+        socket.consume(call->body->feed(socket.input(), content));
+        if (!content.empty() && !call->skipping) {
+            call->handler.on_data(content);
+            if (!is_current(call)) {
+                return false;
+            }
+        }
+        switch (call->body->progress()) {
+        case body_decoder::state::malformed:
+            fail(call, backend_failure::malformed);
+            return false;
+        case body_decoder::state::reading:
+            return false;
+        case body_decoder::state::complete:
+            break;
+        }
+        if (call->skipping) {
+            call->head.reset();
+            call->body.reset();
+            call->skipping = false;
+            return true;
+        }
+        complete(call);
+        return false;
+    }
+
+    void complete(const std::shared_ptr<call_state>& call)
+    {
+        const auto transport = std::exchange(call->transport, nullptr);
+        calls.erase(call->id);
+        auto& socket = *transport->socket;
+        if (!socket.input().empty()) {
+            ++counters.stray_bytes;
+        }
+        // With a part of the request unsent, or bytes after the answer, the connection is out of
+        // step with its server.
+        if (call->spoiled || !socket.input().empty() || socket.unsent() > 0) {
+            close(transport);
+        } else {
+            keep(transport, call->keep_alive);
+        }
+        call->handler.on_complete();
+    }
+
+    void fail(const std::shared_ptr<call_state>& call, backend_failure failure)
+    {
+        release(call);
+        call->handler.on_failure(failure);
+    }
+
+    void release(const std::shared_ptr<call_state>& call)
+    {
+        calls.erase(call->id);
+        if (call->transport != nullptr) {
+            close(std::exchange(call->transport, nullptr));
+        }
+        if (call->connector != nullptr) {
+            // Its function may be the one that is running.
+            loop.post([connector = std::shared_ptr<tcp_connector>(std::move(call->connector))] {});
+        }
+    }
+};
+
+backend_client::backend_client(event_loop& loop) : native_(std::make_unique<native>(loop)) {}
+
+backend_client::~backend_client() = default;
+
+exchange_id backend_client::start(backend_call call, backend_handler handler)
+{
+    auto state = std::make_shared<native::call_state>();
+    state->id = ++native_->last_id;
+    state->call = std::move(call);
+    state->handler = std::move(handler);
+    native_->calls.emplace(state->id, state);
+    native_->loop.post([weak = std::weak_ptr<native*>(native_->self), id = state->id] {
+        if (const auto self = weak.lock()) {
+            (*self)->begin(id);
+        }
+    });
+    return state->id;
+}
+
+void backend_client::cancel(exchange_id exchange)
+{
+    if (const auto call = native_->find(exchange)) {
+        native_->release(call);
+    }
+}
+
+bool backend_client::was_sent(exchange_id exchange) const
+{
+    const auto call = native_->find(exchange);
+    return call != nullptr && call->transport != nullptr;
+}
+
+void backend_client::set_paused(exchange_id exchange, bool paused)
+{
+    const auto call = native_->find(exchange);
+    if (call == nullptr || call->transport == nullptr) {
+        return;
+    }
+    if (paused) {
+        call->transport->socket->pause_reading();
+    } else {
+        call->transport->socket->resume_reading();
+    }
+}
+
+void backend_client::drop_idle(const endpoint& to)
+{
+    const auto found = native_->idle.find(to);
+    if (found == native_->idle.end()) {
+        return;
+    }
+    const auto kept = std::move(found->second);
+    native_->idle.erase(found);
+    for (const auto& transport : kept) {
+        native_->close(transport);
+    }
+}
+
+std::size_t backend_client::calls_in_progress() const
+{
+    return native_->calls.size();
+}
+
+std::size_t backend_client::connection_count() const
+{
+    return native_->connections;
+}
+
+const backend_client_statistics& backend_client::statistics() const
+{
+    return native_->counters;
+}
+
+} // namespace dotterelport::net
--- a/src/dotterelport/net/event_loop.cpp
+++ b/src/dotterelport/net/event_loop.cpp
@@ -13,12 +13,18 @@
 constexpr milliseconds max_wait{50};
 
 volatile std::sig_atomic_t terminate_requested = 0;
+volatile std::sig_atomic_t reload_requested = 0;
 
 void request_terminate(int /*signal*/)
 {
     terminate_requested = 1;
 }
 
+void request_reload(int /*signal*/)
+{
+    reload_requested = 1;
+}
+
 } // namespace
 
 event_loop::event_loop() : loop_(h2o_evloop_create())
@@ -84,12 +90,22 @@
     std::signal(SIGINT, request_terminate);
 }
 
+void event_loop::on_reload(std::function<void()> function)
+{
+    reload_ = std::move(function);
+    std::signal(SIGHUP, request_reload);
+}
+
 void event_loop::run_once(milliseconds limit)
 {
     if (terminate_requested != 0 && terminate_) {
         terminate_requested = 0;
         std::exchange(terminate_, nullptr)();
     }
+    if (reload_requested != 0 && reload_) {
+        reload_requested = 0;
+        reload_();
+    }
     // A write that a timer function makes completes in h2o's list of pending calls, which h2o runs
     // only after it has waited for sockets: without this, each exchange took up to max_wait longer.
     const bool has_pending = run_due_timers();
--- /dev/null
+++ b/src/dotterelport/net/stream_connection.cpp
@@ -0,0 +1,235 @@
+#include "stream_connection.hpp"
+
+#include <utility>
+
+namespace dotterelport::net {
+namespace {
+
+/// Bytes of further requests that are taken in while an answer is under way.
+constexpr std::size_t max_pipelined_bytes = 65'536;
+
+/// A client that does not acknowledge bytes for this long has been cut off.
+constexpr milliseconds unacknowledged_limit{5'000};
+
+constexpr int continue_status = 100;
+
+} // namespace
+
+stream_connection::stream_connection(stream_server& server, std::uint64_t id,
+                                     std::unique_ptr<tcp_connection> connection)
+    : server_(server), id_(id), connection_(std::move(connection))
+{
+    connection_->limit_unacknowledged(unacknowledged_limit);
+    connection_->start({.on_input = [this] { received(); },
+                        .on_end = [this](stream_end /*end*/) { ended(); },
+                        .on_drained = [this] { drained(); }});
+    arm_timer();
+}
+
+bool stream_connection::is_idle() const
+{
+    return exchange_ == nullptr && !first_byte_ && connection_->input().empty() &&
+           connection_->unsent() == 0;
+}
+
+bool stream_connection::will_close() const
+{
+    return server_.draining_ || exchange_->head().minor_version == 0 ||
+           header_lists(exchange_->head().headers, "connection", "close");
+}
+
+void stream_connection::arm_timer()
+{
+    server_.loop_.cancel(timer_);
+    const auto& limits = server_.options_;
+    const bool reading_head = first_byte_ && !head_;
+    timer_ = server_.loop_.schedule(reading_head ? limits.header_timeout : limits.idle_timeout,
+                                    [this] { expire(); });
+}
+
+void stream_connection::expire()
+{
+    timer_ = 0;
+    if (first_byte_) {
+        constexpr int request_timeout = 408;
+        reject(request_timeout);
+        return;
+    }
+    close();
+}
+
+void stream_connection::received()
+{
+    if (closed_) {
+        return;
+    }
+    if (exchange_ != nullptr || close_after_write_) {
+        if (connection_->input().size() > max_pipelined_bytes) {
+            connection_->pause_reading();
+        }
+        return;
+    }
+    parse();
+}
+
+void stream_connection::parse()
+{
+    // An answer given from inside the handler ends the exchange, which would parse again.
+    if (parsing_) {
+        return;
+    }
+    parsing_ = true;
+    while (exchange_ == nullptr && !close_after_write_ && !closed_ &&
+           !connection_->input().empty()) {
+        if (!first_byte_) {
+            first_byte_ = steady_now();
+            arm_timer();
+        }
+        if ((!head_ && !parse_head()) || !parse_body()) {
+            break;
+        }
+        dispatch();
+    }
+    parsing_ = false;
+}
+
+bool stream_connection::parse_head()
+{
+    constexpr int bad_request = 400;
+    constexpr int head_too_large = 431;
+    constexpr int body_too_large = 413;
+    const auto result = parse_request_head(connection_->input());
+    if (std::holds_alternative<http1_malformed>(result)) {
+        reject(bad_request);
+        return false;
+    }
+    if (std::holds_alternative<http1_incomplete>(result)) {
+        if (connection_->input().size() > server_.options_.max_header_bytes) {
+            reject(head_too_large);
+        }
+        return false;
+    }
+    const auto& parsed = std::get<http1_parsed<http1_request_head>>(result);
+    if (parsed.size > server_.options_.max_header_bytes) {
+        reject(head_too_large);
+        return false;
+    }
+    const auto framing = request_framing(parsed.head);
+    if (!framing) {
+        reject(bad_request);
+        return false;
+    }
+    const auto* length = std::get_if<length_framing>(&*framing);
+    if (length != nullptr && length->length > server_.options_.max_body_bytes) {
+        reject(body_too_large);
+        return false;
+    }
+    head_ = parsed.head;
+    body_decoder_.emplace(*framing);
+    connection_->consume(parsed.size);
+    if (header_lists(head_->headers, "expect", "100-continue")) {
+        connection_->write("HTTP/1.1 " + std::to_string(continue_status) + " Continue\r\n\r\n");
+    }
+    return true;
+}
+
+bool stream_connection::parse_body()
+{
+    constexpr int bad_request = 400;
+    constexpr int body_too_large = 413;
+    connection_->consume(body_decoder_->feed(connection_->input(), body_));
+    if (body_decoder_->progress() == body_decoder::state::malformed) {
+        reject(bad_request);
+        return false;
+    }
+    if (body_.size() > server_.options_.max_body_bytes) {
+        reject(body_too_large);
+        return false;
+    }
+    return body_decoder_->progress() == body_decoder::state::complete;
+}
+
+void stream_connection::dispatch()
+{
+    server_.loop_.cancel(std::exchange(timer_, 0));
+    exchange_ = std::make_shared<stream_exchange>(std::move(*head_), std::exchange(body_, {}),
+                                                  *std::exchange(first_byte_, std::nullopt));
+    head_.reset();
+    body_decoder_.reset();
+    exchange_->connection_ = this;
+    const auto exchange = exchange_;
+    server_.handle_(exchange);
+}
+
+void stream_connection::reject(int status)
+{
+    const std::string text = "HTTP/1.1 " + std::to_string(status) + " " +
+                             std::string(reason_phrase(status)) +
+                             "\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+    close_after_write_ = true;
+    connection_->write(text);
+}
+
+void stream_connection::finish_exchange()
+{
+    const bool closing = will_close();
+    exchange_->connection_ = nullptr;
+    exchange_.reset();
+    if (closing) {
+        close_after_write_ = true;
+        if (connection_->unsent() == 0) {
+            close();
+        }
+        return;
+    }
+    arm_timer();
+    connection_->resume_reading();
+    if (!connection_->input().empty() && !parsing_) {
+        server_.loop_.post([&server = server_, id = id_] {
+            const auto found = server.connections_.find(id);
+            if (found != server.connections_.end()) {
+                found->second->parse();
+            }
+        });
+    }
+}
+
+void stream_connection::drained()
+{
+    if (close_after_write_ && exchange_ == nullptr) {
+        close();
+    }
+}
+
+void stream_connection::ended()
+{
+    if (closed_) {
+        return;
+    }
+    // A peer that has shut down its sending side has left, as far as HTTP clients are concerned.
+    const auto exchange = std::exchange(exchange_, nullptr);
+    if (exchange != nullptr) {
+        exchange->connection_ = nullptr;
+        const auto on_gone = std::exchange(exchange->on_gone_, nullptr);
+        if (on_gone) {
+            on_gone();
+        }
+    }
+    close();
+}
+
+void stream_connection::close()
+{
+    if (closed_) {
+        return;
+    }
+    closed_ = true;
+    server_.loop_.cancel(timer_);
+    if (exchange_ != nullptr) {
+        exchange_->connection_ = nullptr;
+        exchange_.reset();
+    }
+    server_.remove(id_);
+}
+
+} // namespace dotterelport::net
--- /dev/null
+++ b/src/dotterelport/net/stream_connection.hpp
@@ -0,0 +1,66 @@
+#ifndef DOTTERELPORT_NET_STREAM_CONNECTION_HPP
+#define DOTTERELPORT_NET_STREAM_CONNECTION_HPP
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "dotterelport/net/http1.hpp"
+#include "dotterelport/net/stream_server.hpp"
+#include "dotterelport/net/tcp_connection.hpp"
+
+namespace dotterelport::net {
+
+/// A client's connection to a stream_server. Destroys itself through its server.
+class stream_connection {
+public:
+    stream_connection(stream_server& server, std::uint64_t id,
+                      std::unique_ptr<tcp_connection> connection);
+    ~stream_connection() = default;
+    stream_connection(const stream_connection&) = delete;
+    stream_connection& operator=(const stream_connection&) = delete;
+
+    void send(std::string_view bytes) { connection_->write(bytes); }
+    /// @brief Ends the current exchange after its last byte was queued.
+    void finish_exchange();
+    /// @brief Closes; nothing more is received.
+    void close();
+
+    [[nodiscard]] bool will_close() const;
+    [[nodiscard]] bool has_exchange() const { return exchange_ != nullptr; }
+    /// @brief Tells whether no byte of a further request has arrived.
+    [[nodiscard]] bool is_idle() const;
+    [[nodiscard]] std::size_t unsent() const { return connection_->unsent(); }
+
+private:
+    void received();
+    void ended();
+    void drained();
+    void parse();
+    /// @return false if the connection was closed or more bytes are needed
+    bool parse_head();
+    bool parse_body();
+    void dispatch();
+    void reject(int status);
+    void arm_timer();
+    void expire();
+
+    stream_server& server_;
+    std::uint64_t id_;
+    std::unique_ptr<tcp_connection> connection_;
+    std::shared_ptr<stream_exchange> exchange_;
+    std::optional<http1_request_head> head_;
+    std::optional<body_decoder> body_decoder_;
+    std::string body_;
+    /// First byte of the request that is being read.
+    std::optional<milliseconds> first_byte_;
+    timer_id timer_ = 0;
+    bool close_after_write_ = false;
+    bool closed_ = false;
+    bool parsing_ = false;
+};
+
+} // namespace dotterelport::net
+
+#endif
--- /dev/null
+++ b/src/dotterelport/net/tcp_connection.cpp
@@ -0,0 +1,233 @@
+#include "dotterelport/net/tcp_connection.hpp"
+
+#include <cstring>
+#include <utility>
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <h2o.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "dotterelport/base/error.hpp"
+
+namespace dotterelport::net {
+namespace {
+
+/// Connections that wait to be accepted.
+constexpr int listen_backlog = 1024;
+
+sockaddr_in native_address(const endpoint& address, const char* purpose)
+{
+    sockaddr_in result{};
+    result.sin_family = AF_INET;
+    result.sin_port = htons(address.port);
+    if (inet_pton(AF_INET, address.ip.c_str(), &result.sin_addr) != 1) {
+        throw error(std::string(purpose) + " " + to_string(address) + ": not an IPv4 address");
+    }
+    return result;
+}
+
+} // namespace
+
+struct tcp_connection::native {
+    static void on_read(st_h2o_socket_t* socket, const char* failure)
+    {
+        static_cast<tcp_connection*>(socket->data)->read(failure);
+    }
+
+    static void on_written(st_h2o_socket_t* socket, const char* failure)
+    {
+        static_cast<tcp_connection*>(socket->data)->written(failure);
+    }
+};
+
+tcp_connection::tcp_connection(st_h2o_socket_t* socket) : socket_(socket)
+{
+    socket_->data = this;
+    const int enabled = 1;
+    ::setsockopt(h2o_socket_get_fd(socket_), IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof(enabled));
+}
+
+tcp_connection::~tcp_connection()
+{
+    h2o_socket_close(socket_);
+}
+
+void tcp_connection::start(callbacks functions)
+{
+    functions_ = std::move(functions);
+    resume_reading();
+}
+
+std::string_view tcp_connection::input() const
+{
+    return {socket_->input->bytes, socket_->input->size};
+}
+
+void tcp_connection::consume(std::size_t size)
+{
+    h2o_buffer_consume(&socket_->input, size);
+}
+
+void tcp_connection::pause_reading()
+{
+    if (h2o_socket_is_reading(socket_) != 0) {
+        h2o_socket_read_stop(socket_);
+    }
+}
+
+void tcp_connection::resume_reading()
+{
+    if (!ended_ && h2o_socket_is_reading(socket_) == 0) {
+        h2o_socket_read_start(socket_, native::on_read);
+    }
+}
+
+void tcp_connection::read(const char* failure)
+{
+    if (failure == nullptr) {
+        functions_.on_input();
+        return;
+    }
+    ended_ = true;
+    pause_reading();
+    // h2o reports an orderly end and an error of the socket by different constants.
+    functions_.on_end(failure == h2o_socket_error_closed ? stream_end::finished
+                                                         : stream_end::reset);
+}
+
+void tcp_connection::write(std::string_view bytes)
+{
+    if (bytes.empty()) {
+        return;
+    }
+    pending_.append(bytes);
+    send_pending();
+}
+
+void tcp_connection::send_pending()
+{
+    if (!in_flight_.empty() || pending_.empty()) {
+        return;
+    }
+    in_flight_ = std::exchange(pending_, {});
+    h2o_iovec_t buffer = h2o_iovec_init(in_flight_.data(), in_flight_.size());
+    h2o_socket_write(socket_, &buffer, 1, native::on_written);
+}
+
+void tcp_connection::written(const char* failure)
+{
+    in_flight_.clear();
+    if (failure != nullptr) {
+        // The end of the connection is reported by the read side, which sees it as well.
+        pending_.clear();
+        return;
+    }
+    send_pending();
+    if (unsent() == 0 && functions_.on_drained) {
+        functions_.on_drained();
+    }
+}
+
+void tcp_connection::limit_unacknowledged(milliseconds limit)
+{
+    const auto value = static_cast<unsigned>(limit.count());
+    ::setsockopt(h2o_socket_get_fd(socket_), IPPROTO_TCP, TCP_USER_TIMEOUT, &value, sizeof(value));
+}
+
+struct tcp_connector::native {
+    static void on_connect(st_h2o_socket_t* socket, const char* failure)
+    {
+        static_cast<tcp_connector*>(socket->data)->finish(failure == nullptr);
+    }
+};
+
+tcp_connector::tcp_connector(event_loop& loop, const endpoint& to, milliseconds timeout,
+                             std::function<void(std::unique_ptr<tcp_connection>)> done)
+    : loop_(loop), done_(std::move(done))
+{
+    sockaddr_in address = native_address(to, "cannot connect to");
+    socket_ = h2o_socket_connect(loop.native(), reinterpret_cast<sockaddr*>(&address),
+                                 sizeof(address), native::on_connect);
+    if (socket_ == nullptr) {
+        timer_ = loop_.schedule(milliseconds{0}, [this] { finish(false); });
+        return;
+    }
+    socket_->data = this;
+    timer_ = loop_.schedule(timeout, [this] { finish(false); });
+}
+
+tcp_connector::~tcp_connector()
+{
+    loop_.cancel(timer_);
+    if (socket_ != nullptr) {
+        h2o_socket_close(socket_);
+    }
+}
+
+void tcp_connector::finish(bool connected)
+{
+    loop_.cancel(std::exchange(timer_, 0));
+    auto* socket = std::exchange(socket_, nullptr);
+    auto done = std::exchange(done_, nullptr);
+    if (connected) {
+        done(std::make_unique<tcp_connection>(socket));
+        return;
+    }
+    if (socket != nullptr) {
+        h2o_socket_close(socket);
+    }
+    done(nullptr);
+}
+
+struct tcp_listener::native {
+    static void on_accept(st_h2o_socket_t* listener, const char* failure)
+    {
+        // Bounds the time for which other connections wait.
+        constexpr int accepts_per_wakeup = 64;
+        auto* self = static_cast<tcp_listener*>(listener->data);
+        if (failure != nullptr) {
+            return;
+        }
+        for (int i = 0; i < accepts_per_wakeup; ++i) {
+            auto* socket = h2o_evloop_socket_accept(listener);
+            if (socket == nullptr) {
+                return;
+            }
+            self->accept_(std::make_unique<tcp_connection>(socket));
+        }
+    }
+};
+
+tcp_listener::tcp_listener(event_loop& loop, const endpoint& address,
+                           std::function<void(std::unique_ptr<tcp_connection>)> accept)
+    : address_(address), accept_(std::move(accept))
+{
+    sockaddr_in bound = native_address(address, "cannot listen on");
+    const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+    const int enabled = 1;
+    ::setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &enabled, sizeof(enabled));
+    socklen_t length = sizeof(bound);
+    auto* generic = reinterpret_cast<sockaddr*>(&bound);
+    if (::bind(descriptor, generic, length) != 0 || ::listen(descriptor, listen_backlog) != 0 ||
+        ::getsockname(descriptor, generic, &length) != 0) {
+        const std::string message = std::strerror(errno);
+        ::close(descriptor);
+        throw error("cannot listen on " + to_string(address) + ": " + message);
+    }
+    address_.port = ntohs(bound.sin_port);
+    socket_ = h2o_evloop_socket_create(loop.native(), descriptor, H2O_SOCKET_FLAG_DONT_READ);
+    socket_->data = this;
+    h2o_socket_read_start(socket_, native::on_accept);
+}
+
+tcp_listener::~tcp_listener()
+{
+    h2o_socket_read_stop(socket_);
+    h2o_socket_close(socket_);
+}
+
+} // namespace dotterelport::net
--- /dev/null
+++ b/src/dotterelport/routing/prompt_cache_view.cpp
@@ -0,0 +1,84 @@
+#include "dotterelport/routing/prompt_cache_view.hpp"
+
+#include <numeric>
+#include <vector>
+
+#include "dotterelport/base/hash.hpp"
+
+namespace dotterelport::routing {
+namespace {
+
+/// Name of a part together with all parts before it.
+std::uint64_t chain_hash(std::uint64_t before, const prompt_part& part)
+{
+    const std::string_view bytes(reinterpret_cast<const char*>(&part.id), sizeof(part.id));
+    return hash64(bytes, before);
+}
+
+} // namespace
+
+tokens prompt_cache_view::cached(const std::string& server,
+                                 std::span<const prompt_part> parts) const
+{
+    const auto found = servers_.find(server);
+    if (found == servers_.end()) {
+        return 0;
+    }
+    tokens total = 0;
+    std::uint64_t chain = 0;
+    for (const auto& part : parts) {
+        chain = chain_hash(chain, part);
+        if (!found->second.parts.contains(chain)) {
+            break;
+        }
+        total += part.size;
+    }
+    return total;
+}
+
+void prompt_cache_view::record(const std::string& server, std::span<const prompt_part> parts,
+                               tokens capacity)
+{
+    contents& cache = servers_[server];
+    std::vector<entry> chains;
+    chains.reserve(parts.size());
+    std::uint64_t chain = 0;
+    for (const auto& part : parts) {
+        chain = chain_hash(chain, part);
+        chains.push_back({.chain = chain, .size = part.size});
+    }
+    // Later parts are dropped first, as they are of no use without the earlier ones.
+    for (auto part = chains.rbegin(); part != chains.rend(); ++part) {
+        const auto known = cache.parts.find(part->chain);
+        if (known != cache.parts.end()) {
+            cache.order.splice(cache.order.begin(), cache.order, known->second);
+            continue;
+        }
+        cache.order.push_front(*part);
+        cache.parts.emplace(part->chain, cache.order.begin());
+        cache.total += part->size;
+    }
+    while (cache.total > capacity && cache.order.size() > chains.size()) {
+        const entry& last = cache.order.back();
+        cache.total -= last.size;
+        cache.parts.erase(last.chain);
+        cache.order.pop_back();
+    }
+}
+
+void prompt_cache_view::forget(const std::string& server)
+{
+    const auto found = servers_.find(server);
+    if (found != servers_.end()) {
+        servers_.erase(found);
+    }
+}
+
+std::size_t prompt_cache_view::size() const
+{
+    return std::accumulate(
+        servers_.begin(), servers_.end(), std::size_t{0},
+        [](std::size_t sum, const auto& item) { return sum + item.second.parts.size(); });
+}
+
+} // namespace dotterelport::routing
