Reach the store through relays beside the engines

Change: dotterelport-relay runs beside each engine and passes connections on; the store client chooses its path (store_paths) and goes through a relay when the store does not answer. Grants follow a demand averaged over 8 s. A request that the ledger has no room for is refused at once.

--- a/include/dotterelport/budget/grant_holder.hpp
+++ b/include/dotterelport/budget/grant_holder.hpp
@@ -41,6 +41,7 @@
     milliseconds period_start{0};
     double tokens_per_second = 0;
     milliseconds last_used{0};
+    std::optional<milliseconds> first_used;
 
     /// @brief Tokens that new requests can reserve.
     [[nodiscard]] tokens available() const
--- a/include/dotterelport/budget/sizing.hpp
+++ b/include/dotterelport/budget/sizing.hpp
@@ -53,6 +53,13 @@
     bool open_early = false;
     /// Time without use after which a grant is returned.
     milliseconds idle_limit{600'000};
+    /// Time over which the demand is averaged; 0 for a short fixed memory, which follows a change
+    /// of the demand at once and forgets a demand that comes in few large requests.
+    milliseconds demand_memory{0};
+    /// A grant grows when its open part is below this multiple of the target, and shrinks when it
+    /// is above the other one. Between them it stays, to save writes.
+    double grow_below = 0.5;
+    double shrink_above = 2.0;
 };
 
 using sizing_policy = std::variant<equal_split, demand_share>;
@@ -71,6 +78,14 @@
 /// @brief Time without use after which a grant is returned.
 milliseconds idle_limit(const sizing_policy& policy);
 
+/// @brief Weight of a new measurement of the demand.
+/// @param elapsed length of the measurement
+/// @param age time since the budget was first used
+double demand_weight(const sizing_policy& policy, milliseconds elapsed, milliseconds age);
+
+/// @brief Tells whether an open part is close enough to its target to stay.
+bool is_near_target(const sizing_policy& policy, tokens open, tokens target);
+
 /// @brief Tells whether grants are opened before a budget is first used.
 bool opens_early(const sizing_policy& policy);
 
--- a/include/dotterelport/gateway/gateway.hpp
+++ b/include/dotterelport/gateway/gateway.hpp
@@ -3,6 +3,8 @@
 
 #include <functional>
 #include <memory>
+#include <string>
+#include <vector>
 
 #include "dotterelport/base/identifiers.hpp"
 #include "dotterelport/base/json.hpp"
@@ -36,6 +38,9 @@
     void update_server(const backend_server& server);
     void remove_server(const std::string& id, bool after_outage);
 
+    /// @brief Registered model engines, also those that are draining.
+    [[nodiscard]] std::vector<const backend_server*> model_servers() const;
+
     /// @brief Takes settings that may change while the process runs.
     void reconfigure(const settings& values);
 
--- a/include/dotterelport/gateway/server_directory.hpp
+++ b/include/dotterelport/gateway/server_directory.hpp
@@ -67,6 +67,10 @@
     /// @brief Servers of a service that take new requests, in order of their ids.
     [[nodiscard]] std::vector<const backend_server*> available(std::string_view service) const;
 
+    /// @brief All servers that fulfil a condition.
+    [[nodiscard]] std::vector<const backend_server*>
+    matching(const std::function<bool(const backend_server&)>& condition) const;
+
     [[nodiscard]] const backend_server* find(const std::string& id) const;
 
     /// @brief Tells whether a server may be sent new work.
--- a/include/dotterelport/gateway/settings.hpp
+++ b/include/dotterelport/gateway/settings.hpp
@@ -1,7 +1,7 @@
 #ifndef DOTTERELPORT_GATEWAY_SETTINGS_HPP
 #define DOTTERELPORT_GATEWAY_SETTINGS_HPP
 
-#include <cstddef>
+#include <cstdint>
 #include <string>
 
 #include "dotterelport/base/clock.hpp"
@@ -22,6 +22,8 @@
     net::endpoint operators;
     /// Object store of the platform.
     net::endpoint store;
+    /// Port of the relays to the store beside the model engines.
+    std::uint16_t relay_port = 0;
     severity log_level = severity::info;
     /// Time between the order to stop and the kill.
     milliseconds grace{8'000};
--- a/include/dotterelport/object_store/events.hpp
+++ b/include/dotterelport/object_store/events.hpp
@@ -14,6 +14,13 @@
 inline constexpr log_event feed_history_gone{
     882, severity::info, "feed_history_gone",
     "The store dropped the changes that a watch would go on from; the objects are listed anew."};
+inline constexpr log_event path_changed{
+    884, severity::warning, "store_path_changed",
+    "Calls to the store go through a relay from now on, or straight again."};
+inline constexpr log_event relay_started{885, severity::info, "relay_started",
+                                         "The relay passes connections on to the store."};
+inline constexpr log_event relay_stopped{886, severity::info, "relay_stopped",
+                                         "The relay was told to stop."};
 inline constexpr log_event object_ignored{
     883, severity::warning, "object_ignored",
     "An object does not have the required form; the field is named."};
--- /dev/null
+++ b/include/dotterelport/object_store/store_paths.hpp
@@ -0,0 +1,78 @@
+#ifndef DOTTERELPORT_OBJECT_STORE_STORE_PATHS_HPP
+#define DOTTERELPORT_OBJECT_STORE_STORE_PATHS_HPP
+
+#include <cstddef>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "dotterelport/base/clock.hpp"
+#include "dotterelport/base/json.hpp"
+#include "dotterelport/net/endpoint.hpp"
+
+namespace dotterelport::object_store {
+
+/// A relay that passes connections on to the store.
+struct relay_address {
+    net::endpoint address;
+    std::string failure_domain;
+
+    bool operator==(const relay_address&) const = default;
+};
+
+/// What a call needs of its path.
+enum class path_use {
+    /// Answered at once: may be used to find out whether a path works again.
+    short_call,
+    /// Waits for seconds: takes only a path that is known to work, if there is one.
+    waiting_call,
+};
+
+struct path_settings {
+    /// Time for which a path is avoided after a failure, doubled after each further one.
+    milliseconds first_penalty{700};
+    milliseconds longest_penalty{5'000};
+};
+
+/// Chooses how to reach the store: straight, or through a relay when this process is cut off from
+/// it. Answers the pattern of a partition between entry VMs and the store while backend servers
+/// reach both.
+class store_paths {
+public:
+    store_paths(const net::endpoint& store, std::string failure_domain,
+                const path_settings& settings = {});
+
+    /// @brief Sets the relays; what is known of those that stay is kept.
+    void set_relays(const std::vector<relay_address>& relays);
+
+    /// @brief Chooses the path of the next call.
+    [[nodiscard]] net::endpoint choose(path_use use, milliseconds now) const;
+
+    /// @brief Records whether the store answered over a path.
+    void note_result(const net::endpoint& path, bool answered, milliseconds now);
+
+    /// @brief Tells whether calls go straight to the store.
+    [[nodiscard]] bool is_direct() const;
+
+    [[nodiscard]] json dump(milliseconds now) const;
+
+private:
+    struct path_state {
+        int failures = 0;
+        milliseconds avoided_until{0};
+    };
+
+    [[nodiscard]] const path_state& state_of(const net::endpoint& path) const;
+    [[nodiscard]] bool is_proven(const net::endpoint& path) const;
+
+    net::endpoint store_;
+    std::string failure_domain_;
+    path_settings settings_;
+    /// Those of this failure domain first.
+    std::vector<relay_address> relays_;
+    std::map<net::endpoint, path_state> states_;
+};
+
+} // namespace dotterelport::object_store
+
+#endif
--- /dev/null
+++ b/include/dotterelport/object_store/store_relay.hpp
@@ -0,0 +1,52 @@
+#ifndef DOTTERELPORT_OBJECT_STORE_STORE_RELAY_HPP
+#define DOTTERELPORT_OBJECT_STORE_STORE_RELAY_HPP
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <memory>
+
+#include "dotterelport/net/endpoint.hpp"
+#include "dotterelport/net/event_loop.hpp"
+#include "dotterelport/net/tcp_connection.hpp"
+
+namespace dotterelport::object_store {
+
+/// Passes connections on to the store, for routers that are cut off from it. Keeps no state.
+class store_relay {
+public:
+    struct options {
+        net::endpoint listen;
+        net::endpoint store;
+        /// Further connections are closed at once.
+        std::size_t max_connections = 500;
+        milliseconds connect_timeout{400};
+    };
+
+    /// @throws error if the address cannot be bound
+    store_relay(net::event_loop& loop, const options& settings);
+    ~store_relay();
+    store_relay(const store_relay&) = delete;
+    store_relay& operator=(const store_relay&) = delete;
+
+    [[nodiscard]] const net::endpoint& address() const { return listener_->address(); }
+    [[nodiscard]] std::size_t connection_count() const { return pairs_.size(); }
+
+private:
+    struct pair;
+
+    void accept(std::unique_ptr<net::tcp_connection> connection);
+    void connected(std::uint64_t id, std::unique_ptr<net::tcp_connection> connection);
+    void pass_on(std::uint64_t id, bool to_store);
+    void close(std::uint64_t id);
+
+    net::event_loop& loop_;
+    options options_;
+    std::unique_ptr<net::tcp_listener> listener_;
+    std::uint64_t last_id_ = 0;
+    std::map<std::uint64_t, std::shared_ptr<pair>> pairs_;
+};
+
+} // namespace dotterelport::object_store
+
+#endif
--- a/src/dotterelport/budget/shard_session.cpp
+++ b/src/dotterelport/budget/shard_session.cpp
@@ -238,14 +238,18 @@
 void shard_session::measure_demand(holder_account& owner) const
 {
     constexpr milliseconds shortest_period{250};
-    constexpr double weight = 0.4;
     const auto elapsed = environment_.now - owner.period_start;
     if (elapsed < shortest_period) {
         return;
     }
     if (owner.spent_in_period > 0 || owner.reserved > 0 || owner.wanted > 0) {
         owner.last_used = environment_.now;
+        if (!owner.first_used) {
+            owner.first_used = owner.period_start;
+        }
     }
+    const double weight = demand_weight(
+        policy_, elapsed, environment_.now - owner.first_used.value_or(environment_.now));
     const double seconds = std::chrono::duration<double>(elapsed).count();
     const double rate = static_cast<double>(owner.spent_in_period) / seconds;
     owner.tokens_per_second += weight * (rate - owner.tokens_per_second);
@@ -256,9 +260,6 @@
 tokens shard_session::wanted_open(const ledger_entry& entry, const holder_account& owner,
                                   tokens open_now) const
 {
-    // A grant is changed only if it is off its target by this factor, to save writes.
-    constexpr tokens tolerance = 2;
-
     const bool moves = moves_tokens(policy_);
     const tokens needed = owner.reserved + (moves ? owner.wanted : 0);
     const bool idle = environment_.now - owner.last_used > idle_limit(policy_);
@@ -277,8 +278,7 @@
     if (!moves) {
         return std::max(target, needed);
     }
-    const bool keep =
-        open_now >= needed && open_now * tolerance >= target && open_now <= target * tolerance;
+    const bool keep = open_now >= needed && is_near_target(policy_, open_now, target);
     return keep ? open_now : std::max(target, needed);
 }
 
--- a/src/dotterelport/budget/sizing.cpp
+++ b/src/dotterelport/budget/sizing.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 
 namespace dotterelport::budget {
 namespace {
@@ -72,6 +73,30 @@
     return chosen == nullptr ? milliseconds::max() : chosen->idle_limit;
 }
 
+double demand_weight(const sizing_policy& policy, milliseconds elapsed, milliseconds age)
+{
+    constexpr double short_memory_weight = 0.4;
+    const auto* chosen = std::get_if<demand_share>(&policy);
+    if (chosen == nullptr || chosen->demand_memory <= milliseconds{0}) {
+        return short_memory_weight;
+    }
+    const double part = seconds(elapsed) / seconds(chosen->demand_memory);
+    // Until the memory is full, the plain mean over the time since the first use.
+    const double mean = age > milliseconds{0} ? seconds(elapsed) / seconds(age) : 1.0;
+    return std::min(1.0, std::max(1.0 - std::exp(-part), mean));
+}
+
+bool is_near_target(const sizing_policy& policy, tokens open, tokens target)
+{
+    const auto* chosen = std::get_if<demand_share>(&policy);
+    if (chosen == nullptr) {
+        return open == target;
+    }
+    const auto wanted = static_cast<double>(target);
+    const auto present = static_cast<double>(open);
+    return present >= wanted * chosen->grow_below && present <= wanted * chosen->shrink_above;
+}
+
 bool opens_early(const sizing_policy& policy)
 {
     const auto* chosen = std::get_if<demand_share>(&policy);
--- a/src/dotterelport/gateway/budget_keeper.cpp
+++ b/src/dotterelport/gateway/budget_keeper.cpp
@@ -33,15 +33,19 @@
 budget::demand_share budget_keeper_settings::default_sizing()
 {
     budget::demand_share result;
-    result.horizon = milliseconds{4'000};
-    result.trouble_factor = 0.5;
+    // The longest time for which a router is usually cut off from the store.
+    result.horizon = milliseconds{9'000};
+    result.trouble_factor = 0;
     result.reserve_requests = 1.5;
-    result.largest_share = 0.9;
+    result.largest_share = 0.75;
     result.near_end = 0.1;
     result.least_factor = 0.5;
     result.assumed_request = 10'000;
     result.open_early = true;
     result.idle_limit = milliseconds{600'000};
+    result.demand_memory = milliseconds{8'000};
+    result.grow_below = 0.7;
+    result.shrink_above = 1.6;
     return result;
 }
 
@@ -230,7 +234,8 @@
             is_exhausted(item->key.workspace, item->upper)) {
             outcome = reservation_outcome::exhausted;
         }
-        if (outcome == reservation_outcome::no_grant && now < item->until) {
+        // A complete round has taken all that the ledger has room for.
+        if (outcome == reservation_outcome::no_grant && now < item->until && !round_complete) {
             ++item;
             continue;
         }
--- a/src/dotterelport/gateway/forwarding.cpp
+++ b/src/dotterelport/gateway/forwarding.cpp
@@ -30,6 +30,9 @@
 /// Time in which a lapsed registration, or a grant, is back once the store is.
 constexpr milliseconds store_retry{1'000};
 
+/// A caller that comes back reaches another gateway, whose grant may have room at once.
+constexpr milliseconds other_gateway_retry{50};
+
 /// Answers that are not streamed are kept in memory up to this size.
 constexpr std::size_t max_answer_bytes = 8U << 20U;
 
@@ -215,7 +218,7 @@
         refuse(payment_required, "budget_exhausted");
         return;
     case reservation_outcome::no_grant:
-        refuse(unavailable, "no_grant", store_retry);
+        refuse(unavailable, "no_grant", other_gateway_retry);
         return;
     }
 }
--- a/src/dotterelport/gateway/gateway.cpp
+++ b/src/dotterelport/gateway/gateway.cpp
@@ -235,6 +235,17 @@
     state_->servers.remove(id, after_outage, steady_now());
 }
 
+std::vector<const backend_server*> gateway::model_servers() const
+{
+    if (state_->catalogue == nullptr) {
+        return {};
+    }
+    return state_->servers.matching([this](const backend_server& server) {
+        const auto* service = state_->catalogue->find_service(server.service);
+        return service != nullptr && service->cache_capacity > 0;
+    });
+}
+
 void gateway::reconfigure(const settings& values)
 {
     state_->values.grace = values.grace;
--- a/src/dotterelport/gateway/server_directory.cpp
+++ b/src/dotterelport/gateway/server_directory.cpp
@@ -109,6 +109,18 @@
     return result;
 }
 
+std::vector<const backend_server*>
+server_directory::matching(const std::function<bool(const backend_server&)>& condition) const
+{
+    std::vector<const backend_server*> result;
+    for (const auto& [id, server] : servers_) {
+        if (condition(server)) {
+            result.push_back(&server);
+        }
+    }
+    return result;
+}
+
 const backend_server* server_directory::find(const std::string& id) const
 {
     const auto found = servers_.find(id);
--- a/src/dotterelport/gateway/settings.cpp
+++ b/src/dotterelport/gateway/settings.cpp
@@ -14,13 +14,14 @@
 {
     static const json document = json::parse(R"({
         "type": "object",
-        "required": ["name", "failure_domain", "callers", "operators", "store"],
+        "required": ["name", "failure_domain", "callers", "operators", "store", "relay_port"],
         "properties": {
             "name": {"type": "string", "minLength": 1},
             "failure_domain": {"type": "string", "minLength": 1},
             "callers": {"type": "string"},
             "operators": {"type": "string"},
             "store": {"type": "string"},
+            "relay_port": {"type": "integer", "minimum": 1, "maximum": 65535},
             "log_level": {"enum": ["debug", "info", "warning", "error"]},
             "grace_s": {"type": "number", "exclusiveMinimum": 0},
             "retry_share": {"type": "number", "minimum": 0},
@@ -61,6 +62,7 @@
     result.callers = address(document, "callers", source);
     result.operators = address(document, "operators", source);
     result.store = address(document, "store", source);
+    result.relay_port = document.at("relay_port");
     result.log_level = log_level(document);
     const double grace_s =
         document.value("grace_s", static_cast<double>(result.grace.count()) / ms_per_s);
--- /dev/null
+++ b/src/dotterelport/object_store/store_paths.cpp
@@ -0,0 +1,94 @@
+#include "dotterelport/object_store/store_paths.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "dotterelport/object_store/events.hpp"
+
+namespace dotterelport::object_store {
+
+store_paths::store_paths(const net::endpoint& store, std::string failure_domain,
+                         const path_settings& settings)
+    : store_(store), failure_domain_(std::move(failure_domain)), settings_(settings)
+{}
+
+void store_paths::set_relays(const std::vector<relay_address>& relays)
+{
+    relays_ = relays;
+    std::stable_partition(relays_.begin(), relays_.end(), [this](const relay_address& relay) {
+        return relay.failure_domain == failure_domain_;
+    });
+    std::erase_if(states_, [this](const auto& item) {
+        return item.first != store_ &&
+               std::none_of(relays_.begin(), relays_.end(), [&item](const relay_address& relay) {
+                   return relay.address == item.first;
+               });
+    });
+}
+
+const store_paths::path_state& store_paths::state_of(const net::endpoint& path) const
+{
+    static const path_state unknown;
+    const auto found = states_.find(path);
+    return found == states_.end() ? unknown : found->second;
+}
+
+bool store_paths::is_proven(const net::endpoint& path) const
+{
+    const auto found = states_.find(path);
+    return found != states_.end() && found->second.failures == 0;
+}
+
+net::endpoint store_paths::choose(path_use use, milliseconds now) const
+{
+    const auto& direct = state_of(store_);
+    if (direct.failures == 0 || (use == path_use::short_call && now >= direct.avoided_until)) {
+        return store_;
+    }
+    // A relay that has answered is used until it fails; otherwise the next one is tried.
+    for (const bool proven : {true, false}) {
+        for (const auto& relay : relays_) {
+            if (now >= state_of(relay.address).avoided_until &&
+                (!proven || is_proven(relay.address))) {
+                return relay.address;
+            }
+        }
+    }
+    return store_;
+}
+
+void store_paths::note_result(const net::endpoint& path, bool answered, milliseconds now)
+{
+    path_state& state = states_[path];
+    const bool was_direct = is_direct();
+    if (answered) {
+        state = {};
+    } else {
+        constexpr int most_doublings = 6;
+        const auto penalty =
+            settings_.first_penalty * (1 << std::min(state.failures, most_doublings));
+        ++state.failures;
+        state.avoided_until = now + std::min(penalty, settings_.longest_penalty);
+    }
+    if (was_direct != is_direct()) {
+        log(events::path_changed, {{"direct", is_direct()}, {"relays", relays_.size()}});
+    }
+}
+
+bool store_paths::is_direct() const
+{
+    return state_of(store_).failures == 0;
+}
+
+json store_paths::dump(milliseconds now) const
+{
+    json result = json::object();
+    for (const auto& [path, state] : states_) {
+        result[net::to_string(path)] = {
+            {"failures", state.failures},
+            {"avoided_for_ms", std::max(milliseconds{0}, state.avoided_until - now).count()}};
+    }
+    return result;
+}
+
+} // namespace dotterelport::object_store
--- /dev/null
+++ b/src/dotterelport/object_store/store_relay.cpp
@@ -0,0 +1,104 @@
+#include "dotterelport/object_store/store_relay.hpp"
+
+#include <utility>
+
+namespace dotterelport::object_store {
+
+/// A router's connection and the one to the store.
+struct store_relay::pair {
+    std::unique_ptr<net::tcp_connection> router;
+    std::unique_ptr<net::tcp_connection> store;
+    std::unique_ptr<net::tcp_connector> connector;
+    /// The store has ended its side; the router's is closed once it has everything.
+    bool ending = false;
+};
+
+store_relay::store_relay(net::event_loop& loop, const options& settings)
+    : loop_(loop), options_(settings)
+{
+    listener_ = std::make_unique<net::tcp_listener>(
+        loop, settings.listen,
+        [this](std::unique_ptr<net::tcp_connection> connection) { accept(std::move(connection)); });
+}
+
+store_relay::~store_relay() = default;
+
+void store_relay::accept(std::unique_ptr<net::tcp_connection> connection)
+{
+    if (pairs_.size() >= options_.max_connections) {
+        return;
+    }
+    const std::uint64_t id = ++last_id_;
+    auto item = std::make_shared<pair>();
+    item->router = std::move(connection);
+    pairs_.emplace(id, item);
+    item->router->start({.on_input = [this, id] { pass_on(id, true); },
+                         .on_end = [this, id](net::stream_end /*end*/) { close(id); },
+                         .on_drained =
+                             [this, id] {
+                                 const auto found = pairs_.find(id);
+                                 if (found != pairs_.end() && found->second->ending) {
+                                     close(id);
+                                 }
+                             }});
+    item->connector = std::make_unique<net::tcp_connector>(
+        loop_, options_.store, options_.connect_timeout,
+        [this, id](std::unique_ptr<net::tcp_connection> opened) {
+            connected(id, std::move(opened));
+        });
+}
+
+void store_relay::connected(std::uint64_t id, std::unique_ptr<net::tcp_connection> connection)
+{
+    const auto found = pairs_.find(id);
+    if (found == pairs_.end()) {
+        return;
+    }
+    if (connection == nullptr) {
+        close(id);
+        return;
+    }
+    const auto item = found->second;
+    item->store = std::move(connection);
+    item->store->start({.on_input = [this, id] { pass_on(id, false); },
+                        .on_end =
+                            [this, id](net::stream_end end) {
+                                const auto ended = pairs_.find(id);
+                                if (ended == pairs_.end()) {
+                                    return;
+                                }
+                                ended->second->ending = true;
+                                if (end == net::stream_end::reset ||
+                                    ended->second->router->unsent() == 0) {
+                                    close(id);
+                                }
+                            }});
+    pass_on(id, true);
+}
+
+void store_relay::pass_on(std::uint64_t id, bool to_store)
+{
+    const auto found = pairs_.find(id);
+    if (found == pairs_.end() || found->second->store == nullptr) {
+        return;
+    }
+    auto& item = *found->second;
+    auto& from = to_store ? *item.router : *item.store;
+    auto& to = to_store ? *item.store : *item.router;
+    to.write(from.input());
+    from.consume(from.input().size());
+}
+
+void store_relay::close(std::uint64_t id)
+{
+    const auto found = pairs_.find(id);
+    if (found == pairs_.end()) {
+        return;
+    }
+    // One of the connections may be calling.
+    const auto item = found->second;
+    pairs_.erase(found);
+    loop_.post([item] {});
+}
+
+} // namespace dotterelport::object_store
