Hold small grants, so that a dead router strands little

Cause: after the final power loss the open grants of the dead incarnations count as spent. Change: a router holds at most its part of 12 % of what remains; a ledger that had no room is believed for 500 ms instead of being read for each request; a server whose address another one has gets no more requests; engines admit short prompts first; the ledger is logged when it is first read.

--- a/include/dotterelport/gateway/budget_keeper.hpp
+++ b/include/dotterelport/gateway/budget_keeper.hpp
@@ -42,6 +42,8 @@
     milliseconds grant_wait{250};
     /// Time between rounds that waiting requests ask for.
     milliseconds urgent_spacing{60};
+    /// Time for which a ledger that was read is believed to have no more room than it had.
+    milliseconds ledger_life{500};
     budget::demand_share sizing = default_sizing();
 
     static budget::demand_share default_sizing();
@@ -93,6 +95,8 @@
     };
 
     reservation_outcome try_reserve(const request_key& key, tokens upper);
+    /// @brief Tells whether the ledger lately had no room for a request.
+    [[nodiscard]] bool has_no_room(const std::string& workspace, tokens upper) const;
     [[nodiscard]] bool is_exhausted(const std::string& workspace, tokens upper) const;
     void serve_waiting(bool round_complete);
     void set_wanted();
@@ -100,6 +104,7 @@
     void perform(const budget::io_step& step);
     void round_ended();
     void schedule_round(milliseconds delay);
+    void log_first_ledger();
 
     net::event_loop& loop_;
     object_store::conditional_objects& objects_;
@@ -110,7 +115,10 @@
     net::timer_id round_timer_ = 0;
     milliseconds last_flush_{0};
     milliseconds last_round_{0};
+    /// End of the last round that reached the store.
+    std::optional<milliseconds> ledger_read_;
     std::function<void()> drained_;
+    bool ledger_logged_ = false;
     /// Functions of calls that are under way check it.
     std::shared_ptr<budget_keeper*> alive_;
 };
--- a/include/dotterelport/gateway/events.hpp
+++ b/include/dotterelport/gateway/events.hpp
@@ -49,6 +49,11 @@
     930, severity::warning, "ledger_unavailable",
     "The budget ledger could not be read or written; the grants stay as they are."};
 
+inline constexpr log_event ledger_read{
+    931, severity::info, "ledger_read",
+    "The budget ledger was read for the first time; open tokens are those of all routers, also of "
+    "runs that ended without returning them."};
+
 } // namespace dotterelport::gateway::events
 
 #endif
--- a/include/dotterelport/gateway/protocol.hpp
+++ b/include/dotterelport/gateway/protocol.hpp
@@ -43,6 +43,8 @@
     std::string workspace;
     /// The answer is to go on after this event.
     std::optional<std::uint64_t> last_event;
+    /// Order in which an engine admits waiting requests, from 0 for the first to 9.
+    std::optional<int> urgency;
 };
 
 /// What the head of a backend server's answer says.
@@ -51,6 +53,8 @@
     std::optional<std::string> id;
     /// The server states that it did not run the request.
     bool not_run = false;
+    /// Another server has taken over the address.
+    bool replaced = false;
     /// The answer bears the proof that a server made it.
     bool authentic = false;
     std::optional<routing::load_report> load;
--- a/include/dotterelport/gateway/server_directory.hpp
+++ b/include/dotterelport/gateway/server_directory.hpp
@@ -61,6 +61,10 @@
     /// @param after_outage whether the store was away shortly before
     void remove(const std::string& id, bool after_outage, milliseconds now);
 
+    /// @brief Records that another server answers at a server's address: it gets no more requests,
+    /// whatever its registration says until it lapses.
+    void mark_replaced(const std::string& id);
+
     /// @brief Forgets registrations whose grace period is over.
     void expire(milliseconds now);
 
@@ -90,6 +94,8 @@
     std::map<std::string, std::set<std::string>, std::less<>> by_service_;
     /// Registrations that are missing since an outage, with the end of their grace period.
     std::map<std::string, milliseconds> missing_;
+    /// Servers at whose address another one answers.
+    std::set<std::string> replaced_;
     bool has_list_ = false;
 };
 
--- a/src/dotterelport/gateway/budget_keeper.cpp
+++ b/src/dotterelport/gateway/budget_keeper.cpp
@@ -34,10 +34,10 @@
 {
     budget::demand_share result;
     // The longest time for which a router is usually cut off from the store.
-    result.horizon = milliseconds{9'000};
+    result.horizon = milliseconds{6'000};
     result.trouble_factor = 0;
-    result.reserve_requests = 1.5;
-    result.largest_share = 0.75;
+    result.reserve_requests = 0.5;
+    result.largest_share = 0.12;
     result.near_end = 0.1;
     result.least_factor = 0.5;
     result.assumed_request = 10'000;
@@ -103,6 +103,18 @@
     return entry->settled + entry->unproved + own_use + upper > entry->prepaid;
 }
 
+bool budget_keeper::has_no_room(const std::string& workspace, tokens upper) const
+{
+    const auto* ledger = session_.ledger();
+    const auto* entry = ledger == nullptr ? nullptr : ledger->find(workspace);
+    const auto* owner = session_.holder().find_account(workspace);
+    if (entry == nullptr || owner == nullptr || !ledger_read_ ||
+        steady_now() - *ledger_read_ > settings_.ledger_life) {
+        return false;
+    }
+    return entry->room() + std::max<tokens>(0, owner->available()) < upper;
+}
+
 void budget_keeper::reserve(const std::string& workspace, const std::string& id, tokens upper,
                             reservation_handler done)
 {
@@ -115,6 +127,10 @@
         done(reservation_outcome::exhausted);
         return;
     }
+    if (has_no_room(workspace, upper)) {
+        done(reservation_outcome::no_grant);
+        return;
+    }
     waiting_.push_back({.key = key,
                         .upper = upper,
                         .until = steady_now() + settings_.grant_wait,
@@ -215,6 +231,10 @@
     if (session_.last_outcome() == budget::round_outcome::unavailable) {
         log(events::ledger_unavailable, {{"waiting", waiting_.size()}});
     }
+    if (complete && session_.ledger() != nullptr) {
+        ledger_read_ = steady_now();
+    }
+    log_first_ledger();
     serve_waiting(complete);
     if (drained_ && (session_.is_settled() || session_.is_closed())) {
         std::exchange(drained_, nullptr)();
@@ -224,6 +244,28 @@
                                                  : settings_.urgent_spacing);
 }
 
+void budget_keeper::log_first_ledger()
+{
+    const auto* ledger = session_.ledger();
+    if (ledger_logged_ || ledger == nullptr) {
+        return;
+    }
+    ledger_logged_ = true;
+    // Bounds the length of the line.
+    constexpr std::size_t most_budgets = 50;
+    json budgets = json::object();
+    for (const auto& [name, entry] : ledger->budgets()) {
+        if (budgets.size() < most_budgets) {
+            budgets[name] = {{"prepaid", entry.prepaid},
+                             {"settled", entry.settled},
+                             {"unproved", entry.unproved},
+                             {"open", entry.open()},
+                             {"grants", entry.grants.size()}};
+        }
+    }
+    log(events::ledger_read, {{"generation", ledger->generation()}, {"budgets", budgets}});
+}
+
 void budget_keeper::serve_waiting(bool round_complete)
 {
     const milliseconds now = steady_now();
--- a/src/dotterelport/gateway/forwarding.cpp
+++ b/src/dotterelport/gateway/forwarding.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "dotterelport/gateway/events.hpp"
+#include "dotterelport/routing/urgency.hpp"
 
 namespace dotterelport::gateway {
 namespace {
@@ -273,7 +274,8 @@
         {.server = server.id,
          .deadline = time_left(),
          .workspace = workspace_ == nullptr ? std::string() : workspace_->name,
-         .last_event = last_event});
+         .last_event = last_event,
+         .urgency = routing::engine_urgency(request_.prompt_tokens)});
     call.max_idle = route_->may_repeat() ? longest_idle : fresh_idle;
     context_.placement.sent(server.id, attempt_->id, placement_request(), cache_capacity_, now);
     json fields = log_fields();
@@ -361,8 +363,9 @@
 void forwarding::received_all()
 {
     const int status = attempt_->head->status;
-    if (attempt_->answer.not_run || status == misdirected) {
-        attempt_failed(verdict::not_run, "server_refused");
+    if (attempt_->answer.not_run) {
+        attempt_failed(verdict::not_run,
+                       attempt_->answer.replaced ? "server_replaced" : "server_refused");
         return;
     }
     if (is_success(status) && !attempt_->answer.authentic) {
@@ -431,6 +434,10 @@
         const auto units =
             static_cast<double>(item.streams ? events_.events() - item.events_before : 1);
         placement.finished(item.server, item.id, units, now);
+    } else if (outcome == "server_replaced") {
+        // The registration of the server that is gone has not lapsed yet.
+        context_.servers.mark_replaced(item.server);
+        placement.cancelled(item.server, item.id, now);
     } else if (outcome == "not_connected") {
         placement.unreachable(item.server, item.id, now);
     } else if (outcome == "caller_gone" || outcome == "server_refused") {
--- a/src/dotterelport/gateway/server_directory.cpp
+++ b/src/dotterelport/gateway/server_directory.cpp
@@ -64,6 +64,7 @@
 void server_directory::forget(const std::string& id)
 {
     missing_.erase(id);
+    replaced_.erase(id);
     const auto found = servers_.find(id);
     if (found == servers_.end()) {
         return;
@@ -80,6 +81,13 @@
     }
 }
 
+void server_directory::mark_replaced(const std::string& id)
+{
+    if (servers_.contains(id)) {
+        replaced_.insert(id);
+    }
+}
+
 void server_directory::expire(milliseconds now)
 {
     std::vector<std::string> gone;
@@ -102,7 +110,7 @@
     }
     for (const auto& id : found->second) {
         const auto& server = servers_.at(id);
-        if (!server.draining) {
+        if (!server.draining && !replaced_.contains(id)) {
             result.push_back(&server);
         }
     }
@@ -130,7 +138,7 @@
 bool server_directory::is_available(const std::string& id) const
 {
     const auto* server = find(id);
-    return server != nullptr && !server->draining;
+    return server != nullptr && !server->draining && !replaced_.contains(id);
 }
 
 json server_directory::dump() const
