Place long prompts apart from streams and tell other gateways of it

Change: prompts over 4,096 tokens avoid a third of each domain's engines, which the others prefer; routers agree on a home for each chain of shared parts by rendezvous hashing; each tells the others by datagram, every 50 ms, what its requests are to each engine and which prompts it sent.

--- a/include/dotterelport/gateway/gateway.hpp
+++ b/include/dotterelport/gateway/gateway.hpp
@@ -41,6 +41,9 @@
     /// @brief Registered model engines, also those that are draining.
     [[nodiscard]] std::vector<const backend_server*> model_servers() const;
 
+    /// @brief Sets the address at which another gateway takes datagrams.
+    void set_peer(const std::string& node, const net::endpoint& address);
+
     /// @brief Takes settings that may change while the process runs.
     void reconfigure(const settings& values);
 
--- a/include/dotterelport/gateway/service_catalogue.hpp
+++ b/include/dotterelport/gateway/service_catalogue.hpp
@@ -106,6 +106,9 @@
 
     [[nodiscard]] const service_definition* find_service(std::string_view name) const;
 
+    /// @brief Largest prompt cache of any service, in tokens.
+    [[nodiscard]] tokens largest_cache() const;
+
     /// @brief Finds the workspace that holds a key.
     [[nodiscard]] const workspace* find_workspace(std::string_view key) const;
 
--- a/include/dotterelport/gateway/settings.hpp
+++ b/include/dotterelport/gateway/settings.hpp
@@ -20,6 +20,8 @@
     net::endpoint callers;
     /// Address for /readyz, /metrics and /dump.
     net::endpoint operators;
+    /// Address for datagrams of other gateways.
+    net::endpoint peers;
     /// Object store of the platform.
     net::endpoint store;
     /// Port of the relays to the store beside the model engines.
--- /dev/null
+++ b/include/dotterelport/net/datagram_socket.hpp
@@ -0,0 +1,43 @@
+#ifndef DOTTERELPORT_NET_DATAGRAM_SOCKET_HPP
+#define DOTTERELPORT_NET_DATAGRAM_SOCKET_HPP
+
+#include <functional>
+#include <string_view>
+
+#include "dotterelport/net/endpoint.hpp"
+#include "dotterelport/net/event_loop.hpp"
+
+struct st_h2o_socket_t;
+
+namespace dotterelport::net {
+
+/// Sends and receives datagrams on the event loop. Datagrams may be lost, also by a full buffer.
+class datagram_socket {
+public:
+    /// @param received called with each datagram
+    /// @throws error if the address cannot be bound
+    datagram_socket(event_loop& loop, const endpoint& address,
+                    std::function<void(std::string_view datagram)> received);
+    ~datagram_socket();
+    datagram_socket(const datagram_socket&) = delete;
+    datagram_socket& operator=(const datagram_socket&) = delete;
+
+    /// @return false if the datagram was not sent
+    bool send(const endpoint& to, std::string_view datagram);
+
+    [[nodiscard]] const endpoint& address() const { return address_; }
+
+private:
+    struct native;
+
+    void receive();
+
+    endpoint address_;
+    std::function<void(std::string_view)> received_;
+    int descriptor_ = -1;
+    st_h2o_socket_t* socket_ = nullptr;
+};
+
+} // namespace dotterelport::net
+
+#endif
--- a/include/dotterelport/routing/load_view.hpp
+++ b/include/dotterelport/routing/load_view.hpp
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "dotterelport/base/clock.hpp"
 #include "dotterelport/base/json.hpp"
@@ -117,6 +118,9 @@
     void forget(const std::string& server);
 
     [[nodiscard]] load_estimate estimate(const std::string& server, milliseconds now) const;
+
+    /// @brief Servers that run requests of this router.
+    [[nodiscard]] std::vector<std::string> busy_servers() const;
     [[nodiscard]] availability available(const std::string& server, milliseconds now) const;
 
     [[nodiscard]] json dump(milliseconds now) const;
--- a/include/dotterelport/routing/placement.hpp
+++ b/include/dotterelport/routing/placement.hpp
@@ -43,6 +43,18 @@
     /// Share of a request's duration that each running request of a plain service adds, for one
     /// place of the server.
     double queue_weight = 1.0;
+    /// Probability that the home server of a prompt's shared parts holds them, although this router
+    /// has not sent them there: other routers send to the same home.
+    double home_trust = 0.6;
+    /// Part of each failure domain's engines that long prompts avoid, for the sake of streams.
+    double quiet_share = 0.34;
+    /// Prompts with more tokens than this are long: an engine reads them in several steps, each of
+    /// which holds up every stream that it runs.
+    tokens long_prompt = 4'096;
+    /// Disadvantage of a quiet engine for a long prompt.
+    double long_on_quiet_ms = 250.0;
+    /// Disadvantage of the other engines for a short prompt.
+    double short_on_busy_ms = 100.0;
     /// Disadvantage of a server in another failure domain.
     double other_domain_ms = 5.0;
     /// Disadvantage of a server all of whose requests fail.
@@ -51,12 +63,22 @@
     milliseconds failure_half_life{2'500};
     /// Time after which other routers' requests in a load report have ended.
     milliseconds report_life{600};
+    /// Time for which the shares that another router told are believed.
+    milliseconds peer_life{400};
     load_settings load = default_load();
 
     /// @brief Load settings for servers that report only with their answers.
     static load_settings default_load();
 };
 
+/// What one router's requests are to a server.
+struct server_share {
+    std::string server;
+    /// Prompt tokens that the server has yet to read.
+    double unread = 0;
+    double running = 0;
+};
+
 /// A chosen server and what the choice was based on.
 struct placement_choice {
     std::string server;
@@ -68,7 +90,9 @@
 /// Chooses backend servers by the expected time to the first part of the answer: prompt tokens that
 /// the server has to read, tokens that wait there already, running requests, failures. Answers the
 /// pattern of many prompts that share long parts: the server that has read a part before wins
-/// unless it is busier than reading the part again takes elsewhere.
+/// unless it is busier than reading the part again takes elsewhere. Routers that know nothing of
+/// each other's requests agree on a home server for each chain of shared parts, and on the engines
+/// that long prompts leave to streams.
 class placement {
 public:
     explicit placement(const placement_settings& settings = {});
@@ -95,6 +119,17 @@
     /// @brief Takes the load that a server tells with an answer.
     void take_report(const std::string& server, const load_report& report, milliseconds now);
 
+    /// @brief What this router's own requests are to the servers that have any.
+    [[nodiscard]] std::vector<server_share> own_shares(milliseconds now) const;
+
+    /// @brief Takes what another router's requests are to the servers.
+    void take_peer_shares(const std::string& peer, const std::vector<server_share>& shares,
+                          milliseconds now);
+
+    /// @brief Takes that another router sent a prompt to a server.
+    void take_peer_prompt(const std::string& server, std::span<const prompt_part> parts,
+                          tokens cache_capacity);
+
     /// @brief Forgets a server that left or started anew.
     void forget(const std::string& server);
 
@@ -108,10 +143,18 @@
         milliseconds updated{0};
     };
 
+    struct peer_shares {
+        milliseconds received{0};
+        std::map<std::string, server_share, std::less<>> shares;
+    };
+
+    /// @brief Sum of what other routers told lately of a server.
+    [[nodiscard]] server_share peer_share(const std::string& server, milliseconds now) const;
     [[nodiscard]] double failure_share(const std::string& server, milliseconds now) const;
     void note_result(const std::string& server, bool failed, milliseconds now);
+    [[nodiscard]] double separation_cost(bool is_quiet, tokens prompt) const;
     [[nodiscard]] double cost(const placement_request& request,
-                              const placement_candidate& candidate, tokens missing,
+                              const placement_candidate& candidate, double missing,
                               double usual_pace, milliseconds now) const;
     [[nodiscard]] double usual_pace(std::span<const placement_candidate> candidates,
                                     milliseconds now) const;
@@ -120,6 +163,7 @@
     load_view loads_;
     prompt_cache_view caches_;
     std::map<std::string, failure_record, std::less<>> failures_;
+    std::map<std::string, peer_shares, std::less<>> peers_;
 };
 
 } // namespace dotterelport::routing
--- a/include/dotterelport/routing/prompt_cache_view.hpp
+++ b/include/dotterelport/routing/prompt_cache_view.hpp
@@ -23,6 +23,9 @@
     bool operator==(const prompt_part&) const = default;
 };
 
+/// @brief Name of a chain of parts, for choosing its home server.
+std::uint64_t chain_name(std::span<const prompt_part> parts);
+
 /// What the prompt caches of model engines hold, as far as this router's own requests show it.
 /// Each cache drops what was used least recently once it is full.
 class prompt_cache_view {
--- a/src/dotterelport/gateway/forwarding.cpp
+++ b/src/dotterelport/gateway/forwarding.cpp
@@ -278,6 +278,7 @@
          .urgency = routing::engine_urgency(request_.prompt_tokens)});
     call.max_idle = route_->may_repeat() ? longest_idle : fresh_idle;
     context_.placement.sent(server.id, attempt_->id, placement_request(), cache_capacity_, now);
+    context_.peers.note_prompt(server.id, request_.parts);
     json fields = log_fields();
     fields["send"] = sends_;
     fields["cost_ms"] = choice.cost_ms;
--- a/src/dotterelport/gateway/forwarding.hpp
+++ b/src/dotterelport/gateway/forwarding.hpp
@@ -14,6 +14,7 @@
 #include "dotterelport/gateway/attempt_policy.hpp"
 #include "dotterelport/gateway/budget_keeper.hpp"
 #include "dotterelport/gateway/event_stream.hpp"
+#include "dotterelport/gateway/peer_exchange.hpp"
 #include "dotterelport/gateway/protocol.hpp"
 #include "dotterelport/gateway/server_directory.hpp"
 #include "dotterelport/gateway/service_catalogue.hpp"
@@ -33,6 +34,7 @@
     net::backend_client& backends;
     server_directory& servers;
     routing::placement& placement;
+    peer_exchange& peers;
     budget_keeper& budgets;
     metrics& counters;
     /// Further sends to each service.
--- a/src/dotterelport/gateway/gateway.cpp
+++ b/src/dotterelport/gateway/gateway.cpp
@@ -41,6 +41,7 @@
     std::shared_ptr<const service_catalogue> catalogue;
     net::backend_client backends;
     routing::placement placement;
+    peer_exchange peers;
     server_directory servers;
     budget_keeper budgets;
     process::operators_server operators;
@@ -65,6 +66,7 @@
           object_store::conditional_objects& objects, const incarnation& self,
           std::function<json()> dump)
         : loop(event_loop), values(configured), backends(loop),
+          peers(loop, configured.peers, configured.name, placement),
           servers({}, [this](const backend_server& server) { server_removed(server); }),
           budgets(loop, objects, self),
           operators(loop, {.address = configured.operators,
@@ -76,6 +78,7 @@
                                                  .backends = backends,
                                                  .servers = servers,
                                                  .placement = placement,
+                                                 .peers = peers,
                                                  .budgets = budgets,
                                                  .counters = counters,
                                                  .retries = retries,
@@ -209,6 +212,7 @@
                                   .header_timeout = limits.header_timeout,
                                   .idle_timeout = limits.idle_timeout});
     state_->budgets.declare(*present);
+    state_->peers.set_cache_capacity(present->largest_cache());
     state_->note_readiness();
 }
 
@@ -246,6 +250,11 @@
     });
 }
 
+void gateway::set_peer(const std::string& node, const net::endpoint& address)
+{
+    state_->peers.set_peer(node, address);
+}
+
 void gateway::reconfigure(const settings& values)
 {
     state_->values.grace = values.grace;
@@ -288,6 +297,7 @@
             {"backend_connections", state_->backends.connection_count()},
             {"servers", state_->servers.dump()},
             {"placement", state_->placement.dump(steady_now())},
+            {"peers", state_->peers.dump()},
             {"budgets", state_->budgets.dump()}};
 }
 
--- a/src/dotterelport/gateway/service_catalogue.cpp
+++ b/src/dotterelport/gateway/service_catalogue.cpp
@@ -53,6 +53,15 @@
     return found == services_.end() ? nullptr : &found->second;
 }
 
+tokens service_catalogue::largest_cache() const
+{
+    tokens largest = 0;
+    for (const auto& [name, service] : services_) {
+        largest = std::max(largest, service.cache_capacity);
+    }
+    return largest;
+}
+
 const workspace* service_catalogue::find_workspace(std::string_view key) const
 {
     const auto found = workspace_of_key_.find(std::string(key));
--- a/src/dotterelport/gateway/settings.cpp
+++ b/src/dotterelport/gateway/settings.cpp
@@ -14,12 +14,13 @@
 {
     static const json document = json::parse(R"({
         "type": "object",
-        "required": ["name", "failure_domain", "callers", "operators", "store", "relay_port"],
+        "required": ["name", "failure_domain", "callers", "operators", "peers", "store", "relay_port"],
         "properties": {
             "name": {"type": "string", "minLength": 1},
             "failure_domain": {"type": "string", "minLength": 1},
             "callers": {"type": "string"},
             "operators": {"type": "string"},
+            "peers": {"type": "string"},
             "store": {"type": "string"},
             "relay_port": {"type": "integer", "minimum": 1, "maximum": 65535},
             "log_level": {"enum": ["debug", "info", "warning", "error"]},
@@ -61,6 +62,7 @@
     result.failure_domain = document.at("failure_domain");
     result.callers = address(document, "callers", source);
     result.operators = address(document, "operators", source);
+    result.peers = address(document, "peers", source);
     result.store = address(document, "store", source);
     result.relay_port = document.at("relay_port");
     result.log_level = log_level(document);
--- a/src/dotterelport/net/http_server.cpp
+++ b/src/dotterelport/net/http_server.cpp
@@ -2,17 +2,17 @@
 
 #include <algorithm>
 #include <cctype>
+#include <cerrno>
 #include <cstring>
 #include <utility>
 
-#include <arpa/inet.h>
-#include <fcntl.h>
 #include <h2o.h>
 #include <h2o/http1.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include "dotterelport/base/error.hpp"
+#include "socket_address.hpp"
 
 namespace dotterelport::net {
 namespace {
@@ -346,19 +346,9 @@
 
 endpoint http_server::listen(const endpoint& address)
 {
-    sockaddr_in native_address{};
-    native_address.sin_family = AF_INET;
-    native_address.sin_port = htons(address.port);
-    if (inet_pton(AF_INET, address.ip.c_str(), &native_address.sin_addr) != 1) {
-        throw error("cannot listen on " + to_string(address) + ": not an IPv4 address");
-    }
-    const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
-    const int enabled = 1;
-    ::setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &enabled, sizeof(enabled));
-    socklen_t length = sizeof(native_address);
-    auto* generic = reinterpret_cast<sockaddr*>(&native_address);
-    if (::bind(descriptor, generic, length) != 0 || ::listen(descriptor, listen_backlog) != 0 ||
-        ::getsockname(descriptor, generic, &length) != 0) {
+    endpoint bound = address;
+    const int descriptor = open_bound_socket(SOCK_STREAM, bound);
+    if (::listen(descriptor, listen_backlog) != 0) {
         const std::string message = std::strerror(errno);
         ::close(descriptor);
         throw error("cannot listen on " + to_string(address) + ": " + message);
@@ -367,7 +357,7 @@
         h2o_evloop_socket_create(native_->loop, descriptor, H2O_SOCKET_FLAG_DONT_READ);
     native_->listener->data = native_;
     h2o_socket_read_start(native_->listener, native::on_accept);
-    return {address.ip, ntohs(native_address.sin_port)};
+    return bound;
 }
 
 void http_server::stop_listening()
--- /dev/null
+++ b/src/dotterelport/net/socket_address.hpp
@@ -0,0 +1,24 @@
+#ifndef DOTTERELPORT_NET_SOCKET_ADDRESS_HPP
+#define DOTTERELPORT_NET_SOCKET_ADDRESS_HPP
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+
+#include "dotterelport/net/endpoint.hpp"
+
+namespace dotterelport::net {
+
+/// @brief Converts an endpoint to the form that the kernel takes.
+/// @param purpose begins the message of the error
+/// @throws error if the address is not an IPv4 address
+sockaddr_in to_socket_address(const endpoint& address, const char* purpose);
+
+/// @brief Opens a non-blocking socket and binds it.
+/// @param type SOCK_STREAM or SOCK_DGRAM
+/// @param address receives the port that was chosen if its port is 0
+/// @throws error if the address cannot be bound
+int open_bound_socket(int type, endpoint& address);
+
+} // namespace dotterelport::net
+
+#endif
--- a/src/dotterelport/net/tcp_connection.cpp
+++ b/src/dotterelport/net/tcp_connection.cpp
@@ -1,10 +1,9 @@
 #include "dotterelport/net/tcp_connection.hpp"
 
+#include <cerrno>
 #include <cstring>
 #include <utility>
 
-#include <arpa/inet.h>
-#include <fcntl.h>
 #include <h2o.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -12,6 +11,7 @@
 #include <unistd.h>
 
 #include "dotterelport/base/error.hpp"
+#include "socket_address.hpp"
 
 namespace dotterelport::net {
 namespace {
@@ -19,17 +19,6 @@
 /// Connections that wait to be accepted.
 constexpr int listen_backlog = 1024;
 
-sockaddr_in native_address(const endpoint& address, const char* purpose)
-{
-    sockaddr_in result{};
-    result.sin_family = AF_INET;
-    result.sin_port = htons(address.port);
-    if (inet_pton(AF_INET, address.ip.c_str(), &result.sin_addr) != 1) {
-        throw error(std::string(purpose) + " " + to_string(address) + ": not an IPv4 address");
-    }
-    return result;
-}
-
 } // namespace
 
 struct tcp_connection::native {
@@ -149,7 +138,7 @@
                              std::function<void(std::unique_ptr<tcp_connection>)> done)
     : loop_(loop), done_(std::move(done))
 {
-    sockaddr_in address = native_address(to, "cannot connect to");
+    sockaddr_in address = to_socket_address(to, "cannot connect to");
     socket_ = h2o_socket_connect(loop.native(), reinterpret_cast<sockaddr*>(&address),
                                  sizeof(address), native::on_connect);
     if (socket_ == nullptr) {
@@ -206,19 +195,12 @@
                            std::function<void(std::unique_ptr<tcp_connection>)> accept)
     : address_(address), accept_(std::move(accept))
 {
-    sockaddr_in bound = native_address(address, "cannot listen on");
-    const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
-    const int enabled = 1;
-    ::setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &enabled, sizeof(enabled));
-    socklen_t length = sizeof(bound);
-    auto* generic = reinterpret_cast<sockaddr*>(&bound);
-    if (::bind(descriptor, generic, length) != 0 || ::listen(descriptor, listen_backlog) != 0 ||
-        ::getsockname(descriptor, generic, &length) != 0) {
+    const int descriptor = open_bound_socket(SOCK_STREAM, address_);
+    if (::listen(descriptor, listen_backlog) != 0) {
         const std::string message = std::strerror(errno);
         ::close(descriptor);
         throw error("cannot listen on " + to_string(address) + ": " + message);
     }
-    address_.port = ntohs(bound.sin_port);
     socket_ = h2o_evloop_socket_create(loop.native(), descriptor, H2O_SOCKET_FLAG_DONT_READ);
     socket_->data = this;
     h2o_socket_read_start(socket_, native::on_accept);
--- a/src/dotterelport/routing/load_view.cpp
+++ b/src/dotterelport/routing/load_view.cpp
@@ -188,6 +188,17 @@
     return result;
 }
 
+std::vector<std::string> load_view::busy_servers() const
+{
+    std::vector<std::string> result;
+    for (const auto& [server, state] : servers_) {
+        if (!state.in_flight.empty()) {
+            result.push_back(server);
+        }
+    }
+    return result;
+}
+
 availability load_view::available(const std::string& server, milliseconds now) const
 {
     const server_state* state = find(server);
--- a/src/dotterelport/routing/placement.cpp
+++ b/src/dotterelport/routing/placement.cpp
@@ -2,8 +2,11 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numeric>
 #include <utility>
 
+#include "dotterelport/base/hash.hpp"
+
 namespace dotterelport::routing {
 namespace {
 
@@ -17,6 +20,56 @@
 /// Share of the cache that running requests and their answers leave to prompts.
 constexpr double cache_share = 0.6;
 
+tokens total_tokens(std::span<const prompt_part> parts)
+{
+    return std::accumulate(parts.begin(), parts.end(), tokens{0},
+                           [](tokens sum, const prompt_part& part) { return sum + part.size; });
+}
+
+/// @brief Server that all routers prefer for a chain of parts, by rendezvous hashing.
+/// @return null if there are no parts
+const std::string* home_of(std::span<const prompt_part> parts,
+                           std::span<const placement_candidate> candidates)
+{
+    if (parts.empty()) {
+        return nullptr;
+    }
+    const std::uint64_t name = chain_name(parts);
+    const std::string* home = nullptr;
+    std::uint64_t highest = 0;
+    for (const auto& candidate : candidates) {
+        const std::uint64_t weight = hash64(candidate.server, name);
+        if (home == nullptr || weight > highest) {
+            home = &candidate.server;
+            highest = weight;
+        }
+    }
+    return home;
+}
+
+/// @brief Marks a share of each failure domain's servers, the same ones in all routers.
+std::vector<bool> quiet_servers(std::span<const placement_candidate> candidates, double share)
+{
+    std::vector<std::uint64_t> ranks;
+    ranks.reserve(candidates.size());
+    for (const auto& candidate : candidates) {
+        ranks.push_back(hash64(candidate.server));
+    }
+    std::vector<bool> quiet(candidates.size());
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        std::size_t of_domain = 0;
+        std::size_t before = 0;
+        for (std::size_t other = 0; other < candidates.size(); ++other) {
+            if (candidates[other].failure_domain == candidates[i].failure_domain) {
+                ++of_domain;
+                before += ranks[other] < ranks[i] ? 1 : 0;
+            }
+        }
+        quiet[i] = static_cast<double>(before) < std::round(static_cast<double>(of_domain) * share);
+    }
+    return quiet;
+}
+
 double count(milliseconds duration)
 {
     return static_cast<double>(duration.count());
@@ -77,18 +130,27 @@
     return *middle;
 }
 
+double placement::separation_cost(bool is_quiet, tokens prompt) const
+{
+    if (prompt > settings_.long_prompt) {
+        return is_quiet ? settings_.long_on_quiet_ms : 0.0;
+    }
+    return is_quiet ? 0.0 : settings_.short_on_busy_ms;
+}
+
 double placement::cost(const placement_request& request, const placement_candidate& candidate,
-                       tokens missing, double usual_pace, milliseconds now) const
+                       double missing, double usual_pace, milliseconds now) const
 {
     const load_estimate load = loads_.estimate(candidate.server, now);
     // Requests of other routers, which end while the report ages.
     const double age = load.report_age ? count(*load.report_age) : 0.0;
     const double others = std::max(0.0, load.reported + load.own_change - load.own) *
                           std::exp(-age / count(settings_.report_life));
-    const double running = load.own + others;
+    const server_share told = peer_share(candidate.server, now);
+    const double running = load.own + std::max(others, told.running);
     double result = 0;
     if (request.prompt_tokens > 0) {
-        const double unread = load.prefill + static_cast<double>(missing);
+        const double unread = load.prefill + told.unread + missing;
         result = unread / settings_.prefill_tokens_per_ms + running * settings_.ms_per_running;
     } else {
         const double places = static_cast<double>(std::max<std::size_t>(1, candidate.capacity));
@@ -113,17 +175,30 @@
                                                   milliseconds now) const
 {
     const double pace = usual_pace(candidates, now);
+    // The last part belongs to the request itself or to its session.
+    const auto shared = request.parts.first(request.parts.empty() ? 0 : request.parts.size() - 1);
+    const std::string* home = home_of(shared, candidates);
+    const tokens shared_tokens = total_tokens(shared);
+    const auto quiet = request.prompt_tokens > 0 ? quiet_servers(candidates, settings_.quiet_share)
+                                                 : std::vector<bool>();
     std::optional<placement_choice> best;
     bool best_is_usable = false;
     std::optional<milliseconds> best_last_sent;
-    for (const auto& candidate : candidates) {
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        const auto& candidate = candidates[i];
         const auto& excluded = request.excluded;
         if (std::find(excluded.begin(), excluded.end(), candidate.server) != excluded.end()) {
             continue;
         }
         const tokens cached = caches_.cached(candidate.server, request.parts);
-        const tokens missing = std::max<tokens>(0, request.prompt_tokens - cached);
-        const double expected = cost(request, candidate, missing, pace, now);
+        double missing = static_cast<double>(std::max<tokens>(0, request.prompt_tokens - cached));
+        if (home == &candidate.server && cached < shared_tokens) {
+            missing -= settings_.home_trust * static_cast<double>(shared_tokens - cached);
+        }
+        double expected = cost(request, candidate, missing, pace, now);
+        if (!quiet.empty()) {
+            expected += separation_cost(quiet[i], request.prompt_tokens);
+        }
         const bool usable = loads_.available(candidate.server, now) != availability::ejected;
         const auto last_sent = loads_.estimate(candidate.server, now).last_sent;
         // Among equals, the least recently used, so that idle servers take turns.
@@ -187,6 +262,47 @@
     loads_.take_report(server, report, now);
 }
 
+std::vector<server_share> placement::own_shares(milliseconds now) const
+{
+    std::vector<server_share> result;
+    for (const auto& server : loads_.busy_servers()) {
+        const load_estimate load = loads_.estimate(server, now);
+        result.push_back({.server = server, .unread = load.prefill, .running = load.own});
+    }
+    return result;
+}
+
+void placement::take_peer_shares(const std::string& peer, const std::vector<server_share>& shares,
+                                 milliseconds now)
+{
+    peer_shares& known = peers_[peer];
+    known.received = now;
+    known.shares.clear();
+    for (const auto& share : shares) {
+        known.shares.emplace(share.server, share);
+    }
+}
+
+void placement::take_peer_prompt(const std::string& server, std::span<const prompt_part> parts,
+                                 tokens cache_capacity)
+{
+    caches_.record(server, parts,
+                   static_cast<tokens>(static_cast<double>(cache_capacity) * cache_share));
+}
+
+server_share placement::peer_share(const std::string& server, milliseconds now) const
+{
+    server_share result{.server = server};
+    for (const auto& [peer, known] : peers_) {
+        const auto found = known.shares.find(server);
+        if (found != known.shares.end() && now - known.received <= settings_.peer_life) {
+            result.unread += found->second.unread;
+            result.running += found->second.running;
+        }
+    }
+    return result;
+}
+
 void placement::forget(const std::string& server)
 {
     loads_.forget(server);
--- a/src/dotterelport/routing/prompt_cache_view.cpp
+++ b/src/dotterelport/routing/prompt_cache_view.cpp
@@ -17,6 +17,11 @@
 
 } // namespace
 
+std::uint64_t chain_name(std::span<const prompt_part> parts)
+{
+    return std::accumulate(parts.begin(), parts.end(), std::uint64_t{0}, chain_hash);
+}
+
 tokens prompt_cache_view::cached(const std::string& server,
                                  std::span<const prompt_part> parts) const
 {
