--- a/include/dotterelport/gateway/events.hpp
+++ b/include/dotterelport/gateway/events.hpp
@@ -54,6 +54,17 @@
     "The budget ledger was read for the first time; open tokens are those of all routers, also of "
     "runs that ended without returning them."};
 
+inline constexpr log_event settlement_lost{
+    932, severity::warning, "settlement_lost",
+    "The owner of a reservation did not confirm what was used; it counts the upper bound."};
+inline constexpr log_event reservation_left_behind{
+    933, severity::warning, "reservation_left_behind",
+    "Another gateway never said what it used of a reservation; the upper bound is counted."};
+
+inline constexpr log_event ledger_step{
+    934, severity::info, "ledger_step",
+    "The budget ledger or a bill is read or written; grants change once the write is confirmed."};
+
 } // namespace dotterelport::gateway::events
 
 #endif
--- /dev/null
+++ b/src/dotterelport/gateway/budget_broker.cpp
@@ -0,0 +1,268 @@
+#include "dotterelport/gateway/budget_broker.hpp"
+
+#include <utility>
+#include <vector>
+
+#include "dotterelport/base/hash.hpp"
+#include "dotterelport/gateway/events.hpp"
+
+namespace dotterelport::gateway {
+
+budget_broker::budget_broker(net::event_loop& loop, peer_link& link, budget_keeper& keeper,
+                             const budget_broker_settings& settings)
+    : loop_(loop), link_(link), keeper_(keeper), settings_(settings),
+      // Numbers of a new run differ from those of the one before, which others may still hold.
+      last_number_(static_cast<std::uint64_t>(wall_clock_now().count()) << 20U)
+{
+    link_.on_message(peer_message_kind::reserve,
+                     [this](const peer_message& message) { asked(message); });
+    link_.on_message(peer_message_kind::reserved,
+                     [this](const peer_message& message) { answered(message); });
+    link_.on_message(peer_message_kind::settle,
+                     [this](const peer_message& message) { settled_elsewhere(message); });
+    link_.on_message(peer_message_kind::settled, [this](const peer_message& message) {
+        const auto found = settlements_.find(message.content.at(0).get<std::uint64_t>());
+        if (found != settlements_.end()) {
+            loop_.cancel(found->second.timer);
+            settlements_.erase(found);
+        }
+    });
+}
+
+budget_broker::~budget_broker()
+{
+    for (const auto& [number, item] : reservations_) {
+        loop_.cancel(item.timer);
+    }
+    for (const auto& [number, item] : settlements_) {
+        loop_.cancel(item.timer);
+    }
+}
+
+std::string budget_broker::owner_of(const std::string& workspace) const
+{
+    std::string owner = link_.node();
+    std::uint64_t highest = hash64(owner, hash64(workspace));
+    for (const auto& node : link_.live_peers()) {
+        const std::uint64_t weight = hash64(node, hash64(workspace));
+        if (weight > highest) {
+            highest = weight;
+            owner = node;
+        }
+    }
+    return owner;
+}
+
+std::string budget_broker::key_of(const std::string& node, std::uint64_t number) const
+{
+    return node + "/" + std::to_string(number);
+}
+
+std::uint64_t budget_broker::reserve(const std::string& workspace, tokens upper,
+                                     budget_keeper::reservation_handler done)
+{
+    const std::uint64_t number = ++last_number_;
+    own_reservation item;
+    item.workspace = workspace;
+    item.upper = upper;
+    item.done = std::move(done);
+    item.asked = steady_now();
+    const std::string owner = owner_of(workspace);
+    if (owner != link_.node()) {
+        item.owner = owner;
+    }
+    const bool is_remote = !item.owner.empty();
+    reservations_.emplace(number, std::move(item));
+    if (is_remote) {
+        ask(number);
+    } else {
+        reserve_here(number);
+    }
+    return number;
+}
+
+void budget_broker::ask(std::uint64_t number)
+{
+    const auto found = reservations_.find(number);
+    if (found == reservations_.end()) {
+        return;
+    }
+    auto& item = found->second;
+    if (steady_now() - item.asked >= settings_.give_up) {
+        // The owner may have reserved the tokens; it is told that they are not needed.
+        tell_settlement(item.owner, number, verdict::not_run, 0, 0);
+        item.owner.clear();
+        reserve_here(number);
+        return;
+    }
+    link_.send(item.owner, peer_message_kind::reserve,
+               json::array({number, item.workspace, item.upper}));
+    item.timer = loop_.schedule(settings_.ask_again, [this, number] { ask(number); });
+}
+
+void budget_broker::reserve_here(std::uint64_t number)
+{
+    const auto& item = reservations_.at(number);
+    keeper_.reserve(item.workspace, key_of(link_.node(), number), item.upper,
+                    [this, number](reservation_outcome outcome) { finish(number, outcome); });
+}
+
+void budget_broker::finish(std::uint64_t number, reservation_outcome outcome)
+{
+    const auto found = reservations_.find(number);
+    if (found == reservations_.end()) {
+        return;
+    }
+    auto& item = found->second;
+    loop_.cancel(std::exchange(item.timer, 0));
+    item.waiting = false;
+    const auto done = std::exchange(item.done, nullptr);
+    if (outcome != reservation_outcome::reserved) {
+        reservations_.erase(found);
+    }
+    done(outcome);
+}
+
+void budget_broker::abandon(std::uint64_t reservation)
+{
+    const auto found = reservations_.find(reservation);
+    if (found == reservations_.end()) {
+        return;
+    }
+    auto& item = found->second;
+    loop_.cancel(item.timer);
+    if (item.owner.empty()) {
+        keeper_.abandon(item.workspace, key_of(link_.node(), reservation));
+    } else {
+        tell_settlement(item.owner, reservation, verdict::not_run, 0, 0);
+    }
+    reservations_.erase(found);
+}
+
+void budget_broker::settle(std::uint64_t reservation, verdict ran, tokens prompt_tokens,
+                           tokens output_tokens)
+{
+    const auto found = reservations_.find(reservation);
+    if (found == reservations_.end()) {
+        return;
+    }
+    const auto& item = found->second;
+    if (item.owner.empty()) {
+        keeper_.settle(item.workspace, key_of(link_.node(), reservation), ran, prompt_tokens,
+                       output_tokens);
+    } else {
+        tell_settlement(item.owner, reservation, ran, prompt_tokens, output_tokens);
+    }
+    reservations_.erase(found);
+}
+
+void budget_broker::tell_settlement(const std::string& owner, std::uint64_t number, verdict ran,
+                                    tokens prompt_tokens, tokens output_tokens)
+{
+    settlements_.insert_or_assign(
+        number, settlement{.owner = owner,
+                           .content = json::array({number, dotterelport::to_string(ran),
+                                                   prompt_tokens, output_tokens}),
+                           .since = steady_now()});
+    send_settlement(number);
+}
+
+void budget_broker::send_settlement(std::uint64_t number)
+{
+    const auto found = settlements_.find(number);
+    if (found == settlements_.end()) {
+        return;
+    }
+    auto& item = found->second;
+    if (steady_now() - item.since > settings_.settle_limit) {
+        log(events::settlement_lost, {{"owner", item.owner}, {"reservation", number}});
+        settlements_.erase(found);
+        return;
+    }
+    link_.send(item.owner, peer_message_kind::settle, item.content);
+    item.timer =
+        loop_.schedule(settings_.settle_again, [this, number] { send_settlement(number); });
+}
+
+void budget_broker::asked(const peer_message& message)
+{
+    const auto number = message.content.at(0).get<std::uint64_t>();
+    const auto workspace = message.content.at(1).get<std::string>();
+    const auto upper = message.content.at(2).get<tokens>();
+    const std::string key = key_of(message.node, number);
+    const auto answer = [this, node = message.node, number](reservation_outcome outcome) {
+        link_.send(node, peer_message_kind::reserved,
+                   json::array({number, static_cast<int>(outcome)}));
+    };
+    if (lent_.contains(key)) {
+        answer(reservation_outcome::reserved);
+        return;
+    }
+    // A question that is repeated while the first one waits takes its place.
+    keeper_.abandon(workspace, key);
+    keeper_.reserve(workspace, key, upper,
+                    [this, workspace, key, upper, answer](reservation_outcome outcome) {
+                        if (outcome == reservation_outcome::reserved) {
+                            lent_.emplace(key, lent_reservation{.workspace = workspace,
+                                                                .key = key,
+                                                                .upper = upper,
+                                                                .since = steady_now()});
+                        }
+                        answer(outcome);
+                    });
+}
+
+void budget_broker::answered(const peer_message& message)
+{
+    constexpr int last_outcome = static_cast<int>(reservation_outcome::no_grant);
+    const auto number = message.content.at(0).get<std::uint64_t>();
+    const int outcome = message.content.at(1).get<int>();
+    const auto found = reservations_.find(number);
+    if (found == reservations_.end() || !found->second.waiting ||
+        found->second.owner != message.node || outcome < 0 || outcome > last_outcome) {
+        return;
+    }
+    finish(number, static_cast<reservation_outcome>(outcome));
+}
+
+void budget_broker::settled_elsewhere(const peer_message& message)
+{
+    const auto number = message.content.at(0).get<std::uint64_t>();
+    const auto ran = parse_verdict(message.content.at(1).get<std::string>());
+    const auto prompt_tokens = message.content.at(2).get<tokens>();
+    const auto output_tokens = message.content.at(3).get<tokens>();
+    const auto found = lent_.find(key_of(message.node, number));
+    if (found != lent_.end()) {
+        keeper_.settle(found->second.workspace, found->second.key,
+                       ran.value_or(verdict::may_have_run), prompt_tokens, output_tokens);
+        lent_.erase(found);
+    }
+    link_.send(message.node, peer_message_kind::settled, json::array({number}));
+}
+
+void budget_broker::expire()
+{
+    const milliseconds now = steady_now();
+    std::vector<std::string> left_behind;
+    for (const auto& [key, item] : lent_) {
+        if (now - item.since > settings_.lent_limit) {
+            left_behind.push_back(key);
+        }
+    }
+    for (const auto& key : left_behind) {
+        const auto& item = lent_.at(key);
+        log(events::reservation_left_behind,
+            {{"workspace", item.workspace}, {"key", key}, {"tokens", item.upper}});
+        keeper_.settle(item.workspace, item.key, verdict::may_have_run, item.upper, 0);
+        lent_.erase(key);
+    }
+}
+
+json budget_broker::dump() const
+{
+    return {{"reservations", reservations_.size()},
+            {"unconfirmed_settlements", settlements_.size()},
+            {"lent", lent_.size()}};
+}
+
+} // namespace dotterelport::gateway
--- a/src/dotterelport/gateway/budget_keeper.cpp
+++ b/src/dotterelport/gateway/budget_keeper.cpp
@@ -1,321 +1,92 @@
 #include "dotterelport/gateway/budget_keeper.hpp"
 
-#include <algorithm>
-#include <set>
 #include <utility>
-#include <vector>
 
-#include "dotterelport/base/enum_names.hpp"
-#include "dotterelport/gateway/events.hpp"
+#include "dotterelport/base/hash.hpp"
 
 namespace dotterelport::gateway {
 namespace {
 
-constexpr enum_names<reservation_outcome, 3> outcome_names{{
-    {reservation_outcome::reserved, "reserved"},
-    {reservation_outcome::exhausted, "exhausted"},
-    {reservation_outcome::no_grant, "no_grant"},
-}};
-
-/// All workspaces of a fleet of this size fit into one ledger object.
-constexpr std::uint32_t ledger_shard_number = 0;
-
-/// Stands for the agent, which requests that go straight to a backend server do not have.
-const incarnation no_agent{.node = "direct", .epoch = 1};
-
-} // namespace
-
-std::string_view to_string(reservation_outcome value)
+std::uint32_t shard_number(const std::string& workspace)
 {
-    return name_of(outcome_names, value);
+    return static_cast<std::uint32_t>(hash64(workspace) % ledger_shards);
 }
 
-budget::demand_share budget_keeper_settings::default_sizing()
-{
-    budget::demand_share result;
-    // The longest time for which a router is usually cut off from the store.
-    result.horizon = milliseconds{6'000};
-    result.trouble_factor = 0;
-    result.reserve_requests = 0.5;
-    result.largest_share = 0.12;
-    result.near_end = 0.1;
-    result.least_factor = 0.5;
-    result.assumed_request = 10'000;
-    result.open_early = true;
-    result.idle_limit = milliseconds{600'000};
-    result.demand_memory = milliseconds{8'000};
-    result.grow_below = 0.7;
-    result.shrink_above = 1.6;
-    return result;
-}
+} // namespace
 
 budget_keeper::budget_keeper(net::event_loop& loop, object_store::conditional_objects& objects,
-                             incarnation self, const budget_keeper_settings& settings)
-    : loop_(loop), objects_(objects), settings_(settings), self_(std::move(self)),
-      session_(ledger_shard_number, self_, settings.sizing),
-      alive_(std::make_shared<budget_keeper*>(this))
-{
-    schedule_round(settings_.round_interval);
-}
-
-budget_keeper::~budget_keeper()
-{
-    loop_.cancel(round_timer_);
-}
+                             incarnation self, const shard_keeper_settings& settings)
+    : loop_(loop), objects_(objects), self_(std::move(self)), settings_(settings)
+{}
 
 void budget_keeper::declare(const service_catalogue& catalogue)
 {
-    auto declared = std::make_shared<budget::declaration>();
-    declared->generation = catalogue.version();
+    std::map<std::uint32_t, budget::declaration> declared;
+    for (std::uint32_t shard = 0; shard < ledger_shards; ++shard) {
+        declared[shard].generation = catalogue.version();
+    }
     for (const auto& item : catalogue.workspaces()) {
         if (item.prepaid) {
-            declared->budgets.push_back(
+            declared[shard_number(item.name)].budgets.push_back(
                 {.workspace = item.name, .budget = item.name, .prepaid = *item.prepaid});
         }
     }
-    session_.set_declaration(std::move(declared));
-    schedule_round(settings_.urgent_spacing);
-}
-
-reservation_outcome budget_keeper::try_reserve(const request_key& key, tokens upper)
-{
-    const auto outcome = session_.holder().reserve({.key = key,
-                                                    .budget = key.workspace,
-                                                    .upper = upper,
-                                                    .agent = no_agent,
-                                                    .digest = {},
-                                                    .router = self_.node,
-                                                    .now = steady_now()});
-    return outcome == budget::reserve_outcome::no_room ? reservation_outcome::no_grant
-                                                       : reservation_outcome::reserved;
-}
-
-bool budget_keeper::is_exhausted(const std::string& workspace, tokens upper) const
-{
-    const auto* ledger = session_.ledger();
-    const auto* entry = ledger == nullptr ? nullptr : ledger->find(workspace);
-    if (entry == nullptr) {
-        return false;
+    for (auto& [shard, declaration] : declared) {
+        const auto shared = std::make_shared<const budget::declaration>(std::move(declaration));
+        declarations_[shard] = shared;
+        const auto used = shards_.find(shard);
+        if (used != shards_.end()) {
+            used->second->declare(shared);
+        }
     }
-    // What other routers have open may come back; only what is known to be used counts here.
-    const auto* owner = session_.holder().find_account(workspace);
-    const tokens own_use = owner == nullptr ? 0 : owner->reserved;
-    return entry->settled + entry->unproved + own_use + upper > entry->prepaid;
 }
 
-bool budget_keeper::has_no_room(const std::string& workspace, tokens upper) const
+shard_keeper& budget_keeper::shard_of(const std::string& workspace)
 {
-    const auto* ledger = session_.ledger();
-    const auto* entry = ledger == nullptr ? nullptr : ledger->find(workspace);
-    const auto* owner = session_.holder().find_account(workspace);
-    if (entry == nullptr || owner == nullptr || !ledger_read_ ||
-        steady_now() - *ledger_read_ > settings_.ledger_life) {
-        return false;
+    const std::uint32_t number = shard_number(workspace);
+    auto& shard = shards_[number];
+    if (shard == nullptr) {
+        shard = std::make_unique<shard_keeper>(loop_, objects_, number, self_, settings_);
+        const auto declared = declarations_.find(number);
+        if (declared != declarations_.end()) {
+            shard->declare(declared->second);
+        }
     }
-    return entry->room() + std::max<tokens>(0, owner->available()) < upper;
+    return *shard;
 }
 
 void budget_keeper::reserve(const std::string& workspace, const std::string& id, tokens upper,
                             reservation_handler done)
 {
-    const request_key key{.workspace = workspace, .key = id};
-    if (try_reserve(key, upper) == reservation_outcome::reserved) {
-        done(reservation_outcome::reserved);
-        return;
-    }
-    if (is_exhausted(workspace, upper)) {
-        done(reservation_outcome::exhausted);
-        return;
-    }
-    if (has_no_room(workspace, upper)) {
-        done(reservation_outcome::no_grant);
-        return;
-    }
-    waiting_.push_back({.key = key,
-                        .upper = upper,
-                        .until = steady_now() + settings_.grant_wait,
-                        .done = std::move(done)});
-    if (!session_.in_round()) {
-        const milliseconds next = last_round_ + settings_.urgent_spacing;
-        schedule_round(std::max(milliseconds{0}, next - steady_now()));
-    }
+    shard_of(workspace).reserve(workspace, id, upper, std::move(done));
 }
 
 void budget_keeper::abandon(const std::string& workspace, const std::string& id)
 {
-    waiting_.remove_if([&](const waiting_reservation& item) {
-        return item.key.workspace == workspace && item.key.key == id;
-    });
+    shard_of(workspace).abandon(workspace, id);
 }
 
 void budget_keeper::settle(const std::string& workspace, const std::string& id, verdict ran,
                            tokens prompt_tokens, tokens output_tokens)
 {
-    session_.holder().settle({.key = {.workspace = workspace, .key = id},
-                              .attempt = 1,
-                              .budget = workspace,
-                              .holder = self_,
-                              .verdict = ran,
-                              .charged = prompt_tokens + output_tokens,
-                              .prompt_tokens = prompt_tokens,
-                              .completion_tokens = output_tokens,
-                              .service = {},
-                              .agent = no_agent});
-}
-
-void budget_keeper::set_wanted()
-{
-    for (auto& account : session_.holder().accounts()) {
-        account.wanted = 0;
-    }
-    for (const auto& item : waiting_) {
-        session_.holder().account(item.key.workspace).wanted += item.upper;
-    }
-}
-
-void budget_keeper::schedule_round(milliseconds delay)
-{
-    loop_.cancel(round_timer_);
-    round_timer_ = loop_.schedule(delay, [this] {
-        round_timer_ = 0;
-        start_round();
-    });
-}
-
-void budget_keeper::start_round()
-{
-    if (session_.in_round()) {
-        return;
-    }
-    set_wanted();
-    const milliseconds now = steady_now();
-    last_round_ = now;
-    const bool flush = drained_ != nullptr || now - last_flush_ >= settings_.flush_interval;
-    if (flush) {
-        last_flush_ = now;
-    }
-    const auto step = session_.start({.now = now,
-                                      .platform_trouble = milliseconds{0},
-                                      .failure_domains = holder_count(),
-                                      .flush = flush});
-    if (step) {
-        perform(*step);
-    } else {
-        round_ended();
-    }
-}
-
-void budget_keeper::perform(const budget::io_step& step)
-{
-    const auto go_on = [this, alive = std::weak_ptr<budget_keeper*>(alive_)](const auto& result) {
-        if (alive.expired()) {
-            return;
-        }
-        const auto next = session_.resume(result);
-        if (next) {
-            perform(*next);
-        } else {
-            round_ended();
-        }
-    };
-    if (step.operation == budget::io_step::kind::read) {
-        objects_.read(step.key, go_on);
-    } else {
-        objects_.write(step.key, step.value, step.if_version, go_on);
-    }
-}
-
-void budget_keeper::round_ended()
-{
-    const bool complete = session_.last_outcome() == budget::round_outcome::complete;
-    if (session_.last_outcome() == budget::round_outcome::unavailable) {
-        log(events::ledger_unavailable, {{"waiting", waiting_.size()}});
-    }
-    if (complete && session_.ledger() != nullptr) {
-        ledger_read_ = steady_now();
-    }
-    log_first_ledger();
-    serve_waiting(complete);
-    if (drained_ && (session_.is_settled() || session_.is_closed())) {
-        std::exchange(drained_, nullptr)();
-        return;
-    }
-    schedule_round(waiting_.empty() && !drained_ ? settings_.round_interval
-                                                 : settings_.urgent_spacing);
-}
-
-void budget_keeper::log_first_ledger()
-{
-    const auto* ledger = session_.ledger();
-    if (ledger_logged_ || ledger == nullptr) {
-        return;
-    }
-    ledger_logged_ = true;
-    // Bounds the length of the line.
-    constexpr std::size_t most_budgets = 50;
-    json budgets = json::object();
-    for (const auto& [name, entry] : ledger->budgets()) {
-        if (budgets.size() < most_budgets) {
-            budgets[name] = {{"prepaid", entry.prepaid},
-                             {"settled", entry.settled},
-                             {"unproved", entry.unproved},
-                             {"open", entry.open()},
-                             {"grants", entry.grants.size()}};
-        }
-    }
-    log(events::ledger_read, {{"generation", ledger->generation()}, {"budgets", budgets}});
-}
-
-void budget_keeper::serve_waiting(bool round_complete)
-{
-    const milliseconds now = steady_now();
-    std::vector<std::pair<reservation_handler, reservation_outcome>> answers;
-    for (auto item = waiting_.begin(); item != waiting_.end();) {
-        auto outcome = try_reserve(item->key, item->upper);
-        if (outcome == reservation_outcome::no_grant && round_complete &&
-            is_exhausted(item->key.workspace, item->upper)) {
-            outcome = reservation_outcome::exhausted;
-        }
-        // A complete round has taken all that the ledger has room for.
-        if (outcome == reservation_outcome::no_grant && now < item->until && !round_complete) {
-            ++item;
-            continue;
-        }
-        answers.emplace_back(std::move(item->done), outcome);
-        item = waiting_.erase(item);
-    }
-    // The functions may reserve again.
-    for (const auto& [done, outcome] : answers) {
-        done(outcome);
-    }
+    shard_of(workspace).settle(workspace, id, ran, prompt_tokens, output_tokens);
 }
 
 void budget_keeper::drain(std::function<void()> done)
 {
-    drained_ = std::move(done);
-    session_.set_draining();
-    schedule_round(milliseconds{0});
-}
-
-std::size_t budget_keeper::holder_count() const
-{
-    const auto* ledger = session_.ledger();
-    std::set<std::string_view> nodes{self_.node};
-    if (ledger != nullptr) {
-        for (const auto& [budget, entry] : ledger->budgets()) {
-            for (const auto& [holder, part] : entry.grants) {
-                nodes.insert(holder.node);
-            }
-        }
+    // The last shard to finish calls the function.
+    const auto last = std::shared_ptr<void>(nullptr, [done = std::move(done)](void*) { done(); });
+    for (const auto& [number, shard] : shards_) {
+        shard->drain([last] {});
     }
-    return nodes.size();
 }
 
 json budget_keeper::dump() const
 {
-    json result = session_.dump();
-    result["waiting"] = waiting_.size();
-    result["holders"] = holder_count();
+    json result = json::object();
+    for (const auto& [number, shard] : shards_) {
+        result[std::to_string(number)] = shard->dump();
+    }
     return result;
 }
 
--- a/src/dotterelport/gateway/forwarding.cpp
+++ b/src/dotterelport/gateway/forwarding.cpp
@@ -199,9 +199,12 @@
         return;
     }
     reserving_ = true;
-    context_.budgets.reserve(
-        workspace_->name, request_.id, request_.most_tokens(),
+    reservation_ = context_.budgets.reserve(
+        workspace_->name, request_.most_tokens(),
         [self = shared_from_this()](reservation_outcome outcome) { self->reserved(outcome); });
+    if (has_reservation_) {
+        dispatch();
+    }
 }
 
 void forwarding::reserved(reservation_outcome outcome)
@@ -213,7 +216,10 @@
     switch (outcome) {
     case reservation_outcome::reserved:
         has_reservation_ = true;
-        dispatch();
+        // An answer from inside reserve() comes before the number of the reservation is known.
+        if (reservation_ != 0) {
+            dispatch();
+        }
         return;
     case reservation_outcome::exhausted:
         refuse(payment_required, "budget_exhausted");
@@ -581,16 +587,16 @@
 {
     if (!has_reservation_) {
         if (reserving_) {
-            context_.budgets.abandon(workspace_->name, request_.id);
+            context_.budgets.abandon(reservation_);
         }
         return;
     }
     has_reservation_ = false;
     if (may_have_run_) {
-        context_.budgets.settle(workspace_->name, request_.id, verdict::ran, request_.prompt_tokens,
+        context_.budgets.settle(reservation_, verdict::ran, request_.prompt_tokens,
                                 delivered_tokens());
     } else {
-        context_.budgets.settle(workspace_->name, request_.id, verdict::not_run, 0, 0);
+        context_.budgets.settle(reservation_, verdict::not_run, 0, 0);
     }
 }
 
--- a/src/dotterelport/gateway/forwarding.hpp
+++ b/src/dotterelport/gateway/forwarding.hpp
@@ -12,7 +12,7 @@
 #include <vector>
 
 #include "dotterelport/gateway/attempt_policy.hpp"
-#include "dotterelport/gateway/budget_keeper.hpp"
+#include "dotterelport/gateway/budget_broker.hpp"
 #include "dotterelport/gateway/event_stream.hpp"
 #include "dotterelport/gateway/peer_exchange.hpp"
 #include "dotterelport/gateway/protocol.hpp"
@@ -35,7 +35,7 @@
     server_directory& servers;
     routing::placement& placement;
     peer_exchange& peers;
-    budget_keeper& budgets;
+    budget_broker& budgets;
     metrics& counters;
     /// Further sends to each service.
     std::map<std::string, request::retry_budget>& retries;
@@ -130,6 +130,7 @@
     std::optional<milliseconds> first_output_;
     bool reserving_ = false;
     bool has_reservation_ = false;
+    std::uint64_t reservation_ = 0;
     bool finished_ = false;
     net::timer_id deadline_timer_ = 0;
     net::timer_id stall_timer_ = 0;
--- a/src/dotterelport/gateway/gateway.cpp
+++ b/src/dotterelport/gateway/gateway.cpp
@@ -41,9 +41,11 @@
     std::shared_ptr<const service_catalogue> catalogue;
     net::backend_client backends;
     routing::placement placement;
+    peer_link link;
     peer_exchange peers;
     server_directory servers;
     budget_keeper budgets;
+    budget_broker broker;
     process::operators_server operators;
     metrics counters;
     std::map<std::string, request::retry_budget> retries;
@@ -66,9 +68,9 @@
           object_store::conditional_objects& objects, const incarnation& self,
           std::function<json()> dump)
         : loop(event_loop), values(configured), backends(loop),
-          peers(loop, configured.peers, configured.name, placement),
+          link(loop, configured.peers, configured.name), peers(loop, link, placement),
           servers({}, [this](const backend_server& server) { server_removed(server); }),
-          budgets(loop, objects, self),
+          budgets(loop, objects, self), broker(loop, link, budgets),
           operators(loop, {.address = configured.operators,
                            .not_ready_reason = [this] { return not_ready_reason(); },
                            .dump = std::move(dump)}),
@@ -79,7 +81,7 @@
                                                  .servers = servers,
                                                  .placement = placement,
                                                  .peers = peers,
-                                                 .budgets = budgets,
+                                                 .budgets = broker,
                                                  .counters = counters,
                                                  .retries = retries,
                                                  .retry_options = retry_options,
@@ -99,7 +101,7 @@
     void set_retry_options()
     {
         // Each gateway has its own requests' share, and an equal part of the common reserve.
-        const auto gateways = static_cast<double>(std::max<std::size_t>(2, budgets.holder_count()));
+        const auto gateways = static_cast<double>(std::max<std::size_t>(4, link.peer_count() + 1));
         retry_options.share = values.retry_share * retry_share_used;
         retry_options.max_saved = std::max(1.0, values.retry_reserve * reserve_share / gateways);
     }
@@ -144,6 +146,7 @@
     void check()
     {
         servers.expire(steady_now());
+        broker.expire();
         if (draining) {
             check_drain();
         }
@@ -252,7 +255,7 @@
 
 void gateway::set_peer(const std::string& node, const net::endpoint& address)
 {
-    state_->peers.set_peer(node, address);
+    state_->link.set_peer(node, address);
 }
 
 void gateway::reconfigure(const settings& values)
@@ -297,7 +300,8 @@
             {"backend_connections", state_->backends.connection_count()},
             {"servers", state_->servers.dump()},
             {"placement", state_->placement.dump(steady_now())},
-            {"peers", state_->peers.dump()},
+            {"peers", state_->link.dump()},
+            {"reservations", state_->broker.dump()},
             {"budgets", state_->budgets.dump()}};
 }
 
--- a/src/dotterelport/gateway/peer_exchange.cpp
+++ b/src/dotterelport/gateway/peer_exchange.cpp
@@ -1,5 +1,6 @@
 #include "dotterelport/gateway/peer_exchange.hpp"
 
+#include <algorithm>
 #include <cmath>
 #include <utility>
 
@@ -11,7 +12,7 @@
 
 } // namespace
 
-std::string encode(const peer_message& message)
+json to_json(const load_message& message)
 {
     json shares = json::array();
     for (const auto& share : message.shares) {
@@ -26,72 +27,65 @@
         }
         prompts.push_back({prompt.server, std::move(parts)});
     }
-    const auto bytes = json::to_msgpack(
-        json::array({message.node, message.sequence, std::move(shares), std::move(prompts)}));
-    return {bytes.begin(), bytes.end()};
+    return json::array({std::move(shares), std::move(prompts)});
 }
 
-std::optional<peer_message> decode_peer_message(std::string_view bytes)
+load_message parse_load_message(const json& document)
 {
-    try {
-        const json document = json::from_msgpack(bytes.begin(), bytes.end());
-        peer_message result;
-        result.node = document.at(0).get<std::string>();
-        result.sequence = document.at(1).get<std::uint64_t>();
-        for (const auto& item : document.at(2)) {
-            result.shares.push_back({.server = item.at(0).get<std::string>(),
-                                     .unread = item.at(1).get<double>(),
-                                     .running = item.at(2).get<double>()});
-        }
-        for (const auto& item : document.at(3)) {
-            sent_prompt prompt{.server = item.at(0).get<std::string>(), .parts = {}};
-            const json& parts = item.at(1);
-            for (std::size_t i = 0; i + 1 < parts.size(); i += 2) {
-                prompt.parts.push_back({.id = parts.at(i).get<std::uint64_t>(),
-                                        .size = parts.at(i + 1).get<tokens>()});
-            }
-            result.prompts.push_back(std::move(prompt));
+    load_message result;
+    for (const auto& item : document.at(0)) {
+        result.shares.push_back({.server = item.at(0).get<std::string>(),
+                                 .unread = item.at(1).get<double>(),
+                                 .running = item.at(2).get<double>()});
+    }
+    for (const auto& item : document.at(1)) {
+        sent_prompt prompt{.server = item.at(0).get<std::string>(), .parts = {}};
+        const json& parts = item.at(1);
+        for (std::size_t i = 0; i + 1 < parts.size(); i += 2) {
+            prompt.parts.push_back(
+                {.id = parts.at(i).get<std::uint64_t>(), .size = parts.at(i + 1).get<tokens>()});
         }
-        return result;
-    } catch (const json::exception&) {
-        // Counted by the caller; a datagram may come from anyone.
-        return std::nullopt;
+        result.prompts.push_back(std::move(prompt));
     }
+    return result;
 }
 
-peer_exchange::peer_exchange(net::event_loop& loop, const net::endpoint& address, std::string node,
-                             routing::placement& placement, const peer_exchange_settings& settings)
-    : node_(std::move(node)), placement_(placement), settings_(settings),
-      socket_(loop, address, [this](std::string_view datagram) { receive(datagram); }),
-      // A new run begins above the numbers of the one before.
-      sequence_(static_cast<std::uint64_t>(wall_clock_now().count())),
-      timer_(loop, settings.interval, [this] { tell(); })
-{}
+peer_exchange::peer_exchange(net::event_loop& loop, peer_link& link, routing::placement& placement,
+                             const peer_exchange_settings& settings)
+    : loop_(loop), link_(link), placement_(placement), settings_(settings)
+{
+    link_.on_message(peer_message_kind::load,
+                     [this](const peer_message& message) { receive(message); });
+    schedule();
+}
 
-void peer_exchange::set_peer(const std::string& node, const net::endpoint& address)
+peer_exchange::~peer_exchange()
 {
-    if (node != node_ && (peers_.size() < settings_.max_peers || peers_.contains(node))) {
-        peers_[node] = address;
-    }
+    loop_.cancel(timer_);
+}
+
+void peer_exchange::schedule()
+{
+    const auto peers = static_cast<int>(link_.peer_count());
+    timer_ =
+        loop_.schedule(std::max(settings_.interval, settings_.interval_per_peer * peers), [this] {
+            schedule();
+            tell();
+        });
 }
 
 void peer_exchange::note_prompt(const std::string& server,
                                 const std::vector<routing::prompt_part>& parts)
 {
-    if (!peers_.empty() && !parts.empty() && prompts_.size() < settings_.max_prompts) {
+    if (link_.peer_count() > 0 && !parts.empty() && prompts_.size() < settings_.max_prompts) {
         prompts_.push_back({.server = server, .parts = parts});
     }
 }
 
 void peer_exchange::tell()
 {
-    if (peers_.empty()) {
-        return;
-    }
     const milliseconds now = steady_now();
-    peer_message message{.node = node_,
-                         .sequence = 0,
-                         .shares = placement_.own_shares(now),
+    load_message message{.shares = placement_.own_shares(now),
                          .prompts = std::exchange(prompts_, {})};
     const bool is_empty = message.shares.empty() && message.prompts.empty();
     if (is_empty && told_empty_ && now - last_told_ < settings_.refresh) {
@@ -99,40 +93,21 @@
     }
     told_empty_ = is_empty;
     last_told_ = now;
-    message.sequence = ++sequence_;
-    const std::string bytes = encode(message);
-    for (const auto& [node, address] : peers_) {
-        socket_.send(address, bytes);
-    }
+    link_.broadcast(peer_message_kind::load, to_json(message));
 }
 
-void peer_exchange::receive(std::string_view datagram)
+void peer_exchange::receive(const peer_message& message)
 {
-    const auto message = decode_peer_message(datagram);
-    if (!message || message->node == node_) {
-        ++rejected_;
-        return;
-    }
-    for (const auto& prompt : message->prompts) {
+    const load_message load = parse_load_message(message.content);
+    for (const auto& prompt : load.prompts) {
         placement_.take_peer_prompt(prompt.server, prompt.parts, cache_capacity_);
     }
-    std::uint64_t& last = heard_[message->node];
-    if (message->sequence < last && last - message->sequence < reorder_window) {
+    std::uint64_t& last = last_sequence_[message.node];
+    if (message.sequence < last && last - message.sequence < reorder_window) {
         return;
     }
-    last = message->sequence;
-    placement_.take_peer_shares(message->node, message->shares, steady_now());
-}
-
-json peer_exchange::dump() const
-{
-    json peers = json::object();
-    for (const auto& [node, address] : peers_) {
-        const auto heard = heard_.find(node);
-        peers[node] = {{"address", net::to_string(address)},
-                       {"last_sequence", heard == heard_.end() ? 0 : heard->second}};
-    }
-    return {{"peers", std::move(peers)}, {"rejected_datagrams", rejected_}};
+    last = message.sequence;
+    placement_.take_peer_shares(message.node, load.shares, steady_now());
 }
 
 } // namespace dotterelport::gateway
--- /dev/null
+++ b/src/dotterelport/gateway/shard_keeper.cpp
@@ -0,0 +1,345 @@
+#include "dotterelport/gateway/shard_keeper.hpp"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+#include <vector>
+
+#include "dotterelport/base/enum_names.hpp"
+#include "dotterelport/gateway/events.hpp"
+
+namespace dotterelport::gateway {
+namespace {
+
+constexpr enum_names<reservation_outcome, 3> outcome_names{{
+    {reservation_outcome::reserved, "reserved"},
+    {reservation_outcome::exhausted, "exhausted"},
+    {reservation_outcome::no_grant, "no_grant"},
+}};
+
+/// Stands for the agent, which requests that go straight to a backend server do not have.
+const incarnation no_agent{.node = "direct", .epoch = 1};
+
+} // namespace
+
+std::string_view to_string(reservation_outcome value)
+{
+    return name_of(outcome_names, value);
+}
+
+budget::demand_share shard_keeper_settings::default_sizing()
+{
+    budget::demand_share result;
+    // The longest time for which a router is usually cut off from the store.
+    result.horizon = milliseconds{6'000};
+    result.trouble_factor = 0;
+    result.reserve_requests = 0.5;
+    result.largest_share = 0.12;
+    result.near_end = 0.1;
+    result.least_factor = 0.5;
+    result.assumed_request = 10'000;
+    result.open_early = false;
+    // A router that stopped being the owner of a workspace gives its grant back.
+    result.idle_limit = milliseconds{3'000};
+    result.demand_memory = milliseconds{8'000};
+    result.grow_below = 0.7;
+    result.shrink_above = 1.6;
+    return result;
+}
+
+shard_keeper::shard_keeper(net::event_loop& loop, object_store::conditional_objects& objects,
+                           std::uint32_t shard, incarnation self,
+                           const shard_keeper_settings& settings)
+    : loop_(loop), objects_(objects), settings_(settings), self_(std::move(self)),
+      session_(shard, self_, settings.sizing), alive_(std::make_shared<shard_keeper*>(this))
+{
+    schedule_round(settings_.round_interval);
+}
+
+shard_keeper::~shard_keeper()
+{
+    for (const auto& item : waiting_) {
+        loop_.cancel(item.timer);
+    }
+    loop_.cancel(round_timer_);
+}
+
+void shard_keeper::declare(std::shared_ptr<const budget::declaration> declaration)
+{
+    session_.set_declaration(std::move(declaration));
+    schedule_round(settings_.urgent_spacing);
+}
+
+bool shard_keeper::is_idle() const
+{
+    return waiting_.empty() && session_.is_settled();
+}
+
+reservation_outcome shard_keeper::try_reserve(const request_key& key, tokens upper)
+{
+    const auto outcome = session_.holder().reserve({.key = key,
+                                                    .budget = key.workspace,
+                                                    .upper = upper,
+                                                    .agent = no_agent,
+                                                    .digest = {},
+                                                    .router = self_.node,
+                                                    .now = steady_now()});
+    // A key that has finished must not run again under its old reservation.
+    return outcome == budget::reserve_outcome::reserved ? reservation_outcome::reserved
+                                                        : reservation_outcome::no_grant;
+}
+
+bool shard_keeper::is_exhausted(const std::string& workspace, tokens upper) const
+{
+    const auto* ledger = session_.ledger();
+    const auto* entry = ledger == nullptr ? nullptr : ledger->find(workspace);
+    if (entry == nullptr) {
+        return false;
+    }
+    // What other routers have open may come back; only what is known to be used counts here.
+    const auto* owner = session_.holder().find_account(workspace);
+    const tokens own_use = owner == nullptr ? 0 : owner->reserved;
+    return entry->settled + entry->unproved + own_use + upper > entry->prepaid;
+}
+
+bool shard_keeper::has_no_room(const std::string& workspace, tokens upper) const
+{
+    const auto* ledger = session_.ledger();
+    const auto* entry = ledger == nullptr ? nullptr : ledger->find(workspace);
+    const auto* owner = session_.holder().find_account(workspace);
+    if (entry == nullptr || owner == nullptr || !ledger_read_ ||
+        steady_now() - *ledger_read_ > settings_.ledger_life) {
+        return false;
+    }
+    return entry->room() + std::max<tokens>(0, owner->available()) < upper;
+}
+
+void shard_keeper::reserve(const std::string& workspace, const std::string& id, tokens upper,
+                           reservation_handler done)
+{
+    const request_key key{.workspace = workspace, .key = id};
+    if (try_reserve(key, upper) == reservation_outcome::reserved) {
+        done(reservation_outcome::reserved);
+        return;
+    }
+    if (is_exhausted(workspace, upper)) {
+        done(reservation_outcome::exhausted);
+        return;
+    }
+    if (has_no_room(workspace, upper)) {
+        done(reservation_outcome::no_grant);
+        return;
+    }
+    waiting_.push_back(
+        {.key = key,
+         .upper = upper,
+         .until = steady_now() + settings_.grant_wait,
+         .done = std::move(done),
+         .timer = loop_.schedule(settings_.grant_wait, [this, key] { give_up_waiting(key); })});
+    if (!session_.in_round()) {
+        const milliseconds next = last_round_ + settings_.urgent_spacing;
+        schedule_round(std::max(milliseconds{0}, next - steady_now()));
+    }
+}
+
+void shard_keeper::abandon(const std::string& workspace, const std::string& id)
+{
+    waiting_.remove_if([&](const waiting_reservation& item) {
+        const bool is_it = item.key.workspace == workspace && item.key.key == id;
+        if (is_it) {
+            loop_.cancel(item.timer);
+        }
+        return is_it;
+    });
+}
+
+void shard_keeper::give_up_waiting(const request_key& key)
+{
+    const auto found =
+        std::find_if(waiting_.begin(), waiting_.end(),
+                     [&key](const waiting_reservation& item) { return item.key == key; });
+    if (found != waiting_.end()) {
+        const auto done = std::move(found->done);
+        waiting_.erase(found);
+        done(reservation_outcome::no_grant);
+    }
+}
+
+void shard_keeper::settle(const std::string& workspace, const std::string& id, verdict ran,
+                          tokens prompt_tokens, tokens output_tokens)
+{
+    session_.holder().settle({.key = {.workspace = workspace, .key = id},
+                              .attempt = 1,
+                              .budget = workspace,
+                              .holder = self_,
+                              .verdict = ran,
+                              .charged = prompt_tokens + output_tokens,
+                              .prompt_tokens = prompt_tokens,
+                              .completion_tokens = output_tokens,
+                              .service = {},
+                              .agent = no_agent});
+}
+
+void shard_keeper::set_wanted()
+{
+    for (auto& account : session_.holder().accounts()) {
+        account.wanted = 0;
+    }
+    for (const auto& item : waiting_) {
+        session_.holder().account(item.key.workspace).wanted += item.upper;
+    }
+}
+
+void shard_keeper::schedule_round(milliseconds delay)
+{
+    loop_.cancel(round_timer_);
+    round_timer_ = loop_.schedule(delay, [this] {
+        round_timer_ = 0;
+        start_round();
+    });
+}
+
+void shard_keeper::start_round()
+{
+    if (session_.in_round()) {
+        return;
+    }
+    set_wanted();
+    const milliseconds now = steady_now();
+    last_round_ = now;
+    const bool flush = drained_ != nullptr || now - last_flush_ >= settings_.flush_interval;
+    if (flush) {
+        last_flush_ = now;
+    }
+    const auto step = session_.start({.now = now,
+                                      .platform_trouble = milliseconds{0},
+                                      .failure_domains = holder_count(),
+                                      .flush = flush});
+    if (step) {
+        perform(*step);
+    } else {
+        round_ended();
+    }
+}
+
+void shard_keeper::perform(const budget::io_step& step)
+{
+    const auto go_on = [this, alive = std::weak_ptr<shard_keeper*>(alive_)](const auto& result) {
+        if (alive.expired()) {
+            return;
+        }
+        const auto next = session_.resume(result);
+        if (next) {
+            perform(*next);
+        } else {
+            round_ended();
+        }
+    };
+    const bool is_read = step.operation == budget::io_step::kind::read;
+    log(events::ledger_step, {{"operation", is_read ? "read" : "write"},
+                              {"key", step.key},
+                              {"if_version", step.if_version},
+                              {"waiting", waiting_.size()}});
+    if (is_read) {
+        objects_.read(step.key, go_on);
+    } else {
+        objects_.write(step.key, step.value, step.if_version, go_on);
+    }
+}
+
+void shard_keeper::round_ended()
+{
+    const bool complete = session_.last_outcome() == budget::round_outcome::complete;
+    if (session_.last_outcome() == budget::round_outcome::unavailable) {
+        log(events::ledger_unavailable, {{"waiting", waiting_.size()}});
+    }
+    if (complete && session_.ledger() != nullptr) {
+        ledger_read_ = steady_now();
+    }
+    log_first_ledger();
+    serve_waiting(complete);
+    if (drained_ && (session_.is_settled() || session_.is_closed())) {
+        std::exchange(drained_, nullptr)();
+        return;
+    }
+    schedule_round(waiting_.empty() && !drained_ ? settings_.round_interval
+                                                 : settings_.urgent_spacing);
+}
+
+void shard_keeper::log_first_ledger()
+{
+    const auto* ledger = session_.ledger();
+    if (ledger_logged_ || ledger == nullptr) {
+        return;
+    }
+    ledger_logged_ = true;
+    // Bounds the length of the line.
+    constexpr std::size_t most_budgets = 50;
+    json budgets = json::object();
+    for (const auto& [name, entry] : ledger->budgets()) {
+        if (budgets.size() < most_budgets) {
+            budgets[name] = {{"prepaid", entry.prepaid},
+                             {"settled", entry.settled},
+                             {"unproved", entry.unproved},
+                             {"open", entry.open()},
+                             {"grants", entry.grants.size()}};
+        }
+    }
+    log(events::ledger_read, {{"generation", ledger->generation()}, {"budgets", budgets}});
+}
+
+void shard_keeper::serve_waiting(bool round_complete)
+{
+    const milliseconds now = steady_now();
+    std::vector<std::pair<reservation_handler, reservation_outcome>> answers;
+    for (auto item = waiting_.begin(); item != waiting_.end();) {
+        auto outcome = try_reserve(item->key, item->upper);
+        if (outcome == reservation_outcome::no_grant && round_complete &&
+            is_exhausted(item->key.workspace, item->upper)) {
+            outcome = reservation_outcome::exhausted;
+        }
+        // A complete round has taken all that the ledger has room for.
+        if (outcome == reservation_outcome::no_grant && now < item->until && !round_complete) {
+            ++item;
+            continue;
+        }
+        loop_.cancel(item->timer);
+        answers.emplace_back(std::move(item->done), outcome);
+        item = waiting_.erase(item);
+    }
+    // The functions may reserve again.
+    for (const auto& [done, outcome] : answers) {
+        done(outcome);
+    }
+}
+
+void shard_keeper::drain(std::function<void()> done)
+{
+    drained_ = std::move(done);
+    session_.set_draining();
+    schedule_round(milliseconds{0});
+}
+
+std::size_t shard_keeper::holder_count() const
+{
+    const auto* ledger = session_.ledger();
+    std::set<std::string_view> nodes{self_.node};
+    if (ledger != nullptr) {
+        for (const auto& [budget, entry] : ledger->budgets()) {
+            for (const auto& [holder, part] : entry.grants) {
+                nodes.insert(holder.node);
+            }
+        }
+    }
+    return nodes.size();
+}
+
+json shard_keeper::dump() const
+{
+    json result = session_.dump();
+    result["waiting"] = waiting_.size();
+    result["holders"] = holder_count();
+    return result;
+}
+
+} // namespace dotterelport::gateway
