Let owners hold at most 5 % of what remains

Cause: the owner of a workspace holds the grants of all gateways, so its death strands more than before. Change: largest_share 0.12 to 0.05.

--- a/src/dotterelport/gateway/shard_keeper.cpp
+++ b/src/dotterelport/gateway/shard_keeper.cpp
@@ -34,7 +34,7 @@
     result.horizon = milliseconds{6'000};
     result.trouble_factor = 0;
     result.reserve_requests = 0.5;
-    result.largest_share = 0.12;
+    result.largest_share = 0.05;
     result.near_end = 0.1;
     result.least_factor = 0.5;
     result.assumed_request = 10'000;
