Compare the room of grants instead of what is open

Cause: what is reserved comes and goes with each request, so grants were rewritten at nearly every round. Change: grow and shrink by the room for new requests; bills every 5 s.

--- a/include/dotterelport/budget/sizing.hpp
+++ b/include/dotterelport/budget/sizing.hpp
@@ -56,8 +56,8 @@
     /// Time over which the demand is averaged; 0 for a short fixed memory, which follows a change
     /// of the demand at once and forgets a demand that comes in few large requests.
     milliseconds demand_memory{0};
-    /// A grant grows when its open part is below this multiple of the target, and shrinks when it
-    /// is above the other one. Between them it stays, to save writes.
+    /// A grant grows when its room for new requests is below this multiple of the target, and
+    /// shrinks when it is above the other one. Between them it stays, to save writes.
     double grow_below = 0.5;
     double shrink_above = 2.0;
 };
@@ -83,8 +83,8 @@
 /// @param age time since the budget was first used
 double demand_weight(const sizing_policy& policy, milliseconds elapsed, milliseconds age);
 
-/// @brief Tells whether an open part is close enough to its target to stay.
-bool is_near_target(const sizing_policy& policy, tokens open, tokens target);
+/// @brief Tells whether a grant's room for new requests is close enough to its target to stay.
+bool is_near_target(const sizing_policy& policy, tokens room, tokens target);
 
 /// @brief Tells whether grants are opened before a budget is first used.
 bool opens_early(const sizing_policy& policy);
--- a/include/dotterelport/gateway/shard_keeper.hpp
+++ b/include/dotterelport/gateway/shard_keeper.hpp
@@ -36,7 +36,7 @@
     /// Interval at which grants are compared with the demand.
     milliseconds round_interval{500};
     /// Interval at which the use of requests that ended is written down.
-    milliseconds flush_interval{2'500};
+    milliseconds flush_interval{5'000};
     /// Longest time for which a request waits for a larger grant.
     milliseconds grant_wait{250};
     /// Time between rounds that waiting requests ask for.
--- a/src/dotterelport/budget/shard_session.cpp
+++ b/src/dotterelport/budget/shard_session.cpp
@@ -278,7 +278,9 @@
     if (!moves) {
         return std::max(target, needed);
     }
-    const bool keep = open_now >= needed && is_near_target(policy_, open_now, target);
+    // What is reserved comes and goes with each request; only the room for new ones is compared.
+    const bool keep =
+        open_now >= needed && is_near_target(policy_, open_now - needed, target - needed);
     return keep ? open_now : std::max(target, needed);
 }
 
--- a/src/dotterelport/budget/sizing.cpp
+++ b/src/dotterelport/budget/sizing.cpp
@@ -86,14 +86,14 @@
     return std::min(1.0, std::max(1.0 - std::exp(-part), mean));
 }
 
-bool is_near_target(const sizing_policy& policy, tokens open, tokens target)
+bool is_near_target(const sizing_policy& policy, tokens room, tokens target)
 {
     const auto* chosen = std::get_if<demand_share>(&policy);
     if (chosen == nullptr) {
-        return open == target;
+        return room == target;
     }
     const auto wanted = static_cast<double>(target);
-    const auto present = static_cast<double>(open);
+    const auto present = static_cast<double>(room);
     return present >= wanted * chosen->grow_below && present <= wanted * chosen->shrink_above;
 }
 
--- a/src/dotterelport/gateway/shard_keeper.cpp
+++ b/src/dotterelport/gateway/shard_keeper.cpp
@@ -34,7 +34,7 @@
     result.horizon = milliseconds{6'000};
     result.trouble_factor = 0;
     result.reserve_requests = 0.5;
-    result.largest_share = 0.05;
+    result.largest_share = 0.07;
     result.near_end = 0.1;
     result.least_factor = 0.5;
     result.assumed_request = 10'000;
@@ -42,8 +42,8 @@
     // A router that stopped being the owner of a workspace gives its grant back.
     result.idle_limit = milliseconds{3'000};
     result.demand_memory = milliseconds{8'000};
-    result.grow_below = 0.7;
-    result.shrink_above = 1.6;
+    result.grow_below = 0.4;
+    result.shrink_above = 3.0;
     return result;
 }
 
