--- a/include/dotterelport/gateway/peer_link.hpp
+++ b/include/dotterelport/gateway/peer_link.hpp
@@ -76,6 +76,7 @@
     [[nodiscard]] bool is_live(const std::string& node) const;
     [[nodiscard]] std::size_t peer_count() const { return peers_.size(); }
     [[nodiscard]] const std::string& node() const { return node_; }
+    [[nodiscard]] const net::endpoint& own_address() const { return socket_.address(); }
     [[nodiscard]] json dump() const;
 
 private:
--- a/include/dotterelport/net/stream_server.hpp
+++ b/include/dotterelport/net/stream_server.hpp
@@ -57,7 +57,8 @@
     friend class stream_server;
     friend class stream_connection;
 
-    void send_head(int status, const header_list& headers, std::string_view framing);
+    [[nodiscard]] std::string format_head(int status, const header_list& headers,
+                                          std::string_view framing) const;
 
     http1_request_head head_;
     std::string body_;
--- a/include/dotterelport/net/tcp_connection.hpp
+++ b/include/dotterelport/net/tcp_connection.hpp
@@ -62,6 +62,10 @@
     /// @brief Limits the time for which sent bytes may stay unacknowledged.
     void limit_unacknowledged(milliseconds limit);
 
+    /// @brief Makes the end of this connection a reset, so that the peer does not take it for an
+    /// orderly one.
+    void reset_on_close();
+
 private:
     struct native;
 
--- a/src/dotterelport/base/log.cpp
+++ b/src/dotterelport/base/log.cpp
@@ -64,6 +64,8 @@
         ::fcntl(STDOUT_FILENO, F_SETFL, ::fcntl(STDOUT_FILENO, F_GETFL) | O_NONBLOCK);
     }
     ~nonblocking_appender() override { destructorImpl(); }
+    nonblocking_appender(const nonblocking_appender&) = delete;
+    nonblocking_appender& operator=(const nonblocking_appender&) = delete;
     void close() override { closed = true; }
 
 protected:
--- a/src/dotterelport/ctl/event_catalogue.cpp
+++ b/src/dotterelport/ctl/event_catalogue.cpp
@@ -6,7 +6,9 @@
 #include "dotterelport/budget/events.hpp"
 #include "dotterelport/config/events.hpp"
 #include "dotterelport/ctl/commands.hpp"
+#include "dotterelport/gateway/events.hpp"
 #include "dotterelport/membership/events.hpp"
+#include "dotterelport/object_store/events.hpp"
 #include "dotterelport/router/budget_events.hpp"
 #include "dotterelport/router/events.hpp"
 
@@ -16,6 +18,8 @@
 {
     namespace agent = dotterelport::agent::events;
     namespace budget = dotterelport::budget::events;
+    namespace gateway = dotterelport::gateway::events;
+    namespace store = dotterelport::object_store::events;
     namespace router = dotterelport::router::events;
     std::vector<log_event> events = {
         config::event_in_force,
@@ -81,6 +85,35 @@
         budget::tokens_unproved,
         budget::shard_too_large,
         budget::grant_missing,
+        gateway::started,
+        gateway::ready,
+        gateway::drain_started,
+        gateway::drained,
+        gateway::drain_timeout,
+        gateway::settings_reloaded,
+        gateway::settings_rejected,
+        gateway::request_answered,
+        gateway::request_refused,
+        gateway::request_abandoned,
+        gateway::request_cut,
+        gateway::request_sent,
+        gateway::attempt_ended,
+        gateway::catalogue_in_force,
+        gateway::catalogue_ignored,
+        gateway::server_changed,
+        gateway::server_removed,
+        gateway::ledger_unavailable,
+        gateway::ledger_read,
+        gateway::settlement_lost,
+        gateway::reservation_left_behind,
+        gateway::ledger_step,
+        store::feed_lost,
+        store::feed_regained,
+        store::feed_history_gone,
+        store::path_changed,
+        store::relay_started,
+        store::relay_stopped,
+        store::object_ignored,
     };
     std::sort(events.begin(), events.end(),
               [](const auto& left, const auto& right) { return left.number < right.number; });
--- /dev/null
+++ b/src/dotterelport/gateway/budgets_test.cpp
@@ -0,0 +1,271 @@
+#include <catch2/catch.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "dotterelport/gateway/budget_broker.hpp"
+#include "dotterelport/object_store/store.hpp"
+
+namespace dotterelport::gateway {
+namespace {
+
+using namespace std::chrono_literals;
+
+/// Objects in memory that answer through the loop, and can be cut off or lose answers.
+struct fake_objects final : object_store::conditional_objects {
+    net::event_loop& loop;
+    object_store::store& store;
+    bool reachable = true;
+    /// Writes that take effect late, after an answer that says nothing.
+    double late_share = 0;
+    std::mt19937_64 random{5};
+    int writes = 0;
+
+    fake_objects(net::event_loop& event_loop, object_store::store& objects)
+        : loop(event_loop), store(objects)
+    {}
+
+    void read(const std::string& key,
+              std::function<void(const object_store::read_result&)> done) override
+    {
+        loop.post(
+            [this, key, done] { done(reachable ? store.read(key) : object_store::read_result{}); });
+    }
+
+    void write(const std::string& key, const std::string& value,
+               std::optional<object_store::version> if_version,
+               std::function<void(const object_store::write_result&)> done) override
+    {
+        ++writes;
+        loop.post([this, key, value, if_version, done] {
+            if (!reachable) {
+                done({});
+                return;
+            }
+            if (std::uniform_real_distribution<double>(0, 1)(random) < late_share) {
+                loop.schedule(
+                    30ms, [this, key, value, if_version] { store.write(key, value, if_version); });
+                done({.status = object_store::write_status::unknown});
+                return;
+            }
+            done(store.write(key, value, if_version));
+        });
+    }
+};
+
+service_catalogue with_prepaid(std::uint64_t version, tokens prepaid)
+{
+    service_catalogue::builder builder(version);
+    builder.add(workspace{.name = "w", .keys = {"k"}, .priority = {}, .prepaid = prepaid});
+    return builder.build();
+}
+
+/// A gateway's budgets.
+struct node {
+    fake_objects objects;
+    peer_link link;
+    budget_keeper keeper;
+    budget_broker broker;
+
+    node(net::event_loop& loop, object_store::store& store, const std::string& name)
+        : objects(loop, store), link(loop, {"127.0.0.1", 0}, name),
+          keeper(loop, objects, {.node = name, .epoch = 1}), broker(loop, link, keeper)
+    {}
+};
+
+struct fixture {
+    net::event_loop loop;
+    object_store::store store;
+    std::vector<std::unique_ptr<node>> nodes;
+    std::map<reservation_outcome, int> outcomes;
+
+    void add_nodes(int count, tokens prepaid)
+    {
+        for (int i = 0; i < count; ++i) {
+            nodes.push_back(std::make_unique<node>(loop, store, "node-" + std::to_string(i)));
+            nodes.back()->keeper.declare(with_prepaid(1, prepaid));
+        }
+    }
+
+    /// Lets the nodes hear each other.
+    void connect()
+    {
+        for (auto& from : nodes) {
+            for (auto& to : nodes) {
+                from->link.set_peer(to->link.node(), to->link.own_address());
+            }
+        }
+        for (auto& from : nodes) {
+            from->link.broadcast(peer_message_kind::load, json::array());
+        }
+        loop.run_for(20ms);
+    }
+
+    reservation_outcome reserve(node& from, tokens upper, std::uint64_t* number = nullptr)
+    {
+        std::optional<reservation_outcome> result;
+        const auto id = from.broker.reserve("w", upper, [&](reservation_outcome outcome) {
+            result = outcome;
+            loop.stop();
+        });
+        if (!result) {
+            loop.run_for(1s);
+        }
+        REQUIRE(result);
+        ++outcomes[*result];
+        if (number != nullptr) {
+            *number = id;
+        }
+        return *result;
+    }
+};
+
+TEST_CASE("A request that the budget covers is reserved, one that it does not is refused")
+{
+    fixture budgets;
+    budgets.add_nodes(1, 10'000);
+    CHECK(budgets.reserve(*budgets.nodes[0], 9'000) == reservation_outcome::reserved);
+    CHECK(budgets.reserve(*budgets.nodes[0], 2'000) == reservation_outcome::exhausted);
+    CHECK(budgets.reserve(*budgets.nodes[0], 1'000) == reservation_outcome::reserved);
+}
+
+TEST_CASE("A top-up makes room again")
+{
+    fixture budgets;
+    budgets.add_nodes(1, 10'000);
+    CHECK(budgets.reserve(*budgets.nodes[0], 10'000) == reservation_outcome::reserved);
+    CHECK(budgets.reserve(*budgets.nodes[0], 10'000) == reservation_outcome::exhausted);
+    budgets.nodes[0]->keeper.declare(with_prepaid(2, 20'000));
+    budgets.loop.run_for(200ms);
+    CHECK(budgets.reserve(*budgets.nodes[0], 10'000) == reservation_outcome::reserved);
+}
+
+TEST_CASE("What a request did not use can be reserved again")
+{
+    fixture budgets;
+    budgets.add_nodes(1, 10'000);
+    std::uint64_t number = 0;
+    budgets.reserve(*budgets.nodes[0], 10'000, &number);
+    const auto [ran, prompt, output, room] = GENERATE(table<verdict, tokens, tokens, tokens>({
+        {verdict::not_run, 0, 0, 10'000},
+        {verdict::ran, 3'000, 1'000, 6'000},
+        {verdict::may_have_run, 3'000, 0, 7'000},
+    }));
+    budgets.nodes[0]->broker.settle(number, ran, prompt, output);
+    CHECK(budgets.reserve(*budgets.nodes[0], room + 1) != reservation_outcome::reserved);
+    CHECK(budgets.reserve(*budgets.nodes[0], room) == reservation_outcome::reserved);
+}
+
+TEST_CASE("Gateways that hear each other use the grants of one owner")
+{
+    fixture budgets;
+    budgets.add_nodes(3, 1'000'000);
+    budgets.connect();
+    for (auto& item : budgets.nodes) {
+        std::uint64_t number = 0;
+        CHECK(budgets.reserve(*item, 5'000, &number) == reservation_outcome::reserved);
+        item->broker.settle(number, verdict::ran, 4'000, 500);
+    }
+    budgets.loop.run_for(50ms);
+    int writers = 0;
+    for (auto& item : budgets.nodes) {
+        writers += item->objects.writes > 0 ? 1 : 0;
+        CHECK(item->broker.dump().at("lent") == 0);
+        CHECK(item->broker.dump().at("unconfirmed_settlements") == 0);
+    }
+    CHECK(writers == 1);
+}
+
+TEST_CASE("A gateway whose owner has gone reserves from grants of its own within the limit")
+{
+    fixture budgets;
+    budgets.add_nodes(2, 1'000'000);
+    budgets.connect();
+    // Without its node, the owner does not answer but was heard a moment ago.
+    for (int gone = 0; gone < 2; ++gone) {
+        if (budgets.reserve(*budgets.nodes[0], 1'000) != reservation_outcome::reserved) {
+            FAIL("not reserved");
+        }
+    }
+    const bool first_owns = budgets.nodes[0]->objects.writes > 0;
+    auto& survivor = *budgets.nodes[first_owns ? 1 : 0];
+    budgets.nodes[first_owns ? 0 : 1].reset();
+    const milliseconds began = steady_now();
+    CHECK(budgets.reserve(survivor, 1'000) == reservation_outcome::reserved);
+    CHECK(steady_now() - began < 400ms);
+    CHECK(survivor.objects.writes > 0);
+}
+
+TEST_CASE("No grant is waited for longer than the limit while the store is away")
+{
+    fixture budgets;
+    budgets.add_nodes(1, 1'000'000);
+    budgets.nodes[0]->objects.reachable = false;
+    const milliseconds began = steady_now();
+    CHECK(budgets.reserve(*budgets.nodes[0], 1'000) == reservation_outcome::no_grant);
+    CHECK(steady_now() - began < 500ms);
+}
+
+TEST_CASE("A drained gateway leaves nothing granted")
+{
+    fixture budgets;
+    budgets.add_nodes(1, 1'000'000);
+    std::uint64_t number = 0;
+    budgets.reserve(*budgets.nodes[0], 5'000, &number);
+    budgets.nodes[0]->broker.settle(number, verdict::ran, 4'000, 0);
+    bool drained = false;
+    budgets.nodes[0]->keeper.drain([&] {
+        drained = true;
+        budgets.loop.stop();
+    });
+    budgets.loop.run_for(1s);
+    CHECK(drained);
+    for (const auto& object : budgets.store.list("budget/", 0).objects) {
+        const auto ledger = budget::parse_ledger_shard(object.value);
+        const auto* entry = ledger.find("w");
+        if (entry != nullptr) {
+            CHECK(entry->open() == 0);
+            CHECK(entry->settled == 4'000);
+        }
+    }
+}
+
+TEST_CASE("Whatever is lost, cut or late, gateways together never reserve more than is prepaid")
+{
+    constexpr tokens prepaid = 200'000;
+    const auto seed = GENERATE(range(1, 9));
+    fixture budgets;
+    budgets.add_nodes(3, prepaid);
+    budgets.connect();
+    std::mt19937_64 random(static_cast<std::uint64_t>(seed));
+    const auto draw = [&](int end) {
+        return std::uniform_int_distribution<int>(0, end - 1)(random);
+    };
+    tokens used = 0;
+    for (int step = 0; step < 60; ++step) {
+        auto& from = *budgets.nodes[static_cast<std::size_t>(draw(3))];
+        from.objects.reachable = draw(5) != 0;
+        from.objects.late_share = draw(3) == 0 ? 0.3 : 0;
+        if (draw(4) == 0) {
+            budgets.connect();
+        }
+        const tokens upper = 1'000 + draw(12'000);
+        std::uint64_t number = 0;
+        if (budgets.reserve(from, upper, &number) == reservation_outcome::reserved) {
+            const tokens spent = draw(3) == 0 ? upper : upper / 2;
+            used += spent;
+            from.broker.settle(number, verdict::ran, spent, 0);
+        }
+    }
+    CAPTURE(seed);
+    CHECK(used <= prepaid);
+    CHECK(budgets.outcomes[reservation_outcome::reserved] > 5);
+}
+
+} // namespace
+} // namespace dotterelport::gateway
--- /dev/null
+++ b/src/dotterelport/gateway/decisions_test.cpp
@@ -0,0 +1,245 @@
+#include <catch2/catch.hpp>
+
+#include <string>
+
+#include "dotterelport/base/error.hpp"
+#include "dotterelport/gateway/attempt_policy.hpp"
+#include "dotterelport/gateway/event_stream.hpp"
+#include "dotterelport/gateway/server_directory.hpp"
+#include "dotterelport/gateway/service_catalogue.hpp"
+#include "dotterelport/gateway/settings.hpp"
+
+namespace dotterelport::gateway {
+namespace {
+
+using namespace std::chrono_literals;
+
+TEST_CASE("What follows a failed attempt")
+{
+    const attempt_report sent_once{.outcome = verdict::may_have_run,
+                                   .may_repeat = true,
+                                   .sends = 1,
+                                   .max_sends = 2,
+                                   .time_left = 500ms};
+    auto with = [&](auto change) {
+        attempt_report result = sent_once;
+        change(result);
+        return result;
+    };
+    const auto [report, expected] = GENERATE_COPY(table<attempt_report, std::string>({
+        {sent_once, "send_again"},
+        {with([](auto& r) { r.may_repeat = false; }), "report_failure"},
+        {with([](auto& r) { r.max_sends = 1; }), "report_failure"},
+        {with([](auto& r) { r.timed_out = true; }), "report_failure"},
+        {with([](auto& r) { r.time_left = 10ms; }), "report_failure"},
+        {with([](auto& r) { r.has_output = true; }), "send_again"},
+        {with([](auto& r) {
+             r.has_output = true;
+             r.may_repeat = false;
+         }),
+         "break_off"},
+        {with([](auto& r) {
+             r.outcome = verdict::not_run;
+             r.may_repeat = false;
+         }),
+         "send_again"},
+        {with([](auto& r) {
+             r.outcome = verdict::not_run;
+             r.max_sends = 1;
+         }),
+         "refuse_not_run"},
+        {with([](auto& r) {
+             r.outcome = verdict::not_run;
+             r.sends = 0;
+             r.failed_connects = 1;
+         }),
+         "send_again"},
+        {with([](auto& r) {
+             r.outcome = verdict::not_run;
+             r.sends = 0;
+             r.failed_connects = 3;
+         }),
+         "refuse_not_run"},
+    }));
+    request::retry_budget retries;
+    CHECK(to_string(decide_after_attempt(report, retries)) == expected);
+}
+
+TEST_CASE("Without a retry budget nothing is sent again, but a first send after failed connects is")
+{
+    request::retry_budget empty({.share = 0, .max_saved = 0});
+    attempt_report report{
+        .outcome = verdict::not_run, .sends = 1, .max_sends = 2, .time_left = 500ms};
+    CHECK(to_string(decide_after_attempt(report, empty)) == "refuse_not_run");
+    report.sends = 0;
+    report.failed_connects = 1;
+    CHECK(to_string(decide_after_attempt(report, empty)) == "send_again");
+}
+
+TEST_CASE("A failure that timed out is a gateway timeout")
+{
+    request::retry_budget retries;
+    const auto decision = decide_after_attempt(
+        {.outcome = verdict::may_have_run, .sends = 1, .timed_out = true}, retries);
+    CHECK(std::get<report_failure>(decision).status == 504);
+}
+
+TEST_CASE("Events are passed on whole, however the bytes are cut")
+{
+    const std::string text = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\r\ndata: c\r\n\r\n";
+    for (std::size_t step = 1; step < text.size(); ++step) {
+        event_stream stream;
+        std::string passed;
+        for (std::size_t at = 0; at < text.size(); at += step) {
+            const std::string part = stream.take(text.substr(at, step));
+            CHECK((part.empty() || part.ends_with("\n\n") || part.ends_with("\r\n\r\n")));
+            passed += part;
+        }
+        CHECK(passed == text);
+        CHECK(stream.events() == 3);
+        CHECK(stream.last_id() == 3);
+    }
+}
+
+TEST_CASE("A stream that goes on at another server has no event twice and no broken one")
+{
+    event_stream stream;
+    CHECK(stream.take("id: 1\n\nid: 2\n\nid: 3\nda") == "id: 1\n\nid: 2\n\n");
+    stream.resume();
+    CHECK(stream.take("id: 2\n\nid: 3\ndata: x\n\n") == "id: 3\ndata: x\n\n");
+    CHECK(stream.events() == 3);
+}
+
+service_catalogue catalogue_with(const std::vector<std::string>& prefixes)
+{
+    service_catalogue::builder builder(5);
+    for (const auto& prefix : prefixes) {
+        route item;
+        item.name = prefix;
+        item.host = "Shop.example";
+        item.path_prefix = prefix;
+        item.services = {{.service = "s", .weight = 1}};
+        builder.add(item);
+    }
+    builder.add(workspace{.name = "w", .keys = {"k1", "k2"}});
+    return builder.build();
+}
+
+TEST_CASE("The longest prefix of a path selects the route")
+{
+    const auto catalogue = catalogue_with({"/a/", "/a/b/", "/c/"});
+    const auto [host, path, expected] = GENERATE(table<std::string, std::string, std::string>({
+        {"shop.example", "/a/x", "/a/"},
+        {"SHOP.example:80", "/a/b/x", "/a/b/"},
+        {"shop.example", "/a/b", "/a/"},
+        {"shop.example", "/a/bb/x", "/a/"},
+        {"shop.example", "/a", ""},
+        {"shop.example", "/", ""},
+        {"shop.example", "", ""},
+        {"other.example", "/a/x", ""},
+    }));
+    const route* found = catalogue.find_route(host, path);
+    CHECK((found == nullptr ? "" : found->name) == expected);
+}
+
+TEST_CASE("Each key of a workspace finds it")
+{
+    const auto catalogue = catalogue_with({"/a/"});
+    REQUIRE(catalogue.find_workspace("k2") != nullptr);
+    CHECK(catalogue.find_workspace("k2")->name == "w");
+    CHECK(catalogue.find_workspace("k3") == nullptr);
+}
+
+backend_server server(const std::string& id, std::uint64_t started = 1)
+{
+    return {.id = id,
+            .service = "s",
+            .address = {"10.0.0.1", 80},
+            .failure_domain = "a",
+            .capacity = 4,
+            .draining = false,
+            .started_ms = started};
+}
+
+struct directory_fixture {
+    std::vector<std::string> removed;
+    server_directory servers{{.missing_grace = 1'500ms},
+                             [this](const backend_server& item) { removed.push_back(item.id); }};
+};
+
+TEST_CASE("A server that drains or is replaced gets no new requests")
+{
+    directory_fixture directory;
+    directory.servers.replace({server("a"), server("b"), server("c")}, false, 0ms);
+    auto draining = server("a");
+    draining.draining = true;
+    directory.servers.update(draining);
+    directory.servers.mark_replaced("b");
+    const auto available = directory.servers.available("s");
+    REQUIRE(available.size() == 1);
+    CHECK(available[0]->id == "c");
+    CHECK_FALSE(directory.servers.is_available("b"));
+}
+
+TEST_CASE("Registrations that lapsed in an outage are believed for a while, others are not")
+{
+    directory_fixture directory;
+    directory.servers.replace({server("a"), server("b")}, false, 0ms);
+    directory.servers.replace({}, true, 1'000ms);
+    CHECK(directory.servers.available("s").size() == 2);
+    directory.servers.update(server("a"));
+    directory.servers.expire(2'500ms);
+    CHECK(directory.removed == std::vector<std::string>{"b"});
+    directory.servers.replace({}, false, 3'000ms);
+    CHECK(directory.servers.available("s").empty());
+}
+
+TEST_CASE("A server that was draining before an outage is gone when it is missing")
+{
+    directory_fixture directory;
+    auto draining = server("a");
+    draining.draining = true;
+    directory.servers.replace({draining}, false, 0ms);
+    directory.servers.remove("a", true, 10ms);
+    CHECK(directory.servers.size() == 0);
+}
+
+TEST_CASE("A new start under an old id is a new server")
+{
+    directory_fixture directory;
+    directory.servers.replace({server("a", 1)}, false, 0ms);
+    directory.servers.update(server("a", 1));
+    CHECK(directory.removed.empty());
+    directory.servers.update(server("a", 2));
+    CHECK(directory.removed == std::vector<std::string>{"a"});
+    CHECK(directory.servers.is_available("a"));
+}
+
+TEST_CASE("Settings name the field that is wrong")
+{
+    const json valid = {{"name", "n"},
+                        {"failure_domain", "a"},
+                        {"callers", "1.2.3.4:1"},
+                        {"operators", "1.2.3.4:2"},
+                        {"peers", "1.2.3.4:3"},
+                        {"store", "1.2.3.4:4"},
+                        {"relay_port", 5},
+                        {"grace_s", 2.5},
+                        {"unknown", true}};
+    CHECK(parse_settings(valid, "test").grace == 2'500ms);
+    const auto [field, value] = GENERATE(table<std::string, json>({
+        {"name", ""},
+        {"callers", "nowhere"},
+        {"store", 7},
+        {"relay_port", 0},
+        {"grace_s", -1},
+    }));
+    json changed = valid;
+    changed[field] = value;
+    CHECK_THROWS_WITH(parse_settings(changed, "test"), Catch::Contains("/" + field));
+    changed.erase("name");
+    CHECK_THROWS_AS(parse_settings(changed, "test"), format_error);
+}
+
+} // namespace
+} // namespace dotterelport::gateway
--- a/src/dotterelport/net/stream_connection.cpp
+++ b/src/dotterelport/net/stream_connection.cpp
@@ -170,6 +170,13 @@
     connection_->write(text);
 }
 
+void stream_connection::abort()
+{
+    // Without chunks, an orderly end would complete the answer.
+    connection_->reset_on_close();
+    close();
+}
+
 void stream_connection::finish_exchange()
 {
     const bool closing = will_close();
--- a/src/dotterelport/net/stream_connection.hpp
+++ b/src/dotterelport/net/stream_connection.hpp
@@ -24,6 +24,8 @@
     void send(std::string_view bytes) { connection_->write(bytes); }
     /// @brief Ends the current exchange after its last byte was queued.
     void finish_exchange();
+    /// @brief Breaks the answer off, so that it does not look complete.
+    void abort();
     /// @brief Closes; nothing more is received.
     void close();
 
--- a/src/dotterelport/net/stream_server.cpp
+++ b/src/dotterelport/net/stream_server.cpp
@@ -15,7 +15,8 @@
     : head_(std::move(head)), body_(std::move(body)), received_(received)
 {}
 
-void stream_exchange::send_head(int status, const header_list& headers, std::string_view framing)
+std::string stream_exchange::format_head(int status, const header_list& headers,
+                                         std::string_view framing) const
 {
     std::string text = "HTTP/1.1 " + std::to_string(status) + " ";
     text.append(reason_phrase(status)).append("\r\n");
@@ -24,8 +25,7 @@
     }
     text.append(framing);
     text.append(connection_->will_close() ? "Connection: close\r\n\r\n" : "\r\n");
-    started_ = true;
-    connection_->send(text);
+    return text;
 }
 
 void stream_exchange::respond(int status, const header_list& headers, std::string_view body)
@@ -33,10 +33,13 @@
     if (!is_open() || started_) {
         return;
     }
-    send_head(status, headers, "Content-Length: " + std::to_string(body.size()) + "\r\n");
+    std::string text =
+        format_head(status, headers, "Content-Length: " + std::to_string(body.size()) + "\r\n");
     if (head_.method != "HEAD") {
-        connection_->send(body);
+        text.append(body);
     }
+    started_ = true;
+    connection_->send(text);
     on_gone_ = nullptr;
     connection_->finish_exchange();
 }
@@ -47,7 +50,9 @@
         return;
     }
     chunked_ = head_.minor_version > 0;
-    send_head(status, headers, chunked_ ? "Transfer-Encoding: chunked\r\n" : "");
+    started_ = true;
+    connection_->send(
+        format_head(status, headers, chunked_ ? "Transfer-Encoding: chunked\r\n" : ""));
 }
 
 void stream_exchange::write(std::string_view data)
@@ -86,7 +91,7 @@
         return;
     }
     on_gone_ = nullptr;
-    connection_->close();
+    connection_->abort();
 }
 
 std::size_t stream_exchange::unsent() const
--- a/src/dotterelport/net/tcp_connection.cpp
+++ b/src/dotterelport/net/tcp_connection.cpp
@@ -127,6 +127,12 @@
     ::setsockopt(h2o_socket_get_fd(socket_), IPPROTO_TCP, TCP_USER_TIMEOUT, &value, sizeof(value));
 }
 
+void tcp_connection::reset_on_close()
+{
+    const linger value{.l_onoff = 1, .l_linger = 0};
+    ::setsockopt(h2o_socket_get_fd(socket_), SOL_SOCKET, SO_LINGER, &value, sizeof(value));
+}
+
 struct tcp_connector::native {
     static void on_connect(st_h2o_socket_t* socket, const char* failure)
     {
--- /dev/null
+++ b/src/dotterelport/object_store/store_paths_test.cpp
@@ -0,0 +1,81 @@
+#include <catch2/catch.hpp>
+
+#include "dotterelport/object_store/store_paths.hpp"
+
+namespace dotterelport::object_store {
+namespace {
+
+using namespace std::chrono_literals;
+
+const net::endpoint store_address{"10.0.0.1", 80};
+const net::endpoint near_relay{"10.0.1.1", 81};
+const net::endpoint far_relay{"10.0.2.1", 81};
+
+store_paths make_paths()
+{
+    store_paths paths(store_address, "a");
+    paths.set_relays({{far_relay, "b"}, {near_relay, "a"}});
+    return paths;
+}
+
+TEST_CASE("Calls go straight while the store answers")
+{
+    auto paths = make_paths();
+    CHECK(paths.choose(path_use::short_call, 1s) == store_address);
+    paths.note_result(store_address, true, 1s);
+    CHECK(paths.choose(path_use::waiting_call, 1s) == store_address);
+}
+
+TEST_CASE("In a cut, calls go through a relay of the own failure domain first")
+{
+    auto paths = make_paths();
+    paths.note_result(store_address, false, 1s);
+    CHECK(paths.choose(path_use::short_call, 1s) == near_relay);
+    paths.note_result(near_relay, false, 1s);
+    CHECK(paths.choose(path_use::short_call, 1s) == far_relay);
+    paths.note_result(far_relay, true, 1s);
+    CHECK(paths.choose(path_use::waiting_call, 1s) == far_relay);
+    CHECK_FALSE(paths.is_direct());
+}
+
+TEST_CASE("Only short calls try the straight path again, at growing intervals")
+{
+    auto paths = make_paths();
+    milliseconds now = 1s;
+    milliseconds last_pause{0};
+    for (int i = 0; i < 4; ++i) {
+        paths.note_result(store_address, false, now);
+        paths.note_result(near_relay, true, now);
+        const milliseconds failed = now;
+        while (paths.choose(path_use::short_call, now) != store_address) {
+            CHECK(paths.choose(path_use::waiting_call, now) == near_relay);
+            now += 50ms;
+            REQUIRE(now - failed <= 6s);
+        }
+        CHECK(paths.choose(path_use::waiting_call, now) == near_relay);
+        CHECK(now - failed >= last_pause);
+        last_pause = now - failed;
+    }
+    paths.note_result(store_address, true, now);
+    CHECK(paths.choose(path_use::waiting_call, now) == store_address);
+}
+
+TEST_CASE("Without relays, calls go on trying the straight path")
+{
+    store_paths paths(store_address, "a");
+    paths.note_result(store_address, false, 1s);
+    CHECK(paths.choose(path_use::short_call, 1s) == store_address);
+    CHECK(paths.choose(path_use::waiting_call, 1s) == store_address);
+}
+
+TEST_CASE("A relay that left is forgotten")
+{
+    auto paths = make_paths();
+    paths.note_result(store_address, false, 1s);
+    paths.note_result(near_relay, true, 1s);
+    paths.set_relays({{far_relay, "b"}});
+    CHECK(paths.choose(path_use::waiting_call, 1s) == far_relay);
+}
+
+} // namespace
+} // namespace dotterelport::object_store
--- /dev/null
+++ b/src/dotterelport/routing/placement_test.cpp
@@ -0,0 +1,186 @@
+#include <catch2/catch.hpp>
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "dotterelport/routing/placement.hpp"
+#include "dotterelport/routing/urgency.hpp"
+
+namespace dotterelport::routing {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr tokens cache_capacity = 200'000;
+
+std::vector<placement_candidate> engines(int count)
+{
+    std::vector<placement_candidate> result;
+    for (int i = 0; i < count; ++i) {
+        result.push_back(
+            {.server = "engine-" + std::to_string(i), .failure_domain = "a", .capacity = 96});
+    }
+    return result;
+}
+
+std::vector<prompt_part> review(std::uint64_t subject, std::uint64_t own)
+{
+    return {
+        {.id = 1, .size = 2'500}, {.id = 100 + subject, .size = 3'800}, {.id = own, .size = 2'900}};
+}
+
+placement_request request_for(const std::vector<prompt_part>& parts)
+{
+    tokens total = 0;
+    for (const auto& part : parts) {
+        total += part.size;
+    }
+    return {.parts = parts, .prompt_tokens = total, .failure_domain = "a"};
+}
+
+TEST_CASE("Parts count as cached only after the parts before them")
+{
+    prompt_cache_view caches;
+    const std::vector<prompt_part> prompt{{1, 100}, {2, 200}, {3, 300}};
+    const std::vector<prompt_part> other_order{{2, 200}, {1, 100}};
+    caches.record("a", prompt, cache_capacity);
+    CHECK(caches.cached("a", prompt) == 600);
+    CHECK(caches.cached("a", other_order) == 0);
+    CHECK(caches.cached("b", prompt) == 0);
+    caches.forget("a");
+    CHECK(caches.cached("a", prompt) == 0);
+}
+
+TEST_CASE("A full cache drops what was used least recently, later parts first")
+{
+    prompt_cache_view caches;
+    const std::vector<prompt_part> first{{1, 100}, {2, 100}};
+    const std::vector<prompt_part> second{{3, 100}, {4, 100}};
+    caches.record("a", first, 300);
+    caches.record("a", second, 300);
+    CHECK(caches.cached("a", first) == 100);
+    CHECK(caches.cached("a", second) == 200);
+}
+
+TEST_CASE("Routers that know nothing of each other send a chain of parts to the same engine")
+{
+    const placement one;
+    const placement other;
+    const auto candidates = engines(12);
+    std::map<std::string, int> homes;
+    for (std::uint64_t subject = 0; subject < 50; ++subject) {
+        const auto first = review(subject, 1'000 + subject);
+        const auto second = review(subject, 2'000 + subject);
+        const auto left = one.choose(request_for(first), candidates, 1s);
+        const auto right = other.choose(request_for(second), candidates, 1s);
+        REQUIRE(left);
+        CHECK(left->server == right->server);
+        ++homes[left->server];
+    }
+    CHECK(homes.size() > 4);
+}
+
+TEST_CASE("Long prompts and short ones go to different engines when there is room")
+{
+    placement chooser;
+    const auto candidates = engines(12);
+    std::map<std::string, int> long_ones;
+    std::map<std::string, int> short_ones;
+    for (std::uint64_t i = 0; i < 30; ++i) {
+        const auto parts = review(i, 1'000 + i);
+        const std::vector<prompt_part> question{{.id = 5'000 + i, .size = 500}};
+        ++long_ones[chooser.choose(request_for(parts), candidates, 1s)->server];
+        ++short_ones[chooser.choose(request_for(question), candidates, 1s)->server];
+    }
+    for (const auto& [server, count] : short_ones) {
+        CHECK_FALSE(long_ones.contains(server));
+    }
+}
+
+TEST_CASE("A burst of long prompts is spread by the tokens that wait, also those of other routers")
+{
+    placement chooser;
+    const auto candidates = engines(6);
+    // Another router has filled engine-0 to engine-2.
+    std::vector<server_share> shares;
+    for (int i = 0; i < 3; ++i) {
+        shares.push_back({.server = "engine-" + std::to_string(i), .unread = 40'000, .running = 5});
+    }
+    chooser.take_peer_shares("other", shares, 1s);
+    std::map<std::string, int> counts;
+    for (std::uint64_t i = 0; i < 12; ++i) {
+        const auto parts = review(i, 1'000 + i);
+        const auto chosen = chooser.choose(request_for(parts), candidates, 1s)->server;
+        chooser.sent(chosen, i, request_for(parts), cache_capacity, 1s);
+        ++counts[chosen];
+    }
+    for (int i = 0; i < 3; ++i) {
+        CHECK(counts["engine-" + std::to_string(i)] <= 2);
+    }
+    // What a router that has fallen silent told is not believed for long.
+    const auto parts = review(0, 9'999);
+    CHECK(chooser.choose(request_for(parts), engines(1), 1s)->cost_ms >
+          chooser.choose(request_for(parts), engines(1), 3s)->cost_ms + 1'000);
+}
+
+TEST_CASE("An engine that fails part of its requests gets fewer, and is tried again later")
+{
+    placement chooser;
+    const auto candidates = engines(2);
+    const std::vector<prompt_part> question{{.id = 7, .size = 500}};
+    for (std::uint64_t i = 0; i < 6; ++i) {
+        chooser.sent("engine-0", i, request_for(question), cache_capacity, 1s);
+        // Every second request fails, so that it is never ejected for failures in a row.
+        if (i % 2 == 0) {
+            chooser.failed("engine-0", i, 1s);
+        } else {
+            chooser.finished("engine-0", i, 1, 1s);
+        }
+    }
+    CHECK(chooser.choose(request_for({{.id = 8, .size = 500}}), candidates, 1s)->server ==
+          "engine-1");
+    CHECK(chooser.choose(request_for(question), candidates, 40s)->server == "engine-0");
+}
+
+TEST_CASE("A server that cannot be reached is left out at once")
+{
+    placement chooser;
+    const auto candidates = engines(2);
+    const placement_request call{.failure_domain = "a"};
+    chooser.sent("engine-0", 1, call, 0, 1s);
+    chooser.unreachable("engine-0", 1, 1s);
+    CHECK(chooser.choose(call, candidates, 1s)->server == "engine-1");
+    CHECK(chooser.loads().available("engine-0", 1s) == availability::ejected);
+}
+
+TEST_CASE("Servers that had the request before are not chosen again")
+{
+    const placement chooser;
+    const std::vector<std::string> tried{"engine-0", "engine-1"};
+    CHECK_FALSE(chooser.choose({.failure_domain = "a", .excluded = tried}, engines(2), 1s));
+}
+
+TEST_CASE("The router's own failure domain goes before another one that is equal")
+{
+    const placement chooser;
+    auto candidates = engines(2);
+    candidates[0].failure_domain = "b";
+    CHECK(chooser.choose({.failure_domain = "a"}, candidates, 1s)->server == "engine-1");
+}
+
+TEST_CASE("Short prompts are more urgent than long ones")
+{
+    CHECK_FALSE(engine_urgency(0));
+    int last = 0;
+    for (const tokens size : {100, 1'500, 3'000, 9'000, 20'000}) {
+        const auto urgency = engine_urgency(size);
+        REQUIRE(urgency);
+        CHECK(*urgency >= last);
+        CHECK(*urgency <= 9);
+        last = *urgency;
+    }
+}
+
+} // namespace
+} // namespace dotterelport::routing
