--- a/include/dotterelport/object_store/store_relay.hpp
+++ b/include/dotterelport/object_store/store_relay.hpp
@@ -29,6 +29,9 @@
     store_relay(const store_relay&) = delete;
     store_relay& operator=(const store_relay&) = delete;
 
+    /// @brief Sets where new connections go.
+    void set_store(const net::endpoint& store) { options_.store = store; }
+
     [[nodiscard]] const net::endpoint& address() const { return listener_->address(); }
     [[nodiscard]] std::size_t connection_count() const { return pairs_.size(); }
 
--- a/src/dotterelport/gateway/forwarding.cpp
+++ b/src/dotterelport/gateway/forwarding.cpp
@@ -263,7 +263,7 @@
 void forwarding::send(const backend_server& server, const routing::placement_choice& choice)
 {
     const milliseconds now = steady_now();
-    attempt_.emplace();
+    attempt_ = attempt{};
     attempt_->id = ++context_.last_attempt;
     attempt_->server = server.id;
     attempt_->sent = now;
--- a/src/dotterelport/net/event_loop.cpp
+++ b/src/dotterelport/net/event_loop.cpp
@@ -31,6 +31,8 @@
 {
     // A write to a closed connection must return an error instead of ending the process.
     std::signal(SIGPIPE, SIG_IGN);
+    // Its default ends the process; a daemon that does not read its settings again goes on.
+    std::signal(SIGHUP, SIG_IGN);
 }
 
 // The h2o loop is not destroyed: connections of h2o may still refer to it, and a process has one
--- a/src/dotterelport/net/net_test.cpp
+++ b/src/dotterelport/net/net_test.cpp
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 
+#include <csignal>
 #include <future>
 #include <memory>
 #include <string>
@@ -37,6 +38,19 @@
     }
 };
 
+TEST_CASE("SIGHUP does not end a process, and calls the function that is set for it")
+{
+    event_loop loop;
+    ::raise(SIGHUP);
+    int calls = 0;
+    loop.on_reload([&] { ++calls; });
+    for (int i = 0; i < 2; ++i) {
+        ::raise(SIGHUP);
+        loop.run_for(milliseconds{20});
+    }
+    CHECK(calls == 2);
+}
+
 TEST_CASE("A complete answer arrives unchanged, also over a kept-alive connection")
 {
     fixture net;
--- a/src/dotterelport/net/picohttpparser.hpp
+++ b/src/dotterelport/net/picohttpparser.hpp
@@ -18,8 +18,8 @@
 struct phr_chunked_decoder {
     std::size_t bytes_left_in_chunk;
     char consume_trailer;
-    char _hex_count;
-    char _state;
+    char hex_count;
+    char state;
 };
 
 int phr_parse_request(const char* buffer, std::size_t length, const char** method,
--- /dev/null
+++ b/src/dotterelport/object_store/store_relay_test.cpp
@@ -0,0 +1,95 @@
+#include <catch2/catch.hpp>
+
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "dotterelport/net/http_client.hpp"
+#include "dotterelport/net/http_server.hpp"
+#include "dotterelport/object_store/store_relay.hpp"
+
+namespace dotterelport::object_store {
+namespace {
+
+using namespace std::chrono_literals;
+
+/// A store behind a relay.
+struct fixture {
+    net::event_loop loop;
+    net::http_server store{loop};
+    net::http_client client{loop};
+    std::unique_ptr<store_relay> relay;
+
+    explicit fixture(std::size_t max_connections = 500)
+    {
+        store.route("POST", "/echo", [](const net::http_request& request, const auto& response) {
+            response->send(200, {}, request.body);
+        });
+        const auto address = store.listen({"127.0.0.1", 0});
+        relay = std::make_unique<store_relay>(
+            loop, store_relay::options{.listen = {"127.0.0.1", 0},
+                                       .store = address,
+                                       .max_connections = max_connections});
+    }
+
+    net::client_answer call(const std::string& body)
+    {
+        net::client_answer result;
+        client.fetch({.to = relay->address(), .method = "POST", .path = "/echo", .body = body},
+                     [&](const net::client_answer& answer) {
+                         result = answer;
+                         loop.stop();
+                     });
+        loop.run_for(2s);
+        return result;
+    }
+};
+
+TEST_CASE("Calls and answers pass through the relay unchanged, also over a kept connection")
+{
+    fixture run;
+    const std::string body = GENERATE(std::string("x"), std::string(500'000, 'y'));
+    for (int i = 0; i < 3; ++i) {
+        const auto answer = run.call(body);
+        CHECK(answer.status == 200);
+        CHECK(answer.body == body);
+    }
+    CHECK(run.relay->connection_count() == 1);
+}
+
+TEST_CASE("A store that cannot be reached ends the connection")
+{
+    fixture run;
+    run.relay->set_store({"127.0.0.1", 1});
+    CHECK(run.call("x").failed());
+    run.loop.run_for(50ms);
+    CHECK(run.relay->connection_count() == 0);
+}
+
+TEST_CASE("Connections beyond the limit are closed")
+{
+    fixture run(0);
+    CHECK(run.call("x").failed());
+}
+
+TEST_CASE("Calls that are given up at any moment leave no connection behind")
+{
+    fixture run;
+    std::mt19937 random(3);
+    for (int i = 0; i < 200; ++i) {
+        const auto id = run.client.start({.to = run.relay->address(),
+                                          .method = "POST",
+                                          .path = "/echo",
+                                          .body = std::string(random() % 100'000, 'z')},
+                                         {});
+        run.loop.run_for(milliseconds{static_cast<int>(random() % 3)});
+        run.client.cancel(id);
+    }
+    run.loop.run_for(100ms);
+    CHECK(run.call("x").status == 200);
+    CHECK(run.relay->connection_count() <= 2);
+}
+
+} // namespace
+} // namespace dotterelport::object_store
--- a/src/dotterelport/routing/placement_test.cpp
+++ b/src/dotterelport/routing/placement_test.cpp
@@ -17,6 +17,7 @@
 std::vector<placement_candidate> engines(int count)
 {
     std::vector<placement_candidate> result;
+    result.reserve(static_cast<std::size_t>(count));
     for (int i = 0; i < count; ++i) {
         result.push_back(
             {.server = "engine-" + std::to_string(i), .failure_domain = "a", .capacity = 96});
@@ -103,10 +104,8 @@
     placement chooser;
     const auto candidates = engines(6);
     // Another router has filled engine-0 to engine-2.
-    std::vector<server_share> shares;
-    for (int i = 0; i < 3; ++i) {
-        shares.push_back({.server = "engine-" + std::to_string(i), .unread = 40'000, .running = 5});
-    }
+    const std::vector<server_share> shares{
+        {"engine-0", 40'000, 5}, {"engine-1", 40'000, 5}, {"engine-2", 40'000, 5}};
     chooser.take_peer_shares("other", shares, 1s);
     std::map<std::string, int> counts;
     for (std::uint64_t i = 0; i < 12; ++i) {
