Give each ledger shard one owner, and try an absent store seldom

Change: owners by shard; a gateway without grants in a shard declares nothing; after a failure all shards of a gateway wait for one round, 250 ms to 1 s, and requests without a grant are refused at once; a holder may have 1 % of the prepaid amount. The test of lost and late writes lets time pass between requests, with the same checks.

--- a/include/dotterelport/budget/sizing.hpp
+++ b/include/dotterelport/budget/sizing.hpp
@@ -46,6 +46,9 @@
     double near_end = 0.1;
     /// Least factor on the share near the end.
     double least_factor = 0.25;
+    /// Part of the prepaid amount that a holder may have whatever the share of what remains is, so
+    /// that a budget near its end is not asked for at each request; at most half of what remains.
+    double least_part = 0;
     /// Size that requests of a budget are taken to have before any was seen.
     tokens assumed_request = 0;
     /// Opens grants for all declared budgets, so that the first request of one can be served while
--- a/include/dotterelport/gateway/budget_broker.hpp
+++ b/include/dotterelport/gateway/budget_broker.hpp
@@ -24,10 +24,10 @@
     milliseconds lent_limit{30'000};
 };
 
-/// Reserves tokens at the gateway that owns a workspace at the moment, so that few gateways need
-/// grants of each budget. Gateways that see each other agree on the owner by rendezvous hashing;
-/// one that is cut off from it uses grants of its own. Whatever they believe, tokens are only
-/// reserved under a grant, so no belief can overspend.
+/// Reserves tokens at the gateway that owns a shard of the ledger at the moment, so that writes of
+/// different gateways seldom meet. Gateways that see each other agree on the owner by rendezvous
+/// hashing; one that is cut off from it uses grants of its own. Whatever they believe, tokens are
+/// only reserved under a grant, so no belief can overspend.
 class budget_broker {
 public:
     budget_broker(net::event_loop& loop, peer_link& link, budget_keeper& keeper,
--- a/include/dotterelport/gateway/budget_keeper.hpp
+++ b/include/dotterelport/gateway/budget_keeper.hpp
@@ -16,6 +16,9 @@
 /// different workspaces seldom meet.
 inline constexpr std::uint32_t ledger_shards = 16;
 
+/// @brief Shard whose ledger object holds the budget of a workspace.
+std::uint32_t ledger_shard_of(const std::string& workspace);
+
 /// The grants of this router in all shards of the ledger.
 class budget_keeper {
 public:
@@ -46,6 +49,7 @@
     object_store::conditional_objects& objects_;
     incarnation self_;
     shard_keeper_settings settings_;
+    std::shared_ptr<store_health> health_ = std::make_shared<store_health>();
     std::map<std::uint32_t, std::shared_ptr<const budget::declaration>> declarations_;
     /// Only the shards that this router has used.
     std::map<std::uint32_t, std::unique_ptr<shard_keeper>> shards_;
--- a/include/dotterelport/gateway/shard_keeper.hpp
+++ b/include/dotterelport/gateway/shard_keeper.hpp
@@ -43,11 +43,27 @@
     milliseconds urgent_spacing{60};
     /// Time for which a ledger that was read is believed to have no more room than it had.
     milliseconds ledger_life{500};
+    /// Pause after a round without an answer of the store, doubled after each further one.
+    milliseconds first_pause{250};
+    milliseconds longest_pause{1'000};
     budget::demand_share sizing = default_sizing();
 
     static budget::demand_share default_sizing();
 };
 
+/// What the shards of one gateway know of the store, so that they do not all try it while it is
+/// away.
+struct store_health {
+    int failures = 0;
+    milliseconds retry_at{0};
+
+    [[nodiscard]] bool is_away(milliseconds now) const { return failures > 0 && now < retry_at; }
+    void note_answer() { failures = 0; }
+
+    /// @param first pause after the first failure, doubled after each further one
+    void note_failure(milliseconds now, milliseconds first, milliseconds longest);
+};
+
 /// The grants of this router in one shard of the ledger: reserves the most that a request can use
 /// before it is sent, and settles what it used. Grants are taken from the ledger in the object
 /// store, which all routers share, by conditional updates, so that no cut or outage lets them pass
@@ -57,7 +73,8 @@
     using reservation_handler = std::function<void(reservation_outcome)>;
 
     shard_keeper(net::event_loop& loop, object_store::conditional_objects& objects,
-                 std::uint32_t shard, incarnation self, const shard_keeper_settings& settings = {});
+                 std::uint32_t shard, incarnation self, std::shared_ptr<store_health> health,
+                 const shard_keeper_settings& settings = {});
     ~shard_keeper();
     shard_keeper(const shard_keeper&) = delete;
     shard_keeper& operator=(const shard_keeper&) = delete;
@@ -109,13 +126,17 @@
     void perform(const budget::io_step& step);
     void round_ended();
     void schedule_round(milliseconds delay);
+    void take_declaration();
     void log_first_ledger();
 
     net::event_loop& loop_;
     object_store::conditional_objects& objects_;
     shard_keeper_settings settings_;
     incarnation self_;
+    std::shared_ptr<store_health> health_;
     budget::shard_session session_;
+    /// Not written to the ledger yet, as this gateway uses no budget of the shard.
+    std::shared_ptr<const budget::declaration> next_declaration_;
     std::list<waiting_reservation> waiting_;
     net::timer_id round_timer_ = 0;
     milliseconds last_flush_{0};
@@ -124,6 +145,7 @@
     std::optional<milliseconds> ledger_read_;
     std::function<void()> drained_;
     bool ledger_logged_ = false;
+    bool reached_store_ = false;
     /// Functions of calls that are under way check it.
     std::shared_ptr<shard_keeper*> alive_;
 };
--- a/src/dotterelport/budget/sizing.cpp
+++ b/src/dotterelport/budget/sizing.cpp
@@ -31,7 +31,11 @@
     const double all = policy.largest_share * factor;
     const double each = all / static_cast<double>(std::max<std::size_t>(1, input.failure_domains));
     const double share = each / (1.0 - all + each);
-    return input.reserved + static_cast<tokens>(std::min(wanted, remaining * share));
+    constexpr double half = 0.5;
+    const double least = std::min(static_cast<double>(input.prepaid) * policy.least_part,
+                                  std::max(0.0, remaining) * half);
+    return input.reserved +
+           static_cast<tokens>(std::min(wanted, std::max(remaining * share, least)));
 }
 
 } // namespace
--- a/src/dotterelport/gateway/budget_broker.cpp
+++ b/src/dotterelport/gateway/budget_broker.cpp
@@ -41,10 +41,11 @@
 
 std::string budget_broker::owner_of(const std::string& workspace) const
 {
+    const std::uint64_t shard = ledger_shard_of(workspace);
     std::string owner = link_.node();
-    std::uint64_t highest = hash64(owner, hash64(workspace));
+    std::uint64_t highest = hash64(owner, shard);
     for (const auto& node : link_.live_peers()) {
-        const std::uint64_t weight = hash64(node, hash64(workspace));
+        const std::uint64_t weight = hash64(node, shard);
         if (weight > highest) {
             highest = weight;
             owner = node;
--- a/src/dotterelport/gateway/budget_keeper.cpp
+++ b/src/dotterelport/gateway/budget_keeper.cpp
@@ -5,15 +5,12 @@
 #include "dotterelport/base/hash.hpp"
 
 namespace dotterelport::gateway {
-namespace {
 
-std::uint32_t shard_number(const std::string& workspace)
+std::uint32_t ledger_shard_of(const std::string& workspace)
 {
     return static_cast<std::uint32_t>(hash64(workspace) % ledger_shards);
 }
 
-} // namespace
-
 budget_keeper::budget_keeper(net::event_loop& loop, object_store::conditional_objects& objects,
                              incarnation self, const shard_keeper_settings& settings)
     : loop_(loop), objects_(objects), self_(std::move(self)), settings_(settings)
@@ -27,7 +24,7 @@
     }
     for (const auto& item : catalogue.workspaces()) {
         if (item.prepaid) {
-            declared[shard_number(item.name)].budgets.push_back(
+            declared[ledger_shard_of(item.name)].budgets.push_back(
                 {.workspace = item.name, .budget = item.name, .prepaid = *item.prepaid});
         }
     }
@@ -43,10 +40,10 @@
 
 shard_keeper& budget_keeper::shard_of(const std::string& workspace)
 {
-    const std::uint32_t number = shard_number(workspace);
+    const std::uint32_t number = ledger_shard_of(workspace);
     auto& shard = shards_[number];
     if (shard == nullptr) {
-        shard = std::make_unique<shard_keeper>(loop_, objects_, number, self_, settings_);
+        shard = std::make_unique<shard_keeper>(loop_, objects_, number, self_, health_, settings_);
         const auto declared = declarations_.find(number);
         if (declared != declarations_.end()) {
             shard->declare(declared->second);
--- a/src/dotterelport/gateway/budgets_test.cpp
+++ b/src/dotterelport/gateway/budgets_test.cpp
@@ -25,6 +25,7 @@
     double late_share = 0;
     std::mt19937_64 random{5};
     int writes = 0;
+    int reads = 0;
 
     fake_objects(net::event_loop& event_loop, object_store::store& objects)
         : loop(event_loop), store(objects)
@@ -33,6 +34,7 @@
     void read(const std::string& key,
               std::function<void(const object_store::read_result&)> done) override
     {
+        ++reads;
         loop.post(
             [this, key, done] { done(reachable ? store.read(key) : object_store::read_result{}); });
     }
@@ -211,6 +213,38 @@
     CHECK(steady_now() - began < 500ms);
 }
 
+TEST_CASE("While the store is away, requests are refused at once and it is tried seldom")
+{
+    fixture budgets;
+    budgets.add_nodes(1, 1'000'000);
+    auto& only = *budgets.nodes[0];
+    only.objects.reachable = false;
+    budgets.reserve(only, 1'000);
+    const int calls = only.objects.reads;
+    const milliseconds began = steady_now();
+    for (int i = 0; i < 20; ++i) {
+        CHECK(budgets.reserve(only, 1'000) == reservation_outcome::no_grant);
+    }
+    CHECK(steady_now() - began < 50ms);
+    budgets.loop.run_for(2s);
+    CHECK(only.objects.reads - calls <= 6);
+    only.objects.reachable = true;
+    budgets.loop.run_for(1'200ms);
+    CHECK(budgets.reserve(only, 1'000) == reservation_outcome::reserved);
+}
+
+TEST_CASE("A gateway that uses no budget of a shard writes nothing when the totals change")
+{
+    fixture budgets;
+    budgets.add_nodes(1, 1'000'000);
+    for (std::uint64_t version = 2; version < 6; ++version) {
+        budgets.nodes[0]->keeper.declare(with_prepaid(version, 1'000'000));
+        budgets.loop.run_for(150ms);
+    }
+    CHECK(budgets.nodes[0]->objects.writes == 0);
+    CHECK(budgets.nodes[0]->objects.reads == 0);
+}
+
 TEST_CASE("A drained gateway leaves nothing granted")
 {
     fixture budgets;
@@ -251,6 +285,8 @@
         auto& from = *budgets.nodes[static_cast<std::size_t>(draw(3))];
         from.objects.reachable = draw(5) != 0;
         from.objects.late_share = draw(3) == 0 ? 0.3 : 0;
+        // A gateway that found the store away refuses at once until it tries again.
+        budgets.loop.run_for(milliseconds{draw(50)});
         if (draw(4) == 0) {
             budgets.connect();
         }
--- a/src/dotterelport/gateway/shard_keeper.cpp
+++ b/src/dotterelport/gateway/shard_keeper.cpp
@@ -34,7 +34,8 @@
     result.horizon = milliseconds{6'000};
     result.trouble_factor = 0;
     result.reserve_requests = 0.5;
-    result.largest_share = 0.07;
+    result.largest_share = 0.08;
+    result.least_part = 0.01;
     result.near_end = 0.1;
     result.least_factor = 0.5;
     result.assumed_request = 10'000;
@@ -49,9 +50,11 @@
 
 shard_keeper::shard_keeper(net::event_loop& loop, object_store::conditional_objects& objects,
                            std::uint32_t shard, incarnation self,
+                           std::shared_ptr<store_health> health,
                            const shard_keeper_settings& settings)
     : loop_(loop), objects_(objects), settings_(settings), self_(std::move(self)),
-      session_(shard, self_, settings.sizing), alive_(std::make_shared<shard_keeper*>(this))
+      health_(std::move(health)), session_(shard, self_, settings.sizing),
+      alive_(std::make_shared<shard_keeper*>(this))
 {
     schedule_round(settings_.round_interval);
 }
@@ -64,10 +67,27 @@
     loop_.cancel(round_timer_);
 }
 
+void store_health::note_failure(milliseconds now, milliseconds first, milliseconds longest)
+{
+    constexpr int most_doublings = 6;
+    retry_at = now + std::min(longest, first * (1 << std::min(failures, most_doublings)));
+    ++failures;
+}
+
 void shard_keeper::declare(std::shared_ptr<const budget::declaration> declaration)
 {
-    session_.set_declaration(std::move(declaration));
-    schedule_round(settings_.urgent_spacing);
+    next_declaration_ = std::move(declaration);
+    if (!is_idle()) {
+        take_declaration();
+        schedule_round(settings_.urgent_spacing);
+    }
+}
+
+void shard_keeper::take_declaration()
+{
+    if (next_declaration_ != nullptr) {
+        session_.set_declaration(std::exchange(next_declaration_, nullptr));
+    }
 }
 
 bool shard_keeper::is_idle() const
@@ -117,6 +137,7 @@
 void shard_keeper::reserve(const std::string& workspace, const std::string& id, tokens upper,
                            reservation_handler done)
 {
+    take_declaration();
     const request_key key{.workspace = workspace, .key = id};
     if (try_reserve(key, upper) == reservation_outcome::reserved) {
         done(reservation_outcome::reserved);
@@ -126,7 +147,7 @@
         done(reservation_outcome::exhausted);
         return;
     }
-    if (has_no_room(workspace, upper)) {
+    if (has_no_room(workspace, upper) || health_->is_away(steady_now())) {
         done(reservation_outcome::no_grant);
         return;
     }
@@ -204,8 +225,16 @@
     if (session_.in_round()) {
         return;
     }
-    set_wanted();
     const milliseconds now = steady_now();
+    if (health_->is_away(now)) {
+        schedule_round(health_->retry_at - now);
+        return;
+    }
+    if (health_->failures > 0) {
+        // This round finds out whether the store is back; the other shards wait for it.
+        health_->note_failure(now, settings_.first_pause, settings_.longest_pause);
+    }
+    set_wanted();
     last_round_ = now;
     const bool flush = drained_ != nullptr || now - last_flush_ >= settings_.flush_interval;
     if (flush) {
@@ -228,6 +257,7 @@
         if (alive.expired()) {
             return;
         }
+        reached_store_ = true;
         const auto next = session_.resume(result);
         if (next) {
             perform(*next);
@@ -251,8 +281,13 @@
 {
     const bool complete = session_.last_outcome() == budget::round_outcome::complete;
     if (session_.last_outcome() == budget::round_outcome::unavailable) {
-        log(events::ledger_unavailable, {{"waiting", waiting_.size()}});
+        log(events::ledger_unavailable,
+            {{"shard", session_.shard()}, {"waiting", waiting_.size()}});
+        health_->note_failure(steady_now(), settings_.first_pause, settings_.longest_pause);
+    } else if (reached_store_) {
+        health_->note_answer();
     }
+    reached_store_ = false;
     if (complete && session_.ledger() != nullptr) {
         ledger_read_ = steady_now();
     }
@@ -299,7 +334,8 @@
             outcome = reservation_outcome::exhausted;
         }
         // A complete round has taken all that the ledger has room for.
-        if (outcome == reservation_outcome::no_grant && now < item->until && !round_complete) {
+        if (outcome == reservation_outcome::no_grant && now < item->until && !round_complete &&
+            !health_->is_away(now)) {
             ++item;
             continue;
         }
