--- a/src/dotterelport/gateway/budgets_test.cpp
+++ b/src/dotterelport/gateway/budgets_test.cpp
@@ -233,6 +233,34 @@
     CHECK(budgets.reserve(only, 1'000) == reservation_outcome::reserved);
 }
 
+TEST_CASE("Shards with nothing to write do not keep the store from being tried again")
+{
+    // Workspaces of several shards, all but one of which rest.
+    fixture budgets;
+    budgets.add_nodes(1, 1'000'000);
+    auto& only = *budgets.nodes[0];
+    service_catalogue::builder builder(2);
+    for (int i = 0; i < 12; ++i) {
+        builder.add(workspace{
+            .name = "w" + std::to_string(i), .keys = {}, .priority = {}, .prepaid = 1'000'000});
+    }
+    only.keeper.declare(builder.build());
+    for (int i = 0; i < 12; ++i) {
+        only.keeper.reserve("w" + std::to_string(i), "first", 100, [](reservation_outcome) {});
+    }
+    budgets.loop.run_for(300ms);
+    only.objects.reachable = false;
+    only.keeper.reserve("w0", "second", 500'000, [](reservation_outcome) {});
+    budgets.loop.run_for(1s);
+    only.objects.reachable = true;
+    budgets.loop.run_for(1'500ms);
+    std::optional<reservation_outcome> result;
+    only.keeper.reserve("w0", "third", 500'000,
+                        [&](reservation_outcome outcome) { result = outcome; });
+    budgets.loop.run_for(200ms);
+    CHECK(result == reservation_outcome::reserved);
+}
+
 TEST_CASE("A gateway that uses no budget of a shard writes nothing when the totals change")
 {
     fixture budgets;
--- a/src/dotterelport/gateway/shard_keeper.cpp
+++ b/src/dotterelport/gateway/shard_keeper.cpp
@@ -230,10 +230,6 @@
         schedule_round(health_->retry_at - now);
         return;
     }
-    if (health_->failures > 0) {
-        // This round finds out whether the store is back; the other shards wait for it.
-        health_->note_failure(now, settings_.first_pause, settings_.longest_pause);
-    }
     set_wanted();
     last_round_ = now;
     const bool flush = drained_ != nullptr || now - last_flush_ >= settings_.flush_interval;
@@ -244,11 +240,15 @@
                                       .platform_trouble = milliseconds{0},
                                       .failure_domains = holder_count(),
                                       .flush = flush});
-    if (step) {
-        perform(*step);
-    } else {
+    if (!step) {
         round_ended();
+        return;
+    }
+    if (health_->failures > 0) {
+        // This round finds out whether the store is back; the other shards wait for it.
+        health_->note_failure(now, settings_.first_pause, settings_.longest_pause);
     }
+    perform(*step);
 }
 
 void shard_keeper::perform(const budget::io_step& step)
