--- a/src/dotterelport/gateway/shard_keeper.cpp
+++ b/src/dotterelport/gateway/shard_keeper.cpp
@@ -34,10 +34,10 @@
     result.horizon = milliseconds{6'000};
     result.trouble_factor = 0;
     result.reserve_requests = 0.5;
-    result.largest_share = 0.08;
+    result.largest_share = 0.2;
     result.least_part = 0.01;
-    result.near_end = 0.1;
-    result.least_factor = 0.5;
+    result.near_end = 1.0;
+    result.least_factor = 0.1;
     result.assumed_request = 10'000;
     result.open_early = false;
     // A router that stopped being the owner of a workspace gives its grant back.
