--- a/src/dotterelport/routing/placement.cpp
+++ b/src/dotterelport/routing/placement.cpp
@@ -192,10 +192,14 @@
         }
         const tokens cached = caches_.cached(candidate.server, request.parts);
         double missing = static_cast<double>(std::max<tokens>(0, request.prompt_tokens - cached));
-        if (home == &candidate.server && cached < shared_tokens) {
-            missing -= settings_.home_trust * static_cast<double>(shared_tokens - cached);
+        double shared_missing = static_cast<double>(std::max<tokens>(0, shared_tokens - cached));
+        if (home == &candidate.server) {
+            missing -= settings_.home_trust * shared_missing;
+            shared_missing *= 1 - settings_.home_trust;
         }
         double expected = cost(request, candidate, missing, pace, now);
+        expected +=
+            (settings_.shared_weight - 1) * shared_missing / settings_.prefill_tokens_per_ms;
         if (!quiet.empty()) {
             expected += separation_cost(quiet[i], request.prompt_tokens);
         }
