Let leaving gateways lend nothing, and gather changes in one watch

Change: a leaving message; a gateway that stops waits for what it has lent; after a batch of changes the next watch begins 200 ms later.

--- a/include/dotterelport/gateway/budget_broker.hpp
+++ b/include/dotterelport/gateway/budget_broker.hpp
@@ -50,6 +50,10 @@
     /// @brief Counts reservations as spent that other gateways have left behind.
     void expire();
 
+    /// @brief Tells whether other gateways hold tokens of this one's grants, or have not confirmed
+    /// what was used of theirs.
+    [[nodiscard]] bool is_busy() const { return !lent_.empty() || !settlements_.empty(); }
+
     [[nodiscard]] json dump() const;
 
 private:
--- a/include/dotterelport/gateway/peer_link.hpp
+++ b/include/dotterelport/gateway/peer_link.hpp
@@ -28,6 +28,8 @@
     settle,
     /// Confirms a settle message.
     settled,
+    /// The sender stops: it owns nothing from now on, but still confirms settlements.
+    leaving,
 };
 
 /// A message between gateways.
@@ -71,7 +73,11 @@
     void send(const std::string& node, peer_message_kind kind, json content);
     void broadcast(peer_message_kind kind, json content);
 
-    /// @brief Gateways that were heard lately, without this one.
+    /// @brief Tells the others that this gateway stops, and stays silent but for answers.
+    void leave();
+    [[nodiscard]] bool is_leaving() const { return leaving_; }
+
+    /// @brief Gateways that were heard lately and do not stop, without this one.
     [[nodiscard]] std::vector<std::string> live_peers() const;
     [[nodiscard]] bool is_live(const std::string& node) const;
     [[nodiscard]] std::size_t peer_count() const { return peers_.size(); }
@@ -83,6 +89,8 @@
     struct peer {
         net::endpoint address;
         std::optional<milliseconds> heard;
+        /// Until its next run says where its requests are.
+        bool leaving = false;
     };
 
     void receive(std::string_view datagram);
@@ -94,6 +102,7 @@
     std::map<peer_message_kind, handler> handlers_;
     std::uint64_t sequence_;
     std::uint64_t rejected_ = 0;
+    bool leaving_ = false;
 };
 
 } // namespace dotterelport::gateway
--- a/include/dotterelport/object_store/object_feed.hpp
+++ b/include/dotterelport/object_store/object_feed.hpp
@@ -78,6 +78,8 @@
     /// Longest time for which a watch waits. A connection that has gone silent is noticed after
     /// this time and the client's own margin, so it bounds the age of what is known.
     milliseconds watch_time{1'500};
+    /// Pause after a batch of changes, so that changes in quick succession take one call.
+    milliseconds batch_pause{200};
     /// Pause before a call is repeated, doubled after each failure in a row.
     milliseconds first_pause{80};
     milliseconds longest_pause{500};
--- a/src/dotterelport/gateway/budget_broker.cpp
+++ b/src/dotterelport/gateway/budget_broker.cpp
@@ -43,7 +43,8 @@
 {
     const std::uint64_t shard = ledger_shard_of(workspace);
     std::string owner = link_.node();
-    std::uint64_t highest = hash64(owner, shard);
+    // A gateway that stops owns nothing, unless it sees no other.
+    std::uint64_t highest = link_.is_leaving() ? 0 : hash64(owner, shard);
     for (const auto& node : link_.live_peers()) {
         const std::uint64_t weight = hash64(node, shard);
         if (weight > highest) {
@@ -199,6 +200,11 @@
         answer(reservation_outcome::reserved);
         return;
     }
+    if (link_.is_leaving()) {
+        // What is lent now would have to outlive this process.
+        answer(reservation_outcome::no_grant);
+        return;
+    }
     // A question that is repeated while the first one waits takes its place.
     keeper_.abandon(workspace, key);
     keeper_.reserve(workspace, key, upper,
--- a/src/dotterelport/gateway/budgets_test.cpp
+++ b/src/dotterelport/gateway/budgets_test.cpp
@@ -183,6 +183,37 @@
     CHECK(writers == 1);
 }
 
+TEST_CASE("A gateway that stops lends nothing more and waits for what it has lent")
+{
+    fixture budgets;
+    budgets.add_nodes(2, 1'000'000);
+    budgets.connect();
+    std::uint64_t number = 0;
+    budgets.reserve(*budgets.nodes[0], 1'000, &number);
+    const bool first_owns = budgets.nodes[0]->objects.writes > 0;
+    auto& owner = *budgets.nodes[first_owns ? 0 : 1];
+    auto& other = *budgets.nodes[first_owns ? 1 : 0];
+    std::uint64_t lent = 0;
+    CHECK(budgets.reserve(other, 1'000, &lent) == reservation_outcome::reserved);
+    CHECK(owner.broker.is_busy());
+    owner.link.leave();
+    budgets.loop.run_for(20ms);
+    CHECK_FALSE(other.link.is_live(owner.link.node()));
+    CHECK(budgets.reserve(other, 1'000) == reservation_outcome::reserved);
+    CHECK(other.objects.writes > 0);
+    other.broker.settle(lent, verdict::ran, 500, 0);
+    budgets.nodes[0]->broker.settle(number, verdict::ran, 500, 0);
+    budgets.loop.run_for(50ms);
+    CHECK_FALSE(owner.broker.is_busy());
+    owner.link.set_peer(other.link.node(), other.link.own_address());
+    // The next run of the node is heard again.
+    peer_link next(budgets.loop, {"127.0.0.1", 0}, owner.link.node());
+    next.set_peer(other.link.node(), other.link.own_address());
+    next.broadcast(peer_message_kind::load, json::array());
+    budgets.loop.run_for(20ms);
+    CHECK(other.link.is_live(owner.link.node()));
+}
+
 TEST_CASE("A gateway whose owner has gone reserves from grants of its own within the limit")
 {
     fixture budgets;
--- a/src/dotterelport/gateway/gateway.cpp
+++ b/src/dotterelport/gateway/gateway.cpp
@@ -160,7 +160,8 @@
             return;
         }
         const bool out_of_time = elapsed >= values.grace - stop_margin;
-        if (callers->exchange_count() > 0 && !out_of_time) {
+        // Tokens that are lent when the process ends are lost to their workspace.
+        if ((callers->exchange_count() > 0 || broker.is_busy()) && !out_of_time) {
             return;
         }
         if (!requests.empty()) {
@@ -279,6 +280,7 @@
     state_->drain_began = steady_now();
     state_->stopped = std::move(stopped);
     state_->callers->start_draining();
+    state_->link.leave();
 }
 
 bool gateway::is_ready() const
--- a/src/dotterelport/gateway/peer_exchange.cpp
+++ b/src/dotterelport/gateway/peer_exchange.cpp
@@ -84,6 +84,9 @@
 
 void peer_exchange::tell()
 {
+    if (link_.is_leaving()) {
+        return;
+    }
     const milliseconds now = steady_now();
     load_message message{.shares = placement_.own_shares(now),
                          .prompts = std::exchange(prompts_, {})};
--- a/src/dotterelport/gateway/peer_link.cpp
+++ b/src/dotterelport/gateway/peer_link.cpp
@@ -5,7 +5,7 @@
 namespace dotterelport::gateway {
 namespace {
 
-constexpr int last_kind = static_cast<int>(peer_message_kind::settled);
+constexpr int last_kind = static_cast<int>(peer_message_kind::leaving);
 
 bool heard_within(const std::optional<milliseconds>& heard, milliseconds limit)
 {
@@ -88,6 +88,11 @@
         return;
     }
     sender->second.heard = steady_now();
+    if (message->kind == peer_message_kind::leaving) {
+        sender->second.leaving = true;
+    } else if (message->kind == peer_message_kind::load) {
+        sender->second.leaving = false;
+    }
     const auto handle = handlers_.find(message->kind);
     if (handle == handlers_.end()) {
         return;
@@ -99,11 +104,21 @@
     }
 }
 
+void peer_link::leave()
+{
+    // A datagram may be lost; one that is believed late costs a question to the wrong gateway.
+    constexpr int copies = 2;
+    for (int i = 0; i < copies; ++i) {
+        broadcast(peer_message_kind::leaving, json::array());
+    }
+    leaving_ = true;
+}
+
 std::vector<std::string> peer_link::live_peers() const
 {
     std::vector<std::string> result;
     for (const auto& [node, peer] : peers_) {
-        if (heard_within(peer.heard, settings_.silent_after)) {
+        if (!peer.leaving && heard_within(peer.heard, settings_.silent_after)) {
             result.push_back(node);
         }
     }
@@ -113,7 +128,8 @@
 bool peer_link::is_live(const std::string& node) const
 {
     const auto found = peers_.find(node);
-    return found != peers_.end() && heard_within(found->second.heard, settings_.silent_after);
+    return found != peers_.end() && !found->second.leaving &&
+           heard_within(found->second.heard, settings_.silent_after);
 }
 
 json peer_link::dump() const
--- a/src/dotterelport/object_store/object_feed.cpp
+++ b/src/dotterelport/object_store/object_feed.cpp
@@ -124,7 +124,15 @@
         handler_.on_change(change, was_lost || is_after_outage());
     }
     revision_ = std::max(revision_, batch.revision);
-    watch();
+    if (batch.changes.empty()) {
+        watch();
+        return;
+    }
+    loop_.cancel(timer_);
+    timer_ = loop_.schedule(settings_.batch_pause, [this] {
+        timer_ = 0;
+        watch();
+    });
 }
 
 } // namespace dotterelport::object_store
--- a/src/dotterelport/object_store/object_feed_test.cpp
+++ b/src/dotterelport/object_store/object_feed_test.cpp
@@ -101,6 +101,9 @@
     feed.objects.pages = {fixture::page({"a"}, false, 3)};
     feed.objects.batches = {fixture::change("b", false, 5), fixture::change("a", true, 6)};
     const object_feed running(feed.loop, feed.objects, "kind", feed.handler());
+    // The second change waits in the store until the pause is over.
+    CHECK(feed.changes == std::vector<std::string>{"+b"});
+    feed.loop.run_for(500ms);
     CHECK(feed.changes == std::vector<std::string>{"+b", "-a"});
     CHECK(feed.objects.calls.back() == "watch 6");
     CHECK(feed.after_outage == std::vector<bool>{false, false, false});
@@ -121,8 +124,9 @@
     fixture feed;
     feed.objects.pages = {fixture::page({"a"}, false, 3)};
     feed.objects.batches = {{}, fixture::change("a", true, 4)};
-    const object_feed running(feed.loop, feed.objects, "kind", feed.handler(),
-                              {.first_pause = 10ms, .longest_pause = 10ms, .after_outage = 100ms});
+    const object_feed running(
+        feed.loop, feed.objects, "kind", feed.handler(),
+        {.batch_pause = 10ms, .first_pause = 10ms, .longest_pause = 10ms, .after_outage = 100ms});
     feed.loop.run_for(50ms);
     CHECK(feed.changes == std::vector<std::string>{"-a"});
     CHECK(feed.after_outage.back());
