Break a stream off when no other server is left

Cause: found while reading the code: a resumable stream whose server broke off, with no other server registered, was answered with a refusal that an answer under way ignores; the caller's connection stayed open without end. Change: the end of an attempt is an enumeration with names instead of text; the decision knows that no server is left and breaks off what has begun. Conclusion: special cases beside the decision hid a case; they are part of it now.

--- a/include/dotterelport/gateway/attempt_policy.hpp
+++ b/include/dotterelport/gateway/attempt_policy.hpp
@@ -11,6 +11,41 @@
 
 namespace dotterelport::gateway {
 
+/// How an attempt at a backend server ended.
+enum class attempt_end {
+    answered,
+    /// The server answered with a status of 500 or more.
+    server_error,
+    /// The server says that it has not run the request.
+    server_refused,
+    /// Another server has the address.
+    server_replaced,
+    /// No connection could be opened.
+    not_connected,
+    /// The connection was reset.
+    reset,
+    /// The connection ended before the answer was complete.
+    truncated,
+    /// The bytes that arrived are no answer.
+    malformed,
+    /// The answer does not fit into memory.
+    too_large,
+    /// A success without the proof that a server made it.
+    unsigned_answer,
+    /// A status that promises that nothing ran, from a server that does not say so itself.
+    unclear,
+    /// Nothing arrived for long, and another server may be asked.
+    stalled,
+    /// The time for the request is over.
+    timeout,
+    caller_gone,
+    /// No server is left to send to.
+    no_server,
+};
+
+/// @brief Name of an end for logs and metrics.
+std::string_view to_string(attempt_end value);
+
 /// What is known when an attempt has ended without a usable answer.
 struct attempt_report {
     verdict outcome = verdict::may_have_run;
@@ -25,8 +60,7 @@
     std::uint32_t failed_connects = 0;
     /// Time that is left for the request.
     milliseconds time_left{0};
-    /// The time for the request is over.
-    bool timed_out = false;
+    attempt_end end = attempt_end::reset;
 };
 
 /// Send the request to another backend server.
--- a/src/dotterelport/gateway/attempt_policy.cpp
+++ b/src/dotterelport/gateway/attempt_policy.cpp
@@ -2,6 +2,8 @@
 
 #include <array>
 
+#include "dotterelport/base/enum_names.hpp"
+
 namespace dotterelport::gateway {
 namespace {
 
@@ -11,10 +13,29 @@
 /// Connections tried for one request; the next failure is taken to lie on this side.
 constexpr std::uint32_t max_failed_connects = 3;
 
+constexpr enum_names<attempt_end, 15> end_names{{
+    {attempt_end::answered, "answered"},
+    {attempt_end::server_error, "server_error"},
+    {attempt_end::server_refused, "server_refused"},
+    {attempt_end::server_replaced, "server_replaced"},
+    {attempt_end::not_connected, "not_connected"},
+    {attempt_end::reset, "reset"},
+    {attempt_end::truncated, "truncated"},
+    {attempt_end::malformed, "malformed"},
+    {attempt_end::too_large, "too_large"},
+    {attempt_end::unsigned_answer, "unsigned_answer"},
+    {attempt_end::unclear, "unclear"},
+    {attempt_end::stalled, "stalled"},
+    {attempt_end::timeout, "timeout"},
+    {attempt_end::caller_gone, "caller_gone"},
+    {attempt_end::no_server, "no_server"},
+}};
+
 bool may_send_again(const attempt_report& report, request::retry_budget& retries)
 {
-    if (report.timed_out || report.time_left < least_time_for_repeat ||
-        report.sends >= report.max_sends || report.failed_connects >= max_failed_connects ||
+    if (report.end == attempt_end::timeout || report.end == attempt_end::no_server ||
+        report.time_left < least_time_for_repeat || report.sends >= report.max_sends ||
+        report.failed_connects >= max_failed_connects ||
         !may_retry(report.outcome, report.may_repeat)) {
         return false;
     }
@@ -37,7 +58,12 @@
     }
     constexpr int bad_gateway = 502;
     constexpr int gateway_timeout = 504;
-    return report_failure{report.timed_out ? gateway_timeout : bad_gateway};
+    return report_failure{report.end == attempt_end::timeout ? gateway_timeout : bad_gateway};
+}
+
+std::string_view to_string(attempt_end value)
+{
+    return name_of(end_names, value);
 }
 
 std::string_view to_string(const attempt_decision& decision)
--- a/src/dotterelport/gateway/decisions_test.cpp
+++ b/src/dotterelport/gateway/decisions_test.cpp
@@ -30,7 +30,19 @@
         {sent_once, "send_again"},
         {with([](auto& r) { r.may_repeat = false; }), "report_failure"},
         {with([](auto& r) { r.max_sends = 1; }), "report_failure"},
-        {with([](auto& r) { r.timed_out = true; }), "report_failure"},
+        {with([](auto& r) { r.end = attempt_end::timeout; }), "report_failure"},
+        {with([](auto& r) { r.end = attempt_end::no_server; }), "report_failure"},
+        {with([](auto& r) {
+             r.end = attempt_end::no_server;
+             r.has_output = true;
+         }),
+         "break_off"},
+        {with([](auto& r) {
+             r.end = attempt_end::no_server;
+             r.outcome = verdict::not_run;
+             r.sends = 0;
+         }),
+         "refuse_not_run"},
         {with([](auto& r) { r.time_left = 10ms; }), "report_failure"},
         {with([](auto& r) { r.has_output = true; }), "send_again"},
         {with([](auto& r) {
@@ -80,7 +92,7 @@
 {
     request::retry_budget retries;
     const auto decision = decide_after_attempt(
-        {.outcome = verdict::may_have_run, .sends = 1, .timed_out = true}, retries);
+        {.outcome = verdict::may_have_run, .sends = 1, .end = attempt_end::timeout}, retries);
     CHECK(std::get<report_failure>(decision).status == 504);
 }
 
@@ -121,7 +133,7 @@
         item.services = {{.service = "s", .weight = 1}};
         builder.add(item);
     }
-    builder.add(workspace{.name = "w", .keys = {"k1", "k2"}});
+    builder.add(workspace{.name = "w", .keys = {"k1", "k2"}, .priority = {}, .prepaid = {}});
     return builder.build();
 }
 
--- a/src/dotterelport/gateway/forwarding.cpp
+++ b/src/dotterelport/gateway/forwarding.cpp
@@ -71,6 +71,21 @@
     return {text.data(), static_cast<std::size_t>(size)};
 }
 
+attempt_end to_end(net::backend_failure failure)
+{
+    switch (failure) {
+    case net::backend_failure::not_connected:
+        return attempt_end::not_connected;
+    case net::backend_failure::reset:
+        return attempt_end::reset;
+    case net::backend_failure::truncated:
+        return attempt_end::truncated;
+    case net::backend_failure::malformed:
+        return attempt_end::malformed;
+    }
+    return attempt_end::reset;
+}
+
 net::header_list end_to_end_headers(const net::header_list& headers)
 {
     net::header_list result;
@@ -254,7 +269,8 @@
     const auto choice = choose_server();
     const backend_server* server = choice ? context_.servers.find(choice->server) : nullptr;
     if (server == nullptr) {
-        attempt_failed(may_have_run_ ? verdict::may_have_run : verdict::not_run, "no_server");
+        attempt_failed(may_have_run_ ? verdict::may_have_run : verdict::not_run,
+                       attempt_end::no_server);
         return;
     }
     send(*server, *choice);
@@ -351,7 +367,7 @@
     attempt_->body.append(data);
     if (attempt_->body.size() > max_answer_bytes) {
         context_.backends.cancel(attempt_->exchange);
-        attempt_failed(verdict::may_have_run, "answer_too_large");
+        attempt_failed(verdict::may_have_run, attempt_end::too_large);
     }
 }
 
@@ -371,17 +387,17 @@
 {
     const int status = attempt_->head->status;
     if (attempt_->answer.not_run) {
-        attempt_failed(verdict::not_run,
-                       attempt_->answer.replaced ? "server_replaced" : "server_refused");
+        attempt_failed(verdict::not_run, attempt_->answer.replaced ? attempt_end::server_replaced
+                                                                   : attempt_end::server_refused);
         return;
     }
     if (is_success(status) && !attempt_->answer.authentic) {
-        attempt_failed(verdict::may_have_run, "answer_without_signature");
+        attempt_failed(verdict::may_have_run, attempt_end::unsigned_answer);
         return;
     }
     if (status >= first_server_error && route_->may_repeat() && !exchange_->is_started() &&
         sends_ < route_->max_attempts && time_left() > milliseconds{0} && retries().try_retry()) {
-        close_attempt("server_error");
+        close_attempt(attempt_end::server_error);
         may_have_run_ = true;
         attempt_.reset();
         dispatch();
@@ -389,7 +405,7 @@
     }
     if (promises_not_run(status)) {
         // The server does not say that it has not run the request, so neither may the answer.
-        attempt_failed(verdict::may_have_run, "server_unclear");
+        attempt_failed(verdict::may_have_run, attempt_end::unclear);
         return;
     }
     deliver();
@@ -416,7 +432,7 @@
     } else {
         exchange_->respond(status, end_to_end_headers(attempt_->head->headers), attempt_->body);
     }
-    close_attempt(status >= first_server_error ? "server_error" : "answered");
+    close_attempt(status >= first_server_error ? attempt_end::server_error : attempt_end::answered);
     finish();
 }
 
@@ -425,83 +441,90 @@
     if (failure == net::backend_failure::not_connected) {
         --sends_;
         ++failed_connects_;
-        attempt_failed(may_have_run_ ? verdict::may_have_run : verdict::not_run, "not_connected");
+        attempt_failed(may_have_run_ ? verdict::may_have_run : verdict::not_run,
+                       attempt_end::not_connected);
         return;
     }
-    attempt_failed(verdict::may_have_run, net::to_string(failure));
+    attempt_failed(verdict::may_have_run, to_end(failure));
 }
 
-void forwarding::close_attempt(std::string_view outcome)
+void forwarding::close_attempt(attempt_end end)
 {
     const milliseconds now = steady_now();
     auto& placement = context_.placement;
     const auto& item = *attempt_;
-    context_.counters.note_attempt(service_, std::string(outcome));
-    if (outcome == "answered") {
-        const auto units =
-            static_cast<double>(item.streams ? events_.events() - item.events_before : 1);
-        placement.finished(item.server, item.id, units, now);
-    } else if (outcome == "server_replaced") {
+    context_.counters.note_attempt(service_, std::string(to_string(end)));
+    switch (end) {
+    case attempt_end::answered:
+        placement.finished(
+            item.server, item.id,
+            static_cast<double>(item.streams ? events_.events() - item.events_before : 1), now);
+        break;
+    case attempt_end::server_replaced:
         // The registration of the server that is gone has not lapsed yet.
         context_.servers.mark_replaced(item.server);
         placement.cancelled(item.server, item.id, now);
-    } else if (outcome == "not_connected") {
+        break;
+    case attempt_end::not_connected:
         placement.unreachable(item.server, item.id, now);
-    } else if (outcome == "caller_gone" || outcome == "server_refused") {
+        break;
+    case attempt_end::caller_gone:
+    case attempt_end::server_refused:
         placement.cancelled(item.server, item.id, now);
-    } else {
+        break;
+    default:
         placement.failed(item.server, item.id, now);
+        break;
     }
 }
 
-void forwarding::attempt_failed(verdict outcome, std::string_view reason, bool timed_out)
+void forwarding::attempt_failed(verdict outcome, attempt_end end)
 {
     if (outcome == verdict::may_have_run) {
         may_have_run_ = true;
     }
     const verdict total = may_have_run_ ? verdict::may_have_run : outcome;
-    auto& retry_budget = retries();
     // A server that has refused has not run the request, whatever others did before.
-    const attempt_report report{.outcome = route_->may_repeat() ? outcome : total,
-                                .may_repeat = route_->may_repeat(),
-                                .has_output = exchange_->is_started(),
-                                .sends = sends_,
-                                .max_sends = route_->max_attempts,
-                                .failed_connects = failed_connects_,
-                                .time_left = time_left(),
-                                .timed_out = timed_out};
-    attempt_decision decision = refuse_not_run{};
-    if (attempt_ || sends_ > 0) {
-        decision = reason == "no_server" && total == verdict::not_run
-                       ? attempt_decision(refuse_not_run{})
-                       : decide_after_attempt(report, retry_budget);
-        if (reason == "no_server" && std::holds_alternative<send_again>(decision)) {
-            decision = report_failure{};
-        }
-    }
+    const attempt_decision decision =
+        decide_after_attempt({.outcome = route_->may_repeat() ? outcome : total,
+                              .may_repeat = route_->may_repeat(),
+                              .has_output = exchange_->is_started(),
+                              .sends = sends_,
+                              .max_sends = route_->max_attempts,
+                              .failed_connects = failed_connects_,
+                              .time_left = time_left(),
+                              .end = end},
+                             retries());
     json fields = log_fields();
-    fields["reason"] = reason;
+    fields["reason"] = to_string(end);
     fields["verdict"] = dotterelport::to_string(outcome);
     fields["sends"] = sends_;
     fields["decision"] = to_string(decision);
     fields["status"] = attempt_ && attempt_->head ? attempt_->head->status : 0;
     log(events::attempt_ended, fields);
     if (attempt_) {
-        close_attempt(reason);
+        close_attempt(end);
         attempt_.reset();
     }
+    follow(decision, end, fields);
+}
+
+void forwarding::follow(const attempt_decision& decision, attempt_end end, const json& fields)
+{
     if (std::holds_alternative<send_again>(decision)) {
         events_.resume();
         dispatch();
-    } else if (std::holds_alternative<refuse_not_run>(decision) && total == verdict::not_run) {
-        refuse(unavailable, reason, reason == "no_server" ? store_retry : room_retry);
     } else if (std::holds_alternative<break_off>(decision)) {
         log(events::request_cut, fields);
         exchange_->abort();
         finish();
+    } else if (std::holds_alternative<refuse_not_run>(decision) && !may_have_run_) {
+        refuse(unavailable, to_string(end),
+               end == attempt_end::no_server ? store_retry : room_retry);
     } else {
+        // The last server has not run the request, but one before it may have.
         const auto* failure = std::get_if<report_failure>(&decision);
-        refuse(failure == nullptr ? bad_gateway : failure->status, reason);
+        refuse(failure == nullptr ? bad_gateway : failure->status, to_string(end));
     }
 }
 
@@ -527,7 +550,7 @@
         return;
     }
     context_.backends.cancel(attempt_->exchange);
-    attempt_failed(verdict::may_have_run, "stalled");
+    attempt_failed(verdict::may_have_run, attempt_end::stalled);
 }
 
 void forwarding::expired()
@@ -542,7 +565,7 @@
     }
     const bool was_sent = context_.backends.was_sent(attempt_->exchange);
     context_.backends.cancel(attempt_->exchange);
-    attempt_failed(was_sent ? verdict::may_have_run : verdict::not_run, "timeout", true);
+    attempt_failed(was_sent ? verdict::may_have_run : verdict::not_run, attempt_end::timeout);
 }
 
 void forwarding::caller_gone()
@@ -555,7 +578,7 @@
     if (attempt_) {
         may_have_run_ = may_have_run_ || context_.backends.was_sent(attempt_->exchange);
         context_.backends.cancel(attempt_->exchange);
-        close_attempt("caller_gone");
+        close_attempt(attempt_end::caller_gone);
         attempt_.reset();
     }
     finish();
--- a/src/dotterelport/gateway/forwarding.hpp
+++ b/src/dotterelport/gateway/forwarding.hpp
@@ -87,9 +87,9 @@
     void pass_on(std::string_view events);
     void deliver();
     /// @brief Ends the attempt and decides what follows.
-    void attempt_failed(verdict outcome, std::string_view reason, bool timed_out = false);
+    void attempt_failed(verdict outcome, attempt_end end);
     /// @brief Tells placement and metrics how the attempt ended.
-    void close_attempt(std::string_view outcome);
+    void close_attempt(attempt_end end);
 
     void arm_timers();
     void arm_stall_timer();
@@ -97,6 +97,8 @@
     void stalled();
     void caller_gone();
 
+    /// @brief Does what was decided after an attempt.
+    void follow(const attempt_decision& decision, attempt_end end, const json& fields);
     void refuse(int status, std::string_view reason, milliseconds retry_after = milliseconds{0});
     void settle();
     void finish();
