Refuse requests from 2.7 s after the order to stop

Change: requests are refused from 2.7 s on (3.5 s before). Conclusion: the limit follows from the platform's 3 s and the delays of noticing.

--- a/include/dotterelport/routing/placement.hpp
+++ b/include/dotterelport/routing/placement.hpp
@@ -46,8 +46,8 @@
     /// Probability that the home server of a prompt's shared parts holds them, although this router
     /// has not sent them there: other routers send to the same home.
     double home_trust = 0.6;
-    /// Weight of shared parts that a server would have to read although another one holds them. Above
-    /// 1, as each server that reads a part also pushes another part out of its cache.
+    /// Weight of shared parts that a server would have to read although another one holds them.
+    /// Above 1, as each server that reads a part also pushes another part out of its cache.
     double shared_weight = 4.0;
     /// Part of each failure domain's engines that long prompts avoid, for the sake of streams.
     double quiet_share = 0.34;
--- a/src/dotterelport/gateway/gateway.cpp
+++ b/src/dotterelport/gateway/gateway.cpp
@@ -15,8 +15,10 @@
 /// once a second and needs two answers.
 constexpr milliseconds balancer_lag{2'300};
 
-/// Requests that arrive later than this after the order to stop are refused.
-constexpr milliseconds accept_after_stop{3'500};
+/// Requests that arrive later than this after the order to stop are refused: the platform excuses
+/// one that is cut at the end of the grace period only if it was sent within 3 s of the order,
+/// which is noticed up to 50 ms late and checked every 100 ms.
+constexpr milliseconds accept_after_stop{2'700};
 
 /// Time kept free at the end of the grace period to leave in order.
 constexpr milliseconds stop_margin{350};
