Give long prompts no home among the quiet engines

Change: homes are chosen among the engines for prompts of that length; a fifth of each domain's engines is quiet instead of a third.

--- a/include/dotterelport/routing/placement.hpp
+++ b/include/dotterelport/routing/placement.hpp
@@ -50,7 +50,7 @@
     /// Above 1, as each server that reads a part also pushes another part out of its cache.
     double shared_weight = 4.0;
     /// Part of each failure domain's engines that long prompts avoid, for the sake of streams.
-    double quiet_share = 0.34;
+    double quiet_share = 0.2;
     /// Prompts with more tokens than this are long: an engine reads them in several steps, each of
     /// which holds up every stream that it runs.
     tokens long_prompt = 4'096;
--- a/src/dotterelport/routing/placement.cpp
+++ b/src/dotterelport/routing/placement.cpp
@@ -26,21 +26,28 @@
                            [](tokens sum, const prompt_part& part) { return sum + part.size; });
 }
 
-/// @brief Server that all routers prefer for a chain of parts, by rendezvous hashing.
+/// @brief Server that all routers prefer for a chain of parts, by rendezvous hashing. Long prompts
+/// have no home among the quiet engines and short ones none among the others, if there are both.
 /// @return null if there are no parts
 const std::string* home_of(std::span<const prompt_part> parts,
-                           std::span<const placement_candidate> candidates)
+                           std::span<const placement_candidate> candidates,
+                           const std::vector<bool>& quiet, bool is_long)
 {
-    if (parts.empty()) {
+    if (parts.empty() || quiet.empty()) {
         return nullptr;
     }
+    const bool has_both = std::find(quiet.begin(), quiet.end(), true) != quiet.end() &&
+                          std::find(quiet.begin(), quiet.end(), false) != quiet.end();
     const std::uint64_t name = chain_name(parts);
     const std::string* home = nullptr;
     std::uint64_t highest = 0;
-    for (const auto& candidate : candidates) {
-        const std::uint64_t weight = hash64(candidate.server, name);
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        if (has_both && quiet[i] == is_long) {
+            continue;
+        }
+        const std::uint64_t weight = hash64(candidates[i].server, name);
         if (home == nullptr || weight > highest) {
-            home = &candidate.server;
+            home = &candidates[i].server;
             highest = weight;
         }
     }
@@ -177,10 +184,11 @@
     const double pace = usual_pace(candidates, now);
     // The last part belongs to the request itself or to its session.
     const auto shared = request.parts.first(request.parts.empty() ? 0 : request.parts.size() - 1);
-    const std::string* home = home_of(shared, candidates);
     const tokens shared_tokens = total_tokens(shared);
     const auto quiet = request.prompt_tokens > 0 ? quiet_servers(candidates, settings_.quiet_share)
                                                  : std::vector<bool>();
+    const std::string* home =
+        home_of(shared, candidates, quiet, request.prompt_tokens > settings_.long_prompt);
     std::optional<placement_choice> best;
     bool best_is_usable = false;
     std::optional<milliseconds> best_last_sent;
--- a/src/dotterelport/routing/placement_test.cpp
+++ b/src/dotterelport/routing/placement_test.cpp
@@ -99,6 +99,13 @@
     }
 }
 
+TEST_CASE("A prompt whose size is not told is placed like a call")
+{
+    const placement chooser;
+    const auto parts = review(1, 1'000);
+    CHECK(chooser.choose({.parts = parts, .failure_domain = "a"}, engines(3), 1s));
+}
+
 TEST_CASE("A burst of long prompts is spread by the tokens that wait, also those of other routers")
 {
     placement chooser;
