Count each request of a closed holder once

Change: unproved tokens name their attempt; the rest of a grant lists the requests that still ran, so that any closer can tell what it covers; a lost request counts for no more than the grant has left; only a run takes the line of its key.

Stored bill batches have a further field, kept.

--- a/include/dotterelport/budget/bill.hpp
+++ b/include/dotterelport/budget/bill.hpp
@@ -32,12 +32,22 @@
     std::string budget;
     tokens amount = 0;
     incarnation agent;
-    /// Attempt that was reported, or 0.
+    /// Attempt that the tokens were reserved for; 0 for a part of a grant.
     std::uint32_t attempt = 0;
 
     bool operator==(const unproved_use&) const = default;
 };
 
+/// A request that still ran when the rest of a grant was counted as unproved, and is not part of
+/// it.
+struct kept_request {
+    request_key key;
+    incarnation agent;
+    std::uint32_t attempt = 1;
+
+    bool operator==(const kept_request&) const = default;
+};
+
 /// Lines that a holder writes as one object. Numbers count from 1 without gaps, so an object that
 /// exists already proves that another router closed the holder.
 struct bill_batch {
@@ -48,6 +58,8 @@
     bool by_closer = false;
     std::vector<bill_line> lines;
     std::vector<unproved_use> unproved;
+    /// With the rest of a grant only.
+    std::vector<kept_request> kept = {};
 
     bool operator==(const bill_batch&) const = default;
 };
--- a/include/dotterelport/budget/holder_closing.hpp
+++ b/include/dotterelport/budget/holder_closing.hpp
@@ -22,6 +22,7 @@
     request_key key;
     std::string budget;
     tokens upper = 0;
+    std::uint32_t attempt = 1;
 };
 
 /// Closes the grants of a dead holder incarnation in one shard by proof: decides what to write
@@ -66,10 +67,16 @@
 private:
     using attempt_id = std::tuple<request_key, incarnation, std::uint32_t>;
 
+    /// @brief Tells whether the tokens of an attempt are counted as unproved.
+    [[nodiscard]] bool is_unproved(const attempt_id& attempt) const;
+    [[nodiscard]] bool has_line(const request_key& key, const incarnation& agent) const;
+    /// @brief Tells whether a request that was lost with its agent is billed or unproved.
+    [[nodiscard]] bool is_counted(const unproved_use& lost) const;
     [[nodiscard]] bool has_unbilled() const;
     [[nodiscard]] bool needs_rest() const;
     [[nodiscard]] tokens running_under(const std::string& budget) const;
     [[nodiscard]] bool add_outcomes(bill_batch& batch) const;
+    [[nodiscard]] bool add_lost(bill_batch& batch, const ledger_shard& ledger) const;
     [[nodiscard]] bool add_rest(bill_batch& batch, const ledger_shard& ledger) const;
 
     std::uint32_t shard_;
@@ -81,6 +88,8 @@
     /// Number of a batch of a closer; the holder can write none from there on.
     bool sealed_ = false;
     bool rest_written_ = false;
+    /// Attempts that still ran when the rest was counted, and are not part of it.
+    std::set<attempt_id> kept_;
     std::map<request_key, incarnation> billed_;
     std::set<attempt_id> unproved_;
     std::map<incarnation, std::vector<fenced_request>> running_;
--- a/src/dotterelport/agent/agent_methods.cpp
+++ b/src/dotterelport/agent/agent_methods.cpp
@@ -100,7 +100,8 @@
             running.push_back({{"workspace", key.workspace},
                                {"key", key.key},
                                {"budget", item.budget},
-                               {"upper_tokens", item.upper_tokens}});
+                               {"upper_tokens", item.upper_tokens},
+                               {"attempt", item.attempt}});
         }
     }
     const auto batch = runner.outcomes().take(holder, std::numeric_limits<std::size_t>::max());
--- a/src/dotterelport/budget/bill.cpp
+++ b/src/dotterelport/budget/bill.cpp
@@ -55,6 +55,12 @@
             .attempt = value.at("attempt")};
 }
 
+kept_request kept_from_json(const json& value)
+{
+    return {
+        .key = key_from_json(value), .agent = read_agent(value), .attempt = value.at("attempt")};
+}
+
 voided_line voided_from_json(const json& value)
 {
     return {.key = key_from_json(value),
@@ -113,9 +119,16 @@
                       {"attempt", use.attempt}});
         unproved.push_back(std::move(entry));
     }
+    json kept = json::array();
+    for (const auto& request : value.kept) {
+        json entry = key_to_json(request.key);
+        entry.update({{"agent", to_string(request.agent)}, {"attempt", request.attempt}});
+        kept.push_back(std::move(entry));
+    }
     return {{"shard", value.shard},      {"holder", to_string(value.holder)},
             {"batch", value.number},     {"by_closer", value.by_closer},
-            {"lines", std::move(lines)}, {"unproved", std::move(unproved)}};
+            {"lines", std::move(lines)}, {"unproved", std::move(unproved)},
+            {"kept", std::move(kept)}};
 }
 
 json to_json(const void_batch& value)
@@ -143,13 +156,17 @@
                           .number = document.at("batch"),
                           .by_closer = document.at("by_closer"),
                           .lines = {},
-                          .unproved = {}};
+                          .unproved = {},
+                          .kept = {}};
         for (const auto& line : document.at("lines")) {
             result.lines.push_back(line_from_json(line));
         }
         for (const auto& use : document.at("unproved")) {
             result.unproved.push_back(unproved_from_json(use));
         }
+        for (const auto& request : document.at("kept")) {
+            result.kept.push_back(kept_from_json(request));
+        }
         return result;
     });
 }
--- a/src/dotterelport/budget/grant_holder.cpp
+++ b/src/dotterelport/budget/grant_holder.cpp
@@ -389,7 +389,7 @@
     const auto& request = entry->second;
     accounts_[request.account].reserved -= request.upper;
     --reservation_count_;
-    add_unproved(entry->first, request.account, request.agent, 0, request.upper);
+    add_unproved(entry->first, request.account, request.agent, request.attempt, request.upper);
     take_out(entry);
 }
 
@@ -398,7 +398,7 @@
     const auto& attempt = other->second;
     accounts_[attempt.account].reserved -= attempt.upper;
     --reservation_count_;
-    add_unproved(other->first, attempt.account, attempt.agent, 0, attempt.upper);
+    add_unproved(other->first, attempt.account, attempt.agent, attempt.attempt, attempt.upper);
     other_attempts_.erase(other);
 }
 
@@ -536,7 +536,8 @@
                       .number = ++last_batch_,
                       .by_closer = false,
                       .lines = {lines_.begin(), end},
-                      .unproved = std::move(unproved_)};
+                      .unproved = std::move(unproved_),
+                      .kept = {}};
     unproved_.clear();
     std::rotate(lines_.begin(), end, lines_.begin() + static_cast<std::ptrdiff_t>(line_count_));
     line_count_ -= taken;
--- a/src/dotterelport/budget/holder_closing.cpp
+++ b/src/dotterelport/budget/holder_closing.cpp
@@ -43,6 +43,9 @@
             unproved_.emplace(use.key, use.agent, use.attempt);
         }
     }
+    for (const auto& request : batch.kept) {
+        kept_.emplace(request.key, request.agent, request.attempt);
+    }
 }
 
 void holder_closing::agent_answered(const incarnation& agent,
@@ -67,24 +70,40 @@
         return;
     }
     for (const auto& request : found->second) {
-        lost_.emplace(attempt_id{request.key, agent, 0}, unproved_use{.key = request.key,
-                                                                      .budget = request.budget,
-                                                                      .amount = request.upper,
-                                                                      .agent = agent,
-                                                                      .attempt = 0});
+        lost_.emplace(attempt_id{request.key, agent, request.attempt},
+                      unproved_use{.key = request.key,
+                                   .budget = request.budget,
+                                   .amount = request.upper,
+                                   .agent = agent,
+                                   .attempt = request.attempt});
     }
     running_.erase(found);
 }
 
+bool holder_closing::is_unproved(const attempt_id& attempt) const
+{
+    return unproved_.contains(attempt) || (rest_written_ && !kept_.contains(attempt));
+}
+
+bool holder_closing::has_line(const request_key& key, const incarnation& agent) const
+{
+    // An agent runs a key no further once an attempt has run there, so the line is the last one's.
+    const auto line = billed_.find(key);
+    return line != billed_.end() && line->second == agent;
+}
+
+bool holder_closing::is_counted(const unproved_use& lost) const
+{
+    return has_line(lost.key, lost.agent) || is_unproved({lost.key, lost.agent, lost.attempt});
+}
+
 bool holder_closing::is_billed(const request::outcome& outcome) const
 {
+    const bool covered = is_unproved({outcome.key, outcome.agent, outcome.attempt});
     if (outcome.verdict == verdict::not_run || outcome.charged <= 0) {
-        return outcome.verdict != verdict::ran || billed_.contains(outcome.key);
+        return outcome.verdict != verdict::ran || billed_.contains(outcome.key) || covered;
     }
-    const auto line = billed_.find(outcome.key);
-    const bool has_line = line != billed_.end() && line->second == outcome.agent;
-    return (outcome.verdict == verdict::ran && has_line) ||
-           unproved_.contains({outcome.key, outcome.agent, outcome.attempt});
+    return (outcome.verdict == verdict::ran && has_line(outcome.key, outcome.agent)) || covered;
 }
 
 bool holder_closing::has_unbilled() const
@@ -92,7 +111,7 @@
     return std::any_of(outcomes_.begin(), outcomes_.end(),
                        [&](const auto& item) { return !is_billed(item.second); }) ||
            std::any_of(lost_.begin(), lost_.end(),
-                       [&](const auto& item) { return !unproved_.contains(item.first); });
+                       [&](const auto& item) { return !is_counted(item.second); });
 }
 
 bool holder_closing::needs_rest() const
@@ -121,8 +140,9 @@
         if (is_billed(outcome)) {
             continue;
         }
-        const bool first = !billed_.contains(outcome.key) && lines.insert(outcome.key).second;
-        if (outcome.verdict == verdict::ran && first) {
+        // Only a run can take the key's line; another attempt that may have run leaves it free.
+        if (outcome.verdict == verdict::ran && !billed_.contains(outcome.key) &&
+            lines.insert(outcome.key).second) {
             batch.lines.push_back(line_of(outcome));
         } else {
             batch.unproved.push_back({.key = outcome.key,
@@ -132,12 +152,28 @@
                                       .attempt = outcome.attempt});
         }
     }
+    return !batch.lines.empty() || !batch.unproved.empty();
+}
+
+bool holder_closing::add_lost(bill_batch& batch, const ledger_shard& ledger) const
+{
+    std::map<std::string, tokens> room;
+    for (const auto& [name, entry] : ledger.budgets()) {
+        const auto* part = ledger.find_grant(name, holder_);
+        room[name] = part == nullptr ? 0 : part->open() - running_under(name);
+    }
     for (const auto& [id, use] : lost_) {
-        if (!unproved_.contains(id)) {
-            batch.unproved.push_back(use);
+        if (is_counted(use)) {
+            continue;
         }
+        // The holder may have learned how much was used and lowered its grant before it died.
+        auto counted = use;
+        auto& left = room[use.budget];
+        counted.amount = std::clamp<tokens>(use.amount, 0, std::max<tokens>(0, left));
+        left -= counted.amount;
+        batch.unproved.push_back(std::move(counted));
     }
-    return !batch.lines.empty() || !batch.unproved.empty();
+    return !batch.unproved.empty();
 }
 
 bool holder_closing::add_rest(bill_batch& batch, const ledger_shard& ledger) const
@@ -153,6 +189,11 @@
                                       .attempt = 0});
         }
     }
+    for (const auto& [agent, requests] : running_) {
+        for (const auto& request : requests) {
+            batch.kept.push_back({.key = request.key, .agent = agent, .attempt = request.attempt});
+        }
+    }
     return !batch.unproved.empty();
 }
 
@@ -167,18 +208,22 @@
                       .number = batches_.empty() ? 1 : batches_.rbegin()->first + 1,
                       .by_closer = true,
                       .lines = {},
-                      .unproved = {}};
+                      .unproved = {},
+                      .kept = {}};
     if (add_outcomes(result)) {
         return result;
     }
     if (!sealed_) {
         return result;
     }
-    const bool counted = ledger.is_closed(holder_) &&
-                         std::all_of(batches_.begin(), batches_.end(), [&](const auto& item) {
-                             return ledger.is_applied(item.second);
-                         });
-    if (is_proved() && needs_rest() && counted && add_rest(result, ledger)) {
+    // What is left of the grant is known once all that was written is counted.
+    const bool counted = std::all_of(batches_.begin(), batches_.end(), [&](const auto& item) {
+        return ledger.is_applied(item.second);
+    });
+    if (!counted) {
+        return std::nullopt;
+    }
+    if (add_lost(result, ledger) || (is_proved() && needs_rest() && add_rest(result, ledger))) {
         return result;
     }
     return std::nullopt;
--- a/src/dotterelport/budget/schedule_model.cpp
+++ b/src/dotterelport/budget/schedule_model.cpp
@@ -352,7 +352,7 @@
             std::vector<fenced_request> running;
             for (const auto& [key, run] : target->table.running()) {
                 if (run.holder == at.target) {
-                    running.push_back({key, run.budget, run.upper_tokens});
+                    running.push_back({key, run.budget, run.upper_tokens, run.attempt});
                 }
             }
             std::vector<request::outcome> outcomes;
@@ -550,7 +550,9 @@
         }
         run_audit(i == 0, false);
         check();
-        quiet = store_.revision() == before ? quiet + 1 : 0;
+        // A finding that was given to a session that then closed is given to another one.
+        const bool done = store_.revision() == before && !audit_->has_findings();
+        quiet = done ? quiet + 1 : 0;
     }
     check_bill();
 }
--- a/src/dotterelport/router/holder_closer.cpp
+++ b/src/dotterelport/router/holder_closer.cpp
@@ -103,7 +103,7 @@
         for (const auto& item : answer.at("running")) {
             const auto key = parse_request_key(item);
             running[service->shard_of(key.workspace)].push_back(
-                {key, item.at("budget"), item.at("upper_tokens")});
+                {key, item.at("budget"), item.at("upper_tokens"), item.at("attempt")});
         }
         for (const auto& item : answer.at("outcomes")) {
             auto outcome = request::parse_outcome(item);
