Keep long prompts from holding up streams together

While an engine reads prompts, each event of its streams waits for several parts of them. Over half of the pauses came from prompts that were sent to one engine while it still had others to read, the rest from single prompts of over 400 ms.

Change: routes tell the longest pause that callers accept, and an engine whose unread prompts would take 0.7 of it costs a long prompt 200 ms for each running request. Short prompts avoid the engines of long ones by 200 ms instead of 100. Answers are logged with their first output and longest pause.

--- a/include/dotterelport/gateway/service_catalogue.hpp
+++ b/include/dotterelport/gateway/service_catalogue.hpp
@@ -47,6 +47,8 @@
     milliseconds timeout{0};
     /// Time to the answer, or to the first event, that callers expect.
     milliseconds target_latency{0};
+    /// Streams: longest time between two events that callers accept; 0 if the route has none.
+    milliseconds longest_pause{0};
     /// Backend servers to which one request may be sent.
     std::uint32_t max_attempts = 1;
     /// 0 is the most urgent.
@@ -109,6 +111,9 @@
     /// @brief Largest prompt cache of any service, in tokens.
     [[nodiscard]] tokens largest_cache() const;
 
+    /// @brief Shortest of the longest pauses that the routes of streams accept; 0 if none has one.
+    [[nodiscard]] milliseconds pause_limit() const { return pause_limit_; }
+
     /// @brief Finds the workspace that holds a key.
     [[nodiscard]] const workspace* find_workspace(std::string_view key) const;
 
@@ -122,6 +127,7 @@
 private:
     std::uint64_t version_ = 0;
     std::size_t route_count_ = 0;
+    milliseconds pause_limit_{0};
     /// Routes of each host by their prefix.
     std::unordered_map<std::string, std::unordered_map<std::string, route>> routes_;
     std::map<std::string, service_definition, std::less<>> services_;
--- a/include/dotterelport/routing/placement.hpp
+++ b/include/dotterelport/routing/placement.hpp
@@ -31,6 +31,9 @@
     tokens prompt_tokens = 0;
     /// Failure domain of the router.
     std::string_view failure_domain = {};
+    /// Longest pause between two events that streams beside the request should have; 0 if any
+    /// pause is accepted.
+    milliseconds pause_limit{0};
     /// Servers that the request was sent to before.
     std::span<const std::string> excluded = {};
 };
@@ -57,7 +60,12 @@
     /// Disadvantage of a quiet engine for a long prompt.
     double long_on_quiet_ms = 250.0;
     /// Disadvantage of the other engines for a short prompt.
-    double short_on_busy_ms = 100.0;
+    double short_on_busy_ms = 200.0;
+    /// Share of the longest accepted pause up to which an engine may have prompts to read.
+    double pause_margin = 0.7;
+    /// Disadvantage, for each running request, of an engine whose unread prompts hold up the events
+    /// of its streams for longer than that.
+    double held_up_ms = 200.0;
     /// Disadvantage of a server in another failure domain.
     double other_domain_ms = 5.0;
     /// Disadvantage of a server all of whose requests fail.
@@ -155,6 +163,8 @@
     [[nodiscard]] server_share peer_share(const std::string& server, milliseconds now) const;
     [[nodiscard]] double failure_share(const std::string& server, milliseconds now) const;
     void note_result(const std::string& server, bool failed, milliseconds now);
+    [[nodiscard]] double held_up_cost(const placement_request& request, double missing,
+                                      double unread, double running) const;
     [[nodiscard]] double separation_cost(bool is_quiet, tokens prompt) const;
     [[nodiscard]] double cost(const placement_request& request,
                               const placement_candidate& candidate, double missing,
--- a/src/dotterelport/gateway/forwarding.cpp
+++ b/src/dotterelport/gateway/forwarding.cpp
@@ -250,6 +250,7 @@
     return {.parts = request_.parts,
             .prompt_tokens = request_.prompt_tokens,
             .failure_domain = context_.failure_domain,
+            .pause_limit = catalogue_->pause_limit(),
             .excluded = tried_};
 }
 
@@ -379,7 +380,14 @@
     if (!exchange_->is_started()) {
         first_output_ = steady_now();
         exchange_->start(attempt_->head->status, end_to_end_headers(attempt_->head->headers));
+    } else {
+        const milliseconds pause = steady_now() - last_output_;
+        if (pause > longest_pause_) {
+            longest_pause_ = pause;
+            longest_pause_began_ = last_output_;
+        }
     }
+    last_output_ = steady_now();
     exchange_->write(events);
 }
 
@@ -426,6 +434,11 @@
     fields["status"] = status;
     fields["events"] = events_.events();
     fields["sends"] = sends_;
+    fields["first_output_ms"] = (first_output_.value_or(now) - exchange_->received()).count();
+    if (longest_pause_ > milliseconds{0}) {
+        fields["longest_pause_ms"] = longest_pause_.count();
+        fields["longest_pause_after_ms"] = (longest_pause_began_ - exchange_->received()).count();
+    }
     log(events::request_answered, fields);
     if (exchange_->is_started()) {
         exchange_->finish();
--- a/src/dotterelport/gateway/forwarding.hpp
+++ b/src/dotterelport/gateway/forwarding.hpp
@@ -130,6 +130,10 @@
     bool may_have_run_ = false;
     event_stream events_;
     std::optional<milliseconds> first_output_;
+    milliseconds last_output_{0};
+    /// Longest time between two writes of a stream's events.
+    milliseconds longest_pause_{0};
+    milliseconds longest_pause_began_{0};
     bool reserving_ = false;
     bool has_reservation_ = false;
     std::uint64_t reservation_ = 0;
--- a/src/dotterelport/gateway/service_catalogue.cpp
+++ b/src/dotterelport/gateway/service_catalogue.cpp
@@ -71,6 +71,11 @@
 service_catalogue::builder& service_catalogue::builder::add(route value)
 {
     ++catalogue_.route_count_;
+    if (value.longest_pause > milliseconds{0}) {
+        auto& limit = catalogue_.pause_limit_;
+        limit =
+            limit > milliseconds{0} ? std::min(limit, value.longest_pause) : value.longest_pause;
+    }
     auto& of_host = catalogue_.routes_[normalize_host(value.host)];
     const std::string prefix = value.path_prefix;
     of_host.insert_or_assign(prefix, std::move(value));
--- a/src/dotterelport/routing/placement.cpp
+++ b/src/dotterelport/routing/placement.cpp
@@ -145,6 +145,18 @@
     return is_quiet ? 0.0 : settings_.short_on_busy_ms;
 }
 
+double placement::held_up_cost(const placement_request& request, double missing, double unread,
+                               double running) const
+{
+    const double limit =
+        count(request.pause_limit) * settings_.pause_margin * settings_.prefill_tokens_per_ms;
+    if (limit <= 0 || unread <= limit) {
+        return 0;
+    }
+    // Prompts that other requests brought hold the streams up without this one, too.
+    return settings_.held_up_ms * running * missing / unread;
+}
+
 double placement::cost(const placement_request& request, const placement_candidate& candidate,
                        double missing, double usual_pace, milliseconds now) const
 {
@@ -158,7 +170,8 @@
     double result = 0;
     if (request.prompt_tokens > 0) {
         const double unread = load.prefill + told.unread + missing;
-        result = unread / settings_.prefill_tokens_per_ms + running * settings_.ms_per_running;
+        result = unread / settings_.prefill_tokens_per_ms + running * settings_.ms_per_running +
+                 held_up_cost(request, missing, unread, running);
     } else {
         const double places = static_cast<double>(std::max<std::size_t>(1, candidate.capacity));
         const double duration = std::max(1.0, load.duration);
--- a/src/dotterelport/routing/placement_test.cpp
+++ b/src/dotterelport/routing/placement_test.cpp
@@ -188,5 +188,46 @@
     }
 }
 
+// Load pattern: reviews of one subject arrive together, and their engine runs streams. The engine
+// reads about 170 ms for each, and a stream's event waits for the prompts that are read meanwhile.
+TEST_CASE("Long prompts that arrive together do not hold up the streams of one engine for long")
+{
+    constexpr auto pause_limit = 500ms;
+    constexpr int reviews = 6;
+    const bool limited = GENERATE(true, false);
+    placement_settings settings;
+    settings.quiet_share = 0;
+    placement policy(settings);
+    const auto candidates = engines(6);
+    std::uint64_t id = 0;
+    for (const auto& engine : candidates) {
+        for (int stream = 0; stream < 8; ++stream) {
+            policy.sent(engine.server, ++id, {.prompt_tokens = 500}, cache_capacity, 0ms);
+            policy.answered(engine.server, id, 0ms);
+        }
+    }
+    // One engine has read the shared parts.
+    const auto known = review(7, 1'000);
+    policy.sent("engine-0", ++id, request_for(known), cache_capacity, 0ms);
+    policy.answered("engine-0", id, 0ms);
+    std::map<std::string, tokens> unread;
+    for (std::uint64_t i = 0; i < reviews; ++i) {
+        auto parts = review(7, 2'000 + i);
+        parts.back().size = 5'500;
+        auto request = request_for(parts);
+        request.pause_limit = limited ? milliseconds{pause_limit} : milliseconds{0};
+        const auto choice = policy.choose(request, candidates, 0ms);
+        REQUIRE(choice.has_value());
+        unread[choice->server] += request.prompt_tokens - choice->cached_tokens;
+        policy.sent(choice->server, ++id, request, cache_capacity, 0ms);
+    }
+    tokens most = 0;
+    for (const auto& [server, amount] : unread) {
+        most = std::max(most, amount);
+    }
+    const double most_ms = static_cast<double>(most) / settings.prefill_tokens_per_ms;
+    CHECK((most_ms <= static_cast<double>(pause_limit.count())) == limited);
+}
+
 } // namespace
 } // namespace dotterelport::routing
