--- a/src/dotterelport/gateway/shard_keeper.cpp
+++ b/src/dotterelport/gateway/shard_keeper.cpp
@@ -31,10 +31,10 @@
 {
     budget::demand_share result;
     // The longest time for which a router is usually cut off from the store.
-    result.horizon = milliseconds{6'000};
+    result.horizon = milliseconds{8'000};
     result.trouble_factor = 0;
     result.reserve_requests = 0.5;
-    result.largest_share = 0.2;
+    result.largest_share = 0.3;
     result.least_part = 0.01;
     result.near_end = 1.0;
     result.least_factor = 0.1;
