Take bookings and reads while stopping, as long as they can be answered

Change: a stopping gateway refuses streams after 2.7 s as before, since a stream must not be cut, but takes other requests for as long as four times their expected latency is left, and ends each before the process ends. It does not leave early if no other gateway is in reach.

--- a/src/dotterelport/gateway/decisions_test.cpp
+++ b/src/dotterelport/gateway/decisions_test.cpp
@@ -8,6 +8,7 @@
 #include "dotterelport/gateway/server_directory.hpp"
 #include "dotterelport/gateway/service_catalogue.hpp"
 #include "dotterelport/gateway/settings.hpp"
+#include "dotterelport/gateway/stop_policy.hpp"
 
 namespace dotterelport::gateway {
 namespace {
@@ -253,5 +254,46 @@
     CHECK_THROWS_AS(parse_settings(changed, "test"), format_error);
 }
 
+// Load pattern: three gateways with a grace period of 8 s are told to stop 2 s after one another,
+// so that none takes new requests from 7.7 s to 9.6 s.
+TEST_CASE("What a gateway that is told to stop still takes")
+{
+    struct row {
+        route_kind kind;
+        milliseconds target_latency;
+        milliseconds after;
+        bool taken;
+    };
+    const auto [kind, target_latency, after, taken] =
+        GENERATE(row{route_kind::streaming, 800ms, 2'600ms, true},
+                 row{route_kind::streaming, 800ms, 2'800ms, false},
+                 row{route_kind::non_idempotent, 300ms, 2'800ms, true},
+                 row{route_kind::idempotent, 300ms, 6'000ms, true},
+                 row{route_kind::idempotent, 300ms, 7'000ms, false},
+                 row{route_kind::non_idempotent, 0ms, 6'000ms, true},
+                 row{route_kind::non_idempotent, 0ms, 7'000ms, false});
+    const stop_order order{.received = 1'000ms, .grace = 8'000ms};
+    route target;
+    target.kind = kind;
+    target.target_latency = target_latency;
+    CHECK(takes_request(order, target, order.received + after) == taken);
+}
+
+TEST_CASE("A gateway that is told to stop leaves when others can take its callers")
+{
+    struct row {
+        milliseconds after;
+        bool is_idle;
+        bool is_last;
+        bool leaves;
+    };
+    const auto [after, is_idle, is_last, leaves] =
+        GENERATE(row{2'000ms, true, false, false}, row{2'400ms, true, false, true},
+                 row{2'400ms, false, false, false}, row{2'400ms, true, true, false},
+                 row{7'000ms, true, true, false}, row{7'700ms, false, true, true});
+    const stop_order order{.received = 1'000ms, .grace = 8'000ms};
+    CHECK(may_leave(order, order.received + after, is_idle, is_last) == leaves);
+}
+
 } // namespace
 } // namespace dotterelport::gateway
--- a/src/dotterelport/gateway/forwarding.cpp
+++ b/src/dotterelport/gateway/forwarding.cpp
@@ -133,10 +133,6 @@
         refuse(unavailable, "no_configuration", store_retry);
         return;
     }
-    if (context_.refusing) {
-        refuse(unavailable, "stopping", milliseconds{1});
-        return;
-    }
     const auto& head = exchange_->head();
     const std::string_view target = head.target;
     route_ = catalogue_->find_route(net::find_header(head.headers, "host").value_or(""),
@@ -153,6 +149,10 @@
         refuse(bad_request, "no_request_id");
         return;
     }
+    if (context_.stopping && !takes_request(*context_.stopping, *route_, steady_now())) {
+        refuse(unavailable, "stopping", milliseconds{1});
+        return;
+    }
     choose_service();
     arm_timers();
     reserve();
@@ -197,6 +197,9 @@
     const milliseconds timeout =
         route_->timeout > milliseconds{0} ? route_->timeout : default_timeout;
     until_ = exchange_->received() + std::min(timeout, request_.deadline.value_or(timeout));
+    if (context_.stopping && route_->kind != route_kind::streaming) {
+        until_ = std::min(until_, context_.stopping->answers_until());
+    }
     const auto self = shared_from_this();
     deadline_timer_ = context_.loop.schedule(time_left(), [self] { self->expired(); });
 }
--- a/src/dotterelport/gateway/forwarding.hpp
+++ b/src/dotterelport/gateway/forwarding.hpp
@@ -18,6 +18,7 @@
 #include "dotterelport/gateway/protocol.hpp"
 #include "dotterelport/gateway/server_directory.hpp"
 #include "dotterelport/gateway/service_catalogue.hpp"
+#include "dotterelport/gateway/stop_policy.hpp"
 #include "dotterelport/net/backend_client.hpp"
 #include "dotterelport/net/stream_server.hpp"
 #include "dotterelport/request/retry_budget.hpp"
@@ -43,8 +44,8 @@
     request::retry_budget::options& retry_options;
     std::mt19937_64& random;
     std::uint64_t& last_attempt;
-    /// Requests that arrive now are refused, as the process ends soon.
-    bool& refusing;
+    /// Set when the process is told to stop.
+    const std::optional<stop_order>& stopping;
 };
 
 /// One request on its way: route, key, budget, choice of a server, sending, answer, settling.
--- a/src/dotterelport/gateway/gateway.cpp
+++ b/src/dotterelport/gateway/gateway.cpp
@@ -11,18 +11,6 @@
 namespace dotterelport::gateway {
 namespace {
 
-/// Time for which connections still arrive after the process stopped being ready: the balancer asks
-/// once a second and needs two answers.
-constexpr milliseconds balancer_lag{2'300};
-
-/// Requests that arrive later than this after the order to stop are refused: the platform excuses
-/// one that is cut at the end of the grace period only if it was sent within 3 s of the order,
-/// which is noticed up to 50 ms late and checked every 100 ms.
-constexpr milliseconds accept_after_stop{2'700};
-
-/// Time kept free at the end of the grace period to leave in order.
-constexpr milliseconds stop_margin{350};
-
 /// Time for returning the grants.
 constexpr milliseconds grant_return_limit{250};
 
@@ -54,11 +42,9 @@
     request::retry_budget::options retry_options;
     std::mt19937_64 random{std::random_device{}()};
     std::uint64_t last_attempt = 0;
-    bool refusing = false;
-    bool draining = false;
+    std::optional<stop_order> stopping;
     bool returning_grants = false;
     bool was_ready = false;
-    milliseconds drain_began{0};
     std::function<void()> stopped;
     std::uint64_t last_request = 0;
     std::map<std::uint64_t, std::shared_ptr<forwarding>> requests;
@@ -89,7 +75,7 @@
                                                  .retry_options = retry_options,
                                                  .random = random,
                                                  .last_attempt = last_attempt,
-                                                 .refusing = refusing}
+                                                 .stopping = stopping}
     {
         set_retry_options();
         callers = std::make_unique<net::stream_server>(
@@ -110,7 +96,7 @@
 
     [[nodiscard]] std::string not_ready_reason() const
     {
-        if (draining) {
+        if (stopping) {
             return "stopping";
         }
         if (catalogue == nullptr) {
@@ -149,21 +135,17 @@
     {
         servers.expire(steady_now());
         broker.expire();
-        if (draining) {
+        if (stopping) {
             check_drain();
         }
     }
 
     void check_drain()
     {
-        const milliseconds elapsed = steady_now() - drain_began;
-        refusing = elapsed >= accept_after_stop;
-        if (returning_grants || elapsed < balancer_lag) {
-            return;
-        }
-        const bool out_of_time = elapsed >= values.grace - stop_margin;
         // Tokens that are lent when the process ends are lost to their workspace.
-        if ((callers->exchange_count() > 0 || broker.is_busy()) && !out_of_time) {
+        const bool is_idle = callers->exchange_count() == 0 && !broker.is_busy();
+        const bool is_last = link.peer_count() > 0 && link.live_peers().empty();
+        if (returning_grants || !may_leave(*stopping, steady_now(), is_idle, is_last)) {
             return;
         }
         if (!requests.empty()) {
@@ -179,7 +161,7 @@
     {
         const auto function = std::exchange(stopped, nullptr);
         if (function) {
-            log(events::drained, {{"after_ms", (steady_now() - drain_began).count()}});
+            log(events::drained, {{"after_ms", (steady_now() - stopping->received).count()}});
             function();
         }
     }
@@ -274,12 +256,11 @@
 
 void gateway::drain(std::function<void()> stopped)
 {
-    if (state_->draining) {
+    if (state_->stopping) {
         return;
     }
     log(events::drain_started, {{"requests", state_->requests.size()}});
-    state_->draining = true;
-    state_->drain_began = steady_now();
+    state_->stopping = stop_order{.received = steady_now(), .grace = state_->values.grace};
     state_->stopped = std::move(stopped);
     state_->callers->start_draining();
     state_->link.leave();
