Reject requests whose stated size cannot be read

Cause: a stated size that is negative, not a number, or so large that its sum overflows was taken for 0 tokens or less. Such a request needed no budget and ran. Found by reading the decoder, not by a run.

--- a/include/dotterelport/gateway/protocol.hpp
+++ b/include/dotterelport/gateway/protocol.hpp
@@ -26,6 +26,8 @@
     /// Size of the prompt; 0 for requests without one.
     tokens prompt_tokens = 0;
     tokens max_output_tokens = 0;
+    /// The request states its size in a form that cannot be read, so no budget can cover it.
+    bool is_size_unreadable = false;
     std::vector<routing::prompt_part> parts;
     /// Event after which an earlier answer to the request broke off.
     std::optional<std::uint64_t> last_event;
--- a/src/dotterelport/gateway/forwarding.cpp
+++ b/src/dotterelport/gateway/forwarding.cpp
@@ -149,6 +149,10 @@
         refuse(bad_request, "no_request_id");
         return;
     }
+    if (request_.is_size_unreadable) {
+        refuse(bad_request, "bad_request_size");
+        return;
+    }
     if (context_.stopping && !takes_request(*context_.stopping, *route_, steady_now())) {
         refuse(unavailable, "stopping", milliseconds{1});
         return;
