Release a reservation by its agent and attempt

Change: a release names the agent incarnation and the attempt; grant_holder::release_at() frees only these tokens. Message release: needs agent and attempt, so a router of an older build keeps a reservation until its check for stale ones (60 s).

--- a/include/dotterelport/router/budget_service.hpp
+++ b/include/dotterelport/router/budget_service.hpp
@@ -31,6 +31,15 @@
     bool has_caller_key = false;
 };
 
+/// A reservation that is no longer needed.
+struct release_request {
+    request_key key;
+    /// Agent incarnation and attempt that the tokens were reserved for. Tokens that the same key
+    /// has reserved for a later attempt stay reserved, as the message may arrive after them.
+    incarnation agent;
+    std::uint32_t attempt = 1;
+};
+
 /// Answer to a reservation.
 enum class reserve_status {
     reserved,
@@ -81,7 +90,7 @@
     void reserve(const reserve_request& request, std::function<void(const reserve_result&)> done);
 
     /// @brief Releases a reservation; allowed only after the verdict not_run.
-    void release(const request_key& key, const std::string& budget);
+    void release(const release_request& request);
 
     /// @brief Returns unused grants and writes open bill batches, for a graceful stop.
     void drain(const std::function<void()>& done);
--- a/src/dotterelport/router/booking_run.cpp
+++ b/src/dotterelport/router/booking_run.cpp
@@ -139,6 +139,7 @@
                                   .attempt = record_ ? record_->attempt + 1 : 1,
                                   .digest = request_.digest,
                                   .has_caller_key = request_.has_caller_key};
+    reservation_ = {.key = request.key, .agent = request.agent, .attempt = request.attempt};
     context_.reserve(request,
                      [self = shared_from_this(), agent = *agent](const reserve_result& result) {
                          self->handle_reservation(agent, result);
@@ -180,7 +181,8 @@
     const bool is_stale = record_ && record_->state == booking_state::refused &&
                           steady_now() + wait_timeout / 2 >= wait_deadline_;
     if (is_stale && !std::exchange(released_stale_reservation_, true)) {
-        context_.release(request_.key, request_.budget);
+        context_.release(
+            {.key = request_.key, .agent = record_->agent, .attempt = record_->attempt});
     }
     run_after(poll_interval, [this] { read_record(); });
 }
@@ -372,7 +374,7 @@
 void booking_run::release_reservation()
 {
     if (std::exchange(reserved_, false)) {
-        context_.release(request_.key, request_.budget);
+        context_.release(reservation_);
     }
 }
 
--- a/src/dotterelport/router/booking_run.hpp
+++ b/src/dotterelport/router/booking_run.hpp
@@ -68,6 +68,8 @@
     int attempts_ = 0;
     int times_asked_ = 0;
     bool reserved_ = false;
+    /// What reserved_ refers to.
+    release_request reservation_;
     /// Another run wrote the record after this run had read it.
     bool contested_ = false;
     bool released_stale_reservation_ = false;
--- a/src/dotterelport/router/budget_messages.cpp
+++ b/src/dotterelport/router/budget_messages.cpp
@@ -81,6 +81,22 @@
     });
 }
 
+json to_json(const release_request& request)
+{
+    json result = to_json(request.key);
+    result.update({{"agent", format(request.agent)}, {"attempt", request.attempt}});
+    return result;
+}
+
+release_request parse_release_request(const json& parameters)
+{
+    return read_fields("release", [&] {
+        return release_request{.key = parse_request_key(parameters),
+                               .agent = parse(parameters.at("agent").get<std::string>()),
+                               .attempt = parameters.at("attempt")};
+    });
+}
+
 json to_json(const reserve_result& result)
 {
     return {{"result", name_of(status_names, result.status)},
--- a/src/dotterelport/router/budget_messages.hpp
+++ b/src/dotterelport/router/budget_messages.hpp
@@ -23,6 +23,11 @@
 /// @throws format_error if a field is missing or has the wrong type
 reserve_message parse_reserve_message(const json& parameters);
 
+json to_json(const release_request& request);
+
+/// @throws format_error if a field is missing or has the wrong type
+release_request parse_release_request(const json& parameters);
+
 json to_json(const reserve_result& result);
 
 /// @throws format_error if a field is missing or has the wrong type
--- a/src/dotterelport/router/budget_service.cpp
+++ b/src/dotterelport/router/budget_service.cpp
@@ -217,9 +217,9 @@
         std::move(done));
 }
 
-void budget_service::release(const request_key& key, const std::string& /*budget*/)
+void budget_service::release(const release_request& request)
 {
-    impl_->release_at_owner(key);
+    impl_->release_at_owner(request);
 }
 
 void budget_service::drain(const std::function<void()>& done)
--- a/src/dotterelport/router/budget_service_impl.hpp
+++ b/src/dotterelport/router/budget_service_impl.hpp
@@ -57,8 +57,8 @@
     /// @brief Reserves from this router's grants in the shard.
     void reserve_here(const reserve_message& message,
                       std::function<void(const reserve_result&)> done);
-    void release_at_owner(const request_key& key);
-    bool release_here(const request_key& key);
+    void release_at_owner(const release_request& request);
+    bool release_here(const release_request& request);
     [[nodiscard]] json lookup_here(const request_key& key) const;
     /// @brief Result with the given holder and this router's endpoint for peers.
     [[nodiscard]] reserve_result own_result(reserve_status status, const incarnation& holder,
--- a/src/dotterelport/router/budget_service_reserve.cpp
+++ b/src/dotterelport/router/budget_service_reserve.cpp
@@ -104,36 +104,37 @@
     std::make_shared<reservation_flow>(*this, owner, message, std::move(done))->start();
 }
 
-bool budget_service::impl::release_here(const request_key& key)
+bool budget_service::impl::release_here(const release_request& request)
 {
-    const auto owner = existing_owner(shard_of(key.workspace));
-    return owner != nullptr && owner->session().holder().release(key);
+    const auto owner = existing_owner(shard_of(request.key.workspace));
+    return owner != nullptr &&
+           owner->session().holder().release_at(request.key, request.agent, request.attempt);
 }
 
-void budget_service::impl::release_at_owner(const request_key& key)
+void budget_service::impl::release_at_owner(const release_request& request)
 {
-    if (release_here(key)) {
+    if (release_here(request)) {
         return;
     }
     // The holder is the owner in this failure domain or a peer that lent the tokens.
-    const auto shard = shard_of(key.workspace);
+    const auto shard = shard_of(request.key.workspace);
     const auto& self = environment.nodes.self();
     auto others = peers(shard);
     const auto record = environment.nodes.shard_owner(shard, self.failure_domain);
     if (!record.has_value() || record->id == self.id) {
         for (const auto& peer : others) {
-            call(peer, "release", to_json(key), release_timeout, [](const net::rpc_result&) {});
+            call(peer, "release", to_json(request), release_timeout, [](const net::rpc_result&) {});
         }
         return;
     }
-    call(*record, "release", to_json(key), release_timeout,
-         [self = shared_from_this(), key,
+    call(*record, "release", to_json(request), release_timeout,
+         [self = shared_from_this(), request,
           others = std::move(others)](const net::rpc_result& result) {
              if (result.ok() && result.value.value("released", false)) {
                  return;
              }
              for (const auto& peer : others) {
-                 self->call(peer, "release", to_json(key), release_timeout,
+                 self->call(peer, "release", to_json(request), release_timeout,
                             [](const net::rpc_result&) {});
              }
          });
--- a/src/dotterelport/router/budget_service_rpc.cpp
+++ b/src/dotterelport/router/budget_service_rpc.cpp
@@ -75,7 +75,7 @@
                          [reply](const reserve_result& result) { reply(to_json(result)); });
         }));
     server.add("release", reject_malformed([this](const json& parameters) {
-                   return json{{"released", release_here(parse_request_key(parameters))}};
+                   return json{{"released", release_here(parse_release_request(parameters))}};
                }));
     server.add("lookup", reject_malformed([this](const json& parameters) {
                    return lookup_here(parse_request_key(parameters));
--- a/src/dotterelport/router/budget_service_test.cpp
+++ b/src/dotterelport/router/budget_service_test.cpp
@@ -165,13 +165,15 @@
         return condition();
     }
 
-    reserve_result reserve(budget_router& at, const std::string& key, tokens upper_tokens)
+    reserve_result reserve(budget_router& at, const std::string& key, tokens upper_tokens,
+                           std::uint32_t attempt = 1)
     {
         std::optional<reserve_result> result;
         at.service.reserve({.key = {"depot", key},
                             .budget = "depot-main",
                             .upper_tokens = upper_tokens,
                             .agent = agent->directory.self().id,
+                            .attempt = attempt,
                             .digest = "d",
                             .has_caller_key = true},
                            [&](const reserve_result& answer) { result = answer; });
@@ -222,6 +224,23 @@
     CHECK(world.ledger().unproved == 0);
 }
 
+TEST_CASE("A late release of an attempt leaves the tokens of the next attempt reserved")
+{
+    fleet world;
+    REQUIRE(world.reserve(*world.first, "k1", 200).status == reserve_status::reserved);
+    const std::uint32_t next_attempt = 2;
+    const auto reservation = world.reserve(*world.first, "k1", 200, next_attempt);
+    REQUIRE(reservation.status == reserve_status::reserved);
+    const request_key key{"depot", "k1"};
+    world.first->service.release(
+        {.key = key, .agent = world.agent->directory.self().id, .attempt = 1});
+    world.agent->add_outcome(reservation, key, 150);
+    world.agent->outcomes.back().attempt = next_attempt;
+    CHECK(world.push(*world.first));
+    CHECK(world.run_until([&] { return world.ledger().settled == 150; }));
+    CHECK(world.ledger().unproved == 0);
+}
+
 TEST_CASE("Tokens held in the other failure domain are used before a request is refused")
 {
     fleet world;
--- a/src/dotterelport/router/request_run.cpp
+++ b/src/dotterelport/router/request_run.cpp
@@ -164,13 +164,17 @@
                                   .attempt = attempt_number_ + 1,
                                   .digest = request_.digest,
                                   .has_caller_key = request_.has_caller_key};
-    context_.reserve(request, [self = shared_from_this(), agent](const reserve_result& result) {
-        if (!self->finished_) {
-            self->handle_reservation(agent, result);
-        } else if (result.status == reserve_status::reserved && !self->may_have_run_) {
-            self->context_.release(self->request_.key, self->request_.budget);
-        }
-    });
+    const release_request reservation{
+        .key = request.key, .agent = request.agent, .attempt = request.attempt};
+    context_.reserve(
+        request, [self = shared_from_this(), agent, reservation](const reserve_result& result) {
+            if (!self->finished_) {
+                self->reservation_ = reservation;
+                self->handle_reservation(agent, result);
+            } else if (result.status == reserve_status::reserved && !self->may_have_run_) {
+                self->context_.release(reservation);
+            }
+        });
 }
 
 void request_run::handle_reservation(const membership::node_record& agent,
@@ -293,7 +297,7 @@
 void request_run::release_if_not_run(verdict outcome)
 {
     if (outcome == verdict::not_run && reserved_ && !may_have_run_) {
-        context_.release(request_.key, request_.budget);
+        context_.release(reservation_);
         context_.recent.forget(request_.key);
         reserved_ = false;
     }
--- a/src/dotterelport/router/request_run.hpp
+++ b/src/dotterelport/router/request_run.hpp
@@ -36,7 +36,7 @@
     /// Requests a newer configuration than the one in force.
     std::function<void()> refresh_configuration;
     std::function<void(const reserve_request&, std::function<void(const reserve_result&)>)> reserve;
-    std::function<void(const request_key&, const std::string& budget)> release;
+    std::function<void(const release_request&)> release;
     /// Returns whether an agent incarnation can never run anything again.
     std::function<bool(const incarnation&)> is_gone;
     /// Record of an agent incarnation, also of one that is leaving; nullopt if it is unknown.
@@ -107,6 +107,8 @@
     std::uint32_t attempt_number_ = 0;
     /// This request made the currently open reservation.
     bool reserved_ = false;
+    /// What reserved_ refers to.
+    release_request reservation_;
     /// An attempt was sent and is not proved to be "not run".
     bool may_have_run_ = false;
     bool finished_ = false;
--- a/src/dotterelport/router/router_daemon.cpp
+++ b/src/dotterelport/router/router_daemon.cpp
@@ -102,8 +102,7 @@
             },
         .reserve = [this](const reserve_request& request,
                           auto done) { budgets_.reserve(request, std::move(done)); },
-        .release = [this](const request_key& key,
-                          const std::string& budget) { budgets_.release(key, budget); },
+        .release = [this](const release_request& request) { budgets_.release(request); },
         .is_gone = [this](const incarnation& agent) { return nodes_.is_gone(agent); },
         .find_agent = [this](const incarnation& agent) -> std::optional<membership::node_record> {
             auto record = nodes_.find(agent.node);
--- a/src/dotterelport/router/router_fixture.hpp
+++ b/src/dotterelport/router/router_fixture.hpp
@@ -79,6 +79,7 @@
     std::vector<reserve_request> reservations;
     std::set<incarnation> gone;
     int released = 0;
+    release_request last_release;
     int retries_left = 100;
     int refreshes = 0;
     std::string not_ready;
--- a/src/dotterelport/router/router_fixture_test.cpp
+++ b/src/dotterelport/router/router_fixture_test.cpp
@@ -147,7 +147,11 @@
                 }
                 loop.post([done, result] { done(result); });
             },
-        .release = [this](const auto&, const auto&) { ++released; },
+        .release =
+            [this](const release_request& request) {
+                ++released;
+                last_release = request;
+            },
         .is_gone = [this](const incarnation& agent) { return gone.contains(agent); },
         .find_agent = [this](const incarnation& agent) { return agents.find(agent); },
         .report_contact = [](const auto&, bool) {},
