Return long polls to the direct path of the store while no relay answers

Short calls tried it earlier, but an idle gateway makes none. Change: without a relay that has answered, untried relays and the direct path take turns. Test: "While no relay answers, each kind of call returns to the direct path after its penalty" failed for long polls.

--- a/include/dotterelport/object_store/store_paths.hpp
+++ b/include/dotterelport/object_store/store_paths.hpp
@@ -65,6 +65,9 @@
 
     [[nodiscard]] const path_state& state_of(const net::endpoint& path) const;
     [[nodiscard]] bool is_proven(const net::endpoint& path) const;
+    /// @param proven whether the store must have answered through the relay
+    /// @return null if there is no such relay that is not avoided
+    [[nodiscard]] const relay_address* find_relay(milliseconds now, bool proven) const;
 
     net::endpoint store_;
     std::string failure_domain_;
--- a/src/dotterelport/object_store/store_paths.cpp
+++ b/src/dotterelport/object_store/store_paths.cpp
@@ -42,20 +42,29 @@
 net::endpoint store_paths::choose(path_use use, milliseconds now) const
 {
     const auto& direct = state_of(store_);
-    if (direct.failures == 0 || (use == path_use::short_call && now >= direct.avoided_until)) {
+    const bool is_direct_due = now >= direct.avoided_until;
+    if (direct.failures == 0 || (use == path_use::short_call && is_direct_due)) {
         return store_;
     }
-    // A relay through which the store has answered is used until it fails; otherwise the next relay
-    // is tried.
-    for (const bool proven : {true, false}) {
-        for (const auto& relay : relays_) {
-            if (now >= state_of(relay.address).avoided_until &&
-                (!proven || is_proven(relay.address))) {
-                return relay.address;
-            }
-        }
+    // A relay through which the store has answered is used until it fails. Without one, untried
+    // relays and the direct path take turns: in a large fleet, trying every relay first would take
+    // longer than a partition lasts.
+    const auto* proven = find_relay(now, true);
+    const auto* untried = find_relay(now, false);
+    if (proven != nullptr) {
+        return proven->address;
     }
-    return store_;
+    return is_direct_due || untried == nullptr ? store_ : untried->address;
+}
+
+const relay_address* store_paths::find_relay(milliseconds now, bool proven) const
+{
+    const auto found =
+        std::find_if(relays_.begin(), relays_.end(), [&](const relay_address& relay) {
+            return now >= state_of(relay.address).avoided_until &&
+                   (!proven || is_proven(relay.address));
+        });
+    return found == relays_.end() ? nullptr : &*found;
 }
 
 void store_paths::record_result(const net::endpoint& path, bool answered, milliseconds now)
--- a/src/dotterelport/object_store/store_paths_test.cpp
+++ b/src/dotterelport/object_store/store_paths_test.cpp
@@ -68,6 +68,17 @@
     CHECK(paths.choose(path_use::long_poll, 1s) == store_address);
 }
 
+TEST_CASE("While no relay answers, each kind of call returns to the direct path after its penalty")
+{
+    const auto use = GENERATE(path_use::short_call, path_use::long_poll);
+    auto paths = make_paths();
+    paths.record_result(store_address, false, 1s);
+    paths.record_result(near_relay, false, 1s);
+    CHECK(paths.choose(use, 1s) == far_relay);
+    // The relay that was not tried yet must not keep calls off a path that may work again.
+    CHECK(paths.choose(use, 2s) == store_address);
+}
+
 TEST_CASE("A removed relay is no longer used")
 {
     auto paths = make_paths();
