--- a/include/dotterelport/routing/placement.hpp
+++ b/include/dotterelport/routing/placement.hpp
@@ -7,6 +7,7 @@
 #include <optional>
 #include <span>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "dotterelport/base/clock.hpp"
@@ -159,27 +160,30 @@
 
     struct peer_load_shares {
         milliseconds received{0};
-        std::map<std::string, load_share, std::less<>> shares;
+        std::vector<load_share> shares;
     };
 
-    /// @brief Sum of the recent loads that other routers reported for a server.
-    [[nodiscard]] load_share peer_load_share(const std::string& server, milliseconds now) const;
+    /// @brief Adds up the recent loads that other routers reported, for each server.
+    void add_up_peer_loads(milliseconds now) const;
+    /// @brief Result of the last add_up_peer_loads() for a server.
+    [[nodiscard]] load_share peer_load_share(const std::string& server) const;
     [[nodiscard]] double failure_share(const std::string& server, milliseconds now) const;
     void record_result(const std::string& server, bool failed, milliseconds now);
     [[nodiscard]] double stream_delay_cost(const placement_request& request, double uncached,
                                            double prefill_tokens, double running) const;
     [[nodiscard]] double separation_cost(bool is_reserved, tokens prompt) const;
     [[nodiscard]] double cost(const placement_request& request,
-                              const placement_candidate& candidate, double uncached,
-                              double median_ms_per_unit, milliseconds now) const;
-    [[nodiscard]] double median_ms_per_unit(std::span<const placement_candidate> candidates,
-                                            milliseconds now) const;
+                              const placement_candidate& candidate, const load_estimate& load,
+                              double uncached, double median_ms_per_unit, milliseconds now) const;
+    [[nodiscard]] static double median_ms_per_unit(std::span<const load_estimate> loads);
 
     placement_settings settings_;
     load_view loads_;
     prompt_cache_view caches_;
     std::map<std::string, failure_record, std::less<>> failures_;
     std::map<std::string, peer_load_shares, std::less<>> peers_;
+    /// Kept between calls of choose() to reuse its memory.
+    mutable std::unordered_map<std::string, load_share> peer_loads_;
 };
 
 } // namespace dotterelport::routing
--- a/src/dotterelport/routing/placement.cpp
+++ b/src/dotterelport/routing/placement.cpp
@@ -60,23 +60,31 @@
 /// their names, so that all routers mark the same ones.
 std::vector<bool> reserved_servers(std::span<const placement_candidate> candidates, double share)
 {
-    std::vector<std::uint64_t> ranks;
-    ranks.reserve(candidates.size());
-    for (const auto& candidate : candidates) {
-        ranks.push_back(hash64(candidate.server));
+    struct ranked_candidate {
+        std::string_view domain;
+        std::uint64_t rank = 0;
+        std::size_t index = 0;
+
+        auto operator<=>(const ranked_candidate&) const = default;
+    };
+    std::vector<ranked_candidate> ranked;
+    ranked.reserve(candidates.size());
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        ranked.push_back({.domain = candidates[i].failure_domain,
+                          .rank = hash64(candidates[i].server),
+                          .index = i});
     }
+    std::sort(ranked.begin(), ranked.end());
     std::vector<bool> reserved(candidates.size());
-    for (std::size_t i = 0; i < candidates.size(); ++i) {
-        std::size_t domain_size = 0;
-        std::size_t lower_ranked = 0;
-        for (std::size_t other = 0; other < candidates.size(); ++other) {
-            if (candidates[other].failure_domain == candidates[i].failure_domain) {
-                ++domain_size;
-                lower_ranked += ranks[other] < ranks[i] ? 1 : 0;
-            }
+    for (auto first = ranked.begin(); first != ranked.end();) {
+        const auto last = std::find_if(first, ranked.end(), [&](const ranked_candidate& item) {
+            return item.domain != first->domain;
+        });
+        const auto count = std::lround(static_cast<double>(last - first) * share);
+        for (auto item = first; item != last && item - first < count; ++item) {
+            reserved[item->index] = true;
         }
-        reserved[i] = static_cast<double>(lower_ranked) <
-                      std::round(static_cast<double>(domain_size) * share);
+        first = last;
     }
     return reserved;
 }
@@ -123,14 +131,12 @@
                          .updated = now};
 }
 
-double placement::median_ms_per_unit(std::span<const placement_candidate> candidates,
-                                     milliseconds now) const
+double placement::median_ms_per_unit(std::span<const load_estimate> loads)
 {
     std::vector<double> values;
-    for (const auto& candidate : candidates) {
-        const double ms_per_unit = loads_.estimate(candidate.server, now).ms_per_unit;
-        if (ms_per_unit > 0) {
-            values.push_back(ms_per_unit);
+    for (const auto& load : loads) {
+        if (load.ms_per_unit > 0) {
+            values.push_back(load.ms_per_unit);
         }
     }
     if (values.empty()) {
@@ -163,15 +169,15 @@
 }
 
 double placement::cost(const placement_request& request, const placement_candidate& candidate,
-                       double uncached, double median_ms_per_unit, milliseconds now) const
+                       const load_estimate& load, double uncached, double median_ms_per_unit,
+                       milliseconds now) const
 {
-    const load_estimate load = loads_.estimate(candidate.server, now);
     // Requests of other routers. Their number decays with the age of the report, because they end
     // in the meantime.
     const double age_ms = load.report_age ? in_ms(*load.report_age) : 0.0;
     const double others_running = std::max(0.0, load.reported + load.own_change - load.own) *
                                   std::exp(-age_ms / in_ms(settings_.report_decay_time));
-    const load_share peer_load = peer_load_share(candidate.server, now);
+    const load_share peer_load = peer_load_share(candidate.server);
     const double running = load.own + std::max(others_running, peer_load.running);
     double result = 0;
     if (request.prompt_tokens > 0) {
@@ -202,7 +208,13 @@
                                                   std::span<const placement_candidate> candidates,
                                                   milliseconds now) const
 {
-    const double median = median_ms_per_unit(candidates, now);
+    std::vector<load_estimate> loads;
+    loads.reserve(candidates.size());
+    for (const auto& candidate : candidates) {
+        loads.push_back(loads_.estimate(candidate.server, now));
+    }
+    const double median = median_ms_per_unit(loads);
+    add_up_peer_loads(now);
     // The last part is specific to the request or its session.
     const auto shared = request.parts.first(request.parts.empty() ? 0 : request.parts.size() - 1);
     const tokens shared_tokens = total_tokens(shared);
@@ -227,14 +239,14 @@
             uncached -= settings_.preferred_cache_probability * shared_uncached;
             shared_uncached *= 1 - settings_.preferred_cache_probability;
         }
-        double expected = cost(request, candidate, uncached, median, now);
+        double expected = cost(request, candidate, loads[i], uncached, median, now);
         expected +=
             (settings_.shared_weight - 1) * shared_uncached / settings_.prefill_tokens_per_ms;
         if (!reserved.empty()) {
             expected += separation_cost(reserved[i], request.prompt_tokens);
         }
         const bool usable = loads_.available(candidate.server, now) != availability::ejected;
-        const auto last_sent = loads_.estimate(candidate.server, now).last_sent;
+        const auto last_sent = loads[i].last_sent;
         // Ties go to the least recently used server, so that requests rotate over idle servers.
         const bool better =
             !best || std::pair(!usable, expected) < std::pair(!best_is_usable, best->cost_ms) ||
@@ -315,10 +327,7 @@
 {
     peer_load_shares& latest = peers_[peer];
     latest.received = now;
-    latest.shares.clear();
-    for (const auto& share : shares) {
-        latest.shares.emplace(share.server, share);
-    }
+    latest.shares = shares;
 }
 
 void placement::record_peer_prompt(const std::string& server, std::span<const prompt_part> parts,
@@ -328,17 +337,25 @@
                    static_cast<tokens>(static_cast<double>(cache_capacity) * prompt_cache_share));
 }
 
-load_share placement::peer_load_share(const std::string& server, milliseconds now) const
+void placement::add_up_peer_loads(milliseconds now) const
 {
-    load_share result{.server = server};
+    peer_loads_.clear();
     for (const auto& [peer, latest] : peers_) {
-        const auto found = latest.shares.find(server);
-        if (found != latest.shares.end() && now - latest.received <= settings_.peer_load_timeout) {
-            result.pending_prefill_tokens += found->second.pending_prefill_tokens;
-            result.running += found->second.running;
+        if (now - latest.received > settings_.peer_load_timeout) {
+            continue;
+        }
+        for (const auto& share : latest.shares) {
+            load_share& sum = peer_loads_[share.server];
+            sum.pending_prefill_tokens += share.pending_prefill_tokens;
+            sum.running += share.running;
         }
     }
-    return result;
+}
+
+load_share placement::peer_load_share(const std::string& server) const
+{
+    const auto found = peer_loads_.find(server);
+    return found == peer_loads_.end() ? load_share{} : found->second;
 }
 
 void placement::forget(const std::string& server)
