Share what gateways read from the store, and split large fleets into groups

Each gateway watched every kind of objects; it knew at most 64 others, which it met in different order, so gateways disagreed about the owners of ledger shards and wrote the same objects under conditions that they lost; load messages of 448 ms were older than the 400 ms for which they counted. Each gateway used a quarter of the fleet's retry reserve, whatever the size of the fleet. Change: gateways exchange messages within groups of about 32; owners are ranked over the whole fleet, weighted by processor share, and one of another group is reachable until it does not answer; three gateways of a group watch each kind and pass changes and confirmations on; the retry reserve is divided by the known fleet. A request that waits for an owner that stops goes to the next one instead of being refused.

--- a/include/dotterelport/gateway/budget_broker.hpp
+++ b/include/dotterelport/gateway/budget_broker.hpp
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <utility>
 
 #include "dotterelport/gateway/budget_keeper.hpp"
 #include "dotterelport/gateway/peer_link.hpp"
@@ -69,8 +70,10 @@
         net::timer_id timer = 0;
     };
 
+    /// Owner and number of a reservation.
+    using settlement_key = std::pair<std::string, std::uint64_t>;
+
     struct settlement {
-        std::string owner;
         json content;
         milliseconds started_at{0};
         net::timer_id timer = 0;
@@ -86,16 +89,20 @@
 
     [[nodiscard]] std::string owner_of(const std::string& workspace) const;
     [[nodiscard]] std::string key_of(const std::string& node, std::uint64_t number) const;
+    /// @brief Asks the current owner, or reserves here if that is this gateway.
+    void choose_owner(std::uint64_t number);
     void request_from_owner(std::uint64_t number);
     void reserve_locally(std::uint64_t number);
     void finish(std::uint64_t number, reservation_outcome outcome);
     void start_settlement(const std::string& owner, std::uint64_t number, verdict ran,
                           tokens prompt_tokens, tokens output_tokens);
-    void send_settlement(std::uint64_t number);
+    void send_settlement(const settlement_key& key);
 
     void receive_reserve(const peer_message& message);
     void receive_reserved(const peer_message& message);
     void receive_settle(const peer_message& message);
+    /// @brief Uses another owner for the reservations that wait for a stopping one.
+    void receive_leaving(const peer_message& message);
 
     net::event_loop& loop_;
     peer_link& link_;
@@ -103,7 +110,7 @@
     budget_broker_settings settings_;
     std::uint64_t last_number_;
     std::map<std::uint64_t, own_reservation> reservations_;
-    std::map<std::uint64_t, settlement> settlements_;
+    std::map<settlement_key, settlement> settlements_;
     std::map<std::string, lent_reservation> lent_;
 };
 
--- a/include/dotterelport/gateway/gateway.hpp
+++ b/include/dotterelport/gateway/gateway.hpp
@@ -8,12 +8,14 @@
 
 #include "dotterelport/base/identifiers.hpp"
 #include "dotterelport/base/json.hpp"
+#include "dotterelport/gateway/peer_link.hpp"
 #include "dotterelport/gateway/protocol.hpp"
 #include "dotterelport/gateway/server_directory.hpp"
 #include "dotterelport/gateway/service_catalogue.hpp"
 #include "dotterelport/gateway/settings.hpp"
 #include "dotterelport/net/event_loop.hpp"
 #include "dotterelport/object_store/conditional_objects.hpp"
+#include "dotterelport/object_store/object_feed.hpp"
 
 namespace dotterelport::gateway {
 
@@ -41,8 +43,15 @@
     /// @brief Registered model engines, including those that are draining.
     [[nodiscard]] std::vector<const backend_server*> model_servers() const;
 
-    /// @brief Sets the address at which another gateway receives datagrams.
-    void set_peer(const std::string& node, const net::endpoint& address);
+    /// @brief Adds another gateway or changes its description.
+    void set_peer(const peer_description& description);
+
+    /// @brief Lets the gateways of a large fleet share what they read from the store. The feed must
+    /// exist as long as the event loop runs.
+    void share(object_store::object_feed& feed);
+
+    /// @brief Description under which the other gateways know this one.
+    [[nodiscard]] peer_description self_description() const;
 
     /// @brief Applies the settings that may change while the process runs.
     void reconfigure(const settings& new_settings);
--- a/include/dotterelport/gateway/peer_link.hpp
+++ b/include/dotterelport/gateway/peer_link.hpp
@@ -6,11 +6,13 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "dotterelport/base/json.hpp"
+#include "dotterelport/gateway/owner_ranking.hpp"
 #include "dotterelport/net/datagram_socket.hpp"
 #include "dotterelport/net/event_loop.hpp"
 
@@ -30,6 +32,10 @@
     settled,
     /// The sender is stopping: it owns no shard from now on, but still confirms settlements.
     leaving,
+    /// Confirms up to which revision of the store the sender knows objects.
+    feed_state,
+    /// Passes on changes of objects in the store.
+    feed_changes,
 };
 
 /// A message between gateways.
@@ -48,59 +54,108 @@
 /// @return nothing if the bytes are not a message
 std::optional<peer_message> decode_peer_message(std::string_view bytes);
 
+/// A gateway as the others know it.
+struct peer_description {
+    std::string node;
+    /// Address at which it receives datagrams.
+    net::endpoint address;
+    std::string failure_domain;
+    /// Share of the ledger shards that it should own, relative to other gateways.
+    double weight = 1.0;
+};
+
+/// @brief Form in which a gateway registers itself; the object's name is the node.
+json to_json(const peer_description& value);
+
+/// @throws format_error or json::exception if the document does not have the required form
+peer_description parse_peer_description(const std::string& node, const json& document);
+
 struct peer_link_settings {
-    /// Maximum number of known gateways; further ones are ignored.
-    std::size_t max_peers = 64;
-    /// A gateway from which nothing was received for this long is considered unreachable.
+    /// Maximum number of gateways with which messages are exchanged regularly.
+    std::size_t max_group_size = 32;
+    /// A gateway of the group from which nothing was received for this long is considered
+    /// unreachable.
     milliseconds silent_after{700};
+    /// Time for which a gateway that announced its stop owns nothing; longer than a stop takes.
+    milliseconds leaving_time{10'000};
+    /// Time for which a gateway that did not answer is considered unreachable; doubled after each
+    /// further failure up to max_suspicion.
+    milliseconds first_suspicion{1'000};
+    milliseconds max_suspicion{8'000};
+    /// Number of gateways that are considered as owner of a shard in a fleet of several groups. If
+    /// all of them are unavailable, the network is more likely to be at fault, and asking further
+    /// ones would only delay requests.
+    std::size_t max_owner_candidates = 4;
 };
 
 /// Exchanges datagrams between gateways and tracks which gateways are reachable. Datagrams may be
-/// lost.
+/// lost. Regular messages go to the gateways of the own group; a gateway outside of it counts as
+/// reachable until it does not answer.
 class peer_link {
 public:
     using handler = std::function<void(const peer_message& message)>;
 
     /// @throws error if the address cannot be bound
-    peer_link(net::event_loop& loop, const net::endpoint& address, std::string node,
+    peer_link(net::event_loop& loop, const peer_description& self,
               const peer_link_settings& settings = {});
 
     /// @brief Sets the handler for messages of a kind.
     void on_message(peer_message_kind kind, handler handle);
 
-    /// @brief Sets the address of another gateway.
-    void set_peer(const std::string& node, const net::endpoint& address);
+    /// @brief Adds another gateway or changes its description.
+    void set_peer(const peer_description& description);
 
     void send(const std::string& node, peer_message_kind kind, json content);
-    void broadcast(peer_message_kind kind, json content);
+    /// @brief Sends a message to the gateways of the group.
+    void broadcast(peer_message_kind kind, const json& content);
 
     /// @brief Announces to the other gateways that this one is stopping; load messages are not sent
     /// any more.
     void leave();
     [[nodiscard]] bool is_leaving() const { return leaving_; }
 
-    /// @brief Other gateways from which a message was received recently and that are not stopping.
+    /// @brief Other gateways of the group from which a message was received recently and that are
+    /// not stopping.
     [[nodiscard]] std::vector<std::string> live_peers() const;
     [[nodiscard]] bool is_live(const std::string& node) const;
+
+    /// @brief Gateway that currently owns a shard of the ledger; this one if no other is available.
+    [[nodiscard]] std::string owner(std::uint32_t shard) const;
+
+    /// @brief Records that a gateway did not answer in time.
+    void mark_silent(const std::string& node);
+
+    /// @brief Number of other gateways in the fleet.
     [[nodiscard]] std::size_t peer_count() const { return peers_.size(); }
-    [[nodiscard]] const std::string& node() const { return node_; }
+    /// @brief Number of other gateways in the group.
+    [[nodiscard]] std::size_t group_size() const { return group().size(); }
+    [[nodiscard]] const std::string& node() const { return self_.node; }
     [[nodiscard]] const net::endpoint& own_address() const { return socket_.address(); }
     [[nodiscard]] json dump() const;
 
 private:
     struct peer {
-        net::endpoint address;
+        peer_description description;
         std::optional<milliseconds> last_received;
-        /// Set by a leaving message and cleared by the first load message of the node's next run.
-        bool leaving = false;
+        /// Consecutive times that it did not answer.
+        int silences = 0;
+        milliseconds suspected_until{0};
+        /// Set by a leaving message and cleared by the first load message of the node's next run,
+        /// which only gateways of the same group receive.
+        milliseconds leaving_until{0};
     };
 
     void receive(std::string_view datagram);
+    [[nodiscard]] const std::set<std::string>& group() const;
+    [[nodiscard]] bool is_available(const std::string& node) const;
 
-    std::string node_;
+    peer_description self_;
     peer_link_settings settings_;
     net::datagram_socket socket_;
     std::map<std::string, peer> peers_;
+    owner_ranking ranking_;
+    /// Computed when it is needed after a change of the fleet.
+    mutable std::optional<std::set<std::string>> group_;
     std::map<peer_message_kind, handler> handlers_;
     std::uint64_t sequence_;
     std::uint64_t rejected_ = 0;
--- a/include/dotterelport/gateway/settings.hpp
+++ b/include/dotterelport/gateway/settings.hpp
@@ -26,6 +26,8 @@
     net::endpoint store;
     /// Port of the relays to the store that run on the VMs of the model engines.
     std::uint16_t relay_port = 0;
+    /// Processor share of the VM in cores; gateways own parts of the budgets in proportion to it.
+    double cpu_share = 1.0;
     severity log_level = severity::info;
     /// Time from the stop order until the process is killed.
     milliseconds grace{8'000};
--- a/include/dotterelport/object_store/object_feed.hpp
+++ b/include/dotterelport/object_store/object_feed.hpp
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -53,6 +54,24 @@
     version revision = 0;
 };
 
+/// Changes that a process has read from the store and passes on to others.
+struct shared_changes {
+    /// Revision after which the changes were made.
+    version since = 0;
+    version revision = 0;
+    bool after_outage = false;
+    std::vector<object_change> changes;
+};
+
+/// What a process knows about the newest state of a kind in the store.
+struct feed_confirmation {
+    /// No object of the kind changed after this revision, up to `revision`.
+    version unchanged_since = 0;
+    version revision = 0;
+    /// Time since the store's answer on which this is based.
+    milliseconds age{0};
+};
+
 /// Objects that can be listed and watched by kind.
 class watchable_objects {
 public:
@@ -85,6 +104,16 @@
     /// max_backoff.
     milliseconds initial_backoff{80};
     milliseconds max_backoff{500};
+    /// Maximum backoff of a process that relies on others: they pass on that the store is available
+    /// again, so that it needs fewer calls of its own during an outage.
+    milliseconds max_backoff_of_followers{3'000};
+    /// Age of the last confirmation by another process at which this process calls the store
+    /// itself. Longer than a watch and its timeout, so that one failed watch does not make a whole
+    /// fleet call the store.
+    milliseconds max_confirmation_age{2'300};
+    /// Delay before changes that another process has reported, but that did not arrive, are read
+    /// from the store; half of it is random.
+    milliseconds fetch_delay{120};
     /// Time after an outage during which registrations that expired in the outage may be renewed;
     /// lists and changes in this time are marked as after_outage.
     milliseconds outage_grace{2'000};
@@ -92,37 +121,82 @@
 
 /// Tracks the objects of one kind: lists them, then watches them, and lists them again when the
 /// store no longer has the changes that the watch needs.
+///
+/// In a large fleet, only a few processes need to watch: they pass changes and confirmations on to
+/// the others, which call the store only if a change did not arrive or if the confirmations stop.
 class object_feed {
 public:
+    using changes_handler = std::function<void(const shared_changes& changes)>;
+
     object_feed(net::event_loop& loop, watchable_objects& objects, std::string kind,
                 feed_handler handler, const feed_settings& settings = {});
     ~object_feed();
     object_feed(const object_feed&) = delete;
     object_feed& operator=(const object_feed&) = delete;
 
-    /// @brief Time since the last answer of the store.
+    [[nodiscard]] const std::string& kind() const { return kind_; }
+
+    /// @brief Time since the last answer of the store, to this process or to one that passed it on.
     [[nodiscard]] milliseconds age() const;
 
+    /// @brief Lets this process rely on others.
+    /// @param is_watcher returns whether this process watches the store regardless of the others
+    /// @param on_changes called with changes that this process has read from the store
+    void share(std::function<bool()> is_watcher, changes_handler on_changes);
+
+    /// @brief What this process has learned from the store itself; nothing before the first list.
+    [[nodiscard]] std::optional<feed_confirmation> confirmation() const;
+
+    /// @brief Takes a confirmation of another process.
+    void receive_confirmation(const feed_confirmation& received);
+    /// @brief Takes changes that another process has read.
+    void receive_changes(const shared_changes& received);
+
 private:
+    enum class store_call {
+        none,
+        list,
+        watch,
+    };
+
     void list(const std::string& after);
     void listed(const list_page& page);
-    void watch();
-    void watched(const change_batch& batch);
+    /// @brief Watches, or waits for other processes to pass on changes.
+    void proceed();
+    void watch(milliseconds wait);
+    void watched(version since, const change_batch& batch);
     void failed(const std::string& call);
     void answered();
+    void regained();
+    void schedule(milliseconds delay, std::function<void()> function);
+    void schedule_fetch();
+    void apply(const std::vector<object_change>& changes, bool after_outage);
     [[nodiscard]] bool is_after_outage() const;
+    [[nodiscard]] bool relies_on_others() const;
 
     net::event_loop& loop_;
     watchable_objects& objects_;
     std::string kind_;
     feed_handler handler_;
     feed_settings settings_;
+    std::function<bool()> is_watcher_;
+    changes_handler on_changes_;
     std::vector<typed_object> listed_objects_;
     version list_revision_ = 0;
     version revision_ = 0;
+    /// The last change up to revision_ is not newer than this.
+    version unchanged_since_ = 0;
+    /// Newest revision up to which other processes know of changes.
+    version reported_revision_ = 0;
     bool has_list_ = false;
+    store_call call_in_progress_ = store_call::none;
+    /// A read of reported changes is scheduled.
+    bool fetch_scheduled_ = false;
     int failures_ = 0;
+    /// Time of the last answer to this process.
     milliseconds last_answer_;
+    /// Time of the newest answer to another process that was passed on.
+    std::optional<milliseconds> confirmed_at_;
     /// End of the time after an outage, see feed_settings::outage_grace.
     milliseconds after_outage_until_{-1};
     net::timer_id timer_ = 0;
--- a/include/dotterelport/request/retry_budget.hpp
+++ b/include/dotterelport/request/retry_budget.hpp
@@ -26,6 +26,10 @@
         : settings_(settings), available_retries_(settings.max_available)
     {}
 
+    /// @brief Changes the limits. A higher maximum adds the difference to the available retries, so
+    /// that the order of both does not matter.
+    void set_options(const options& settings);
+
     /// @brief Counts a first attempt, which adds the share to the available retries.
     void record_first_attempt();
 
--- a/src/dotterelport/gateway/budget_broker.cpp
+++ b/src/dotterelport/gateway/budget_broker.cpp
@@ -3,7 +3,6 @@
 #include <utility>
 #include <vector>
 
-#include "dotterelport/base/hash.hpp"
 #include "dotterelport/gateway/events.hpp"
 
 namespace dotterelport::gateway {
@@ -21,8 +20,11 @@
                      [this](const peer_message& message) { receive_reserved(message); });
     link_.on_message(peer_message_kind::settle,
                      [this](const peer_message& message) { receive_settle(message); });
+    link_.on_message(peer_message_kind::leaving,
+                     [this](const peer_message& message) { receive_leaving(message); });
     link_.on_message(peer_message_kind::settled, [this](const peer_message& message) {
-        const auto found = settlements_.find(message.content.at(0).get<std::uint64_t>());
+        const auto found =
+            settlements_.find({message.node, message.content.at(0).get<std::uint64_t>()});
         if (found != settlements_.end()) {
             loop_.cancel(found->second.timer);
             settlements_.erase(found);
@@ -42,18 +44,7 @@
 
 std::string budget_broker::owner_of(const std::string& workspace) const
 {
-    const std::uint64_t shard = ledger_shard_of(workspace);
-    std::string owner = link_.node();
-    // A stopping gateway owns no shard unless it can reach no other gateway.
-    std::uint64_t highest = link_.is_leaving() ? 0 : hash64(owner, shard);
-    for (const auto& node : link_.live_peers()) {
-        const std::uint64_t weight = hash64(node, shard);
-        if (weight > highest) {
-            highest = weight;
-            owner = node;
-        }
-    }
-    return owner;
+    return link_.owner(ledger_shard_of(workspace));
 }
 
 std::string budget_broker::key_of(const std::string& node, std::uint64_t number) const
@@ -69,19 +60,23 @@
     item.workspace = workspace;
     item.upper_tokens = upper_tokens;
     item.done = std::move(done);
-    item.requested_at = steady_now();
-    const std::string owner = owner_of(workspace);
-    if (owner != link_.node()) {
-        item.owner = owner;
-    }
-    const bool is_remote = !item.owner.empty();
     reservations_.emplace(number, std::move(item));
-    if (is_remote) {
-        request_from_owner(number);
-    } else {
+    choose_owner(number);
+    return number;
+}
+
+void budget_broker::choose_owner(std::uint64_t number)
+{
+    auto& item = reservations_.at(number);
+    const std::string owner = owner_of(item.workspace);
+    if (owner == link_.node()) {
+        item.owner.clear();
         reserve_locally(number);
+        return;
     }
-    return number;
+    item.owner = owner;
+    item.requested_at = steady_now();
+    request_from_owner(number);
 }
 
 void budget_broker::request_from_owner(std::uint64_t number)
@@ -92,6 +87,7 @@
     }
     auto& item = found->second;
     if (steady_now() - item.requested_at >= settings_.owner_timeout) {
+        link_.mark_silent(item.owner);
         // The owner may have reserved the tokens; the settlement releases them.
         start_settlement(item.owner, number, verdict::not_run, 0, 0);
         item.owner.clear();
@@ -164,28 +160,29 @@
                                      tokens prompt_tokens, tokens output_tokens)
 {
     settlements_.insert_or_assign(
-        number, settlement{.owner = owner,
-                           .content = json::array({number, dotterelport::to_string(ran),
-                                                   prompt_tokens, output_tokens}),
-                           .started_at = steady_now()});
-    send_settlement(number);
+        settlement_key(owner, number),
+        settlement{.content = json::array(
+                       {number, dotterelport::to_string(ran), prompt_tokens, output_tokens}),
+                   .started_at = steady_now()});
+    send_settlement({owner, number});
 }
 
-void budget_broker::send_settlement(std::uint64_t number)
+void budget_broker::send_settlement(const settlement_key& key)
 {
-    const auto found = settlements_.find(number);
+    const auto found = settlements_.find(key);
     if (found == settlements_.end()) {
         return;
     }
     auto& item = found->second;
+    const auto& [owner, number] = key;
     if (steady_now() - item.started_at > settings_.settle_timeout) {
-        log(events::settlement_lost, {{"owner", item.owner}, {"reservation", number}});
+        log(events::settlement_lost, {{"owner", owner}, {"reservation", number}});
         settlements_.erase(found);
         return;
     }
-    link_.send(item.owner, peer_message_kind::settle, item.content);
-    item.timer = loop_.schedule(settings_.settle_resend_interval,
-                                [this, number] { send_settlement(number); });
+    link_.send(owner, peer_message_kind::settle, item.content);
+    item.timer =
+        loop_.schedule(settings_.settle_resend_interval, [this, key] { send_settlement(key); });
 }
 
 void budget_broker::receive_reserve(const peer_message& message)
@@ -203,8 +200,9 @@
         return;
     }
     if (link_.is_leaving()) {
-        // A reservation made now could outlive this process.
-        answer(reservation_outcome::no_grant);
+        // A reservation made now could outlive this process. A gateway outside the group may not
+        // know yet that this one is stopping.
+        link_.send(message.node, peer_message_kind::leaving, json::array());
         return;
     }
     // A repeated message replaces the reservation that still waits for the first one.
@@ -221,6 +219,23 @@
                     });
 }
 
+void budget_broker::receive_leaving(const peer_message& message)
+{
+    std::vector<std::uint64_t> waiting;
+    for (const auto& [number, item] : reservations_) {
+        if (item.waiting && item.owner == message.node) {
+            waiting.push_back(number);
+        }
+    }
+    for (const std::uint64_t number : waiting) {
+        auto& item = reservations_.at(number);
+        loop_.cancel(std::exchange(item.timer, 0));
+        // The stopping owner may have reserved the tokens; the settlement releases them.
+        start_settlement(item.owner, number, verdict::not_run, 0, 0);
+        choose_owner(number);
+    }
+}
+
 void budget_broker::receive_reserved(const peer_message& message)
 {
     constexpr int last_outcome = static_cast<int>(reservation_outcome::no_grant);
--- a/src/dotterelport/gateway/budgets_test.cpp
+++ b/src/dotterelport/gateway/budgets_test.cpp
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <memory>
@@ -75,22 +76,30 @@
     budget_keeper keeper;
     budget_broker broker;
 
-    node(net::event_loop& loop, object_store::store& store, const std::string& name)
-        : objects(loop, store), link(loop, {"127.0.0.1", 0}, name),
+    node(net::event_loop& loop, object_store::store& store, const std::string& name,
+         const peer_link_settings& settings)
+        : objects(loop, store),
+          link(loop, {.node = name, .address = {"127.0.0.1", 0}, .failure_domain = "a"}, settings),
           keeper(loop, objects, {.node = name, .epoch = 1}), broker(loop, link, keeper)
     {}
 };
 
+peer_description description_of(const node& item)
+{
+    return {.node = item.link.node(), .address = item.link.own_address(), .failure_domain = "a"};
+}
+
 struct fixture {
     net::event_loop loop;
     object_store::store store;
     std::vector<std::unique_ptr<node>> nodes;
     std::map<reservation_outcome, int> outcomes;
 
-    void add_nodes(int count, tokens prepaid)
+    void add_nodes(int count, tokens prepaid, const peer_link_settings& settings = {})
     {
         for (int i = 0; i < count; ++i) {
-            nodes.push_back(std::make_unique<node>(loop, store, "node-" + std::to_string(i)));
+            nodes.push_back(
+                std::make_unique<node>(loop, store, "node-" + std::to_string(i), settings));
             nodes.back()->keeper.declare(with_prepaid(1, prepaid));
         }
     }
@@ -100,7 +109,7 @@
     {
         for (auto& from : nodes) {
             for (auto& to : nodes) {
-                from->link.set_peer(to->link.node(), to->link.own_address());
+                from->link.set_peer(description_of(*to));
             }
         }
         for (auto& from : nodes) {
@@ -206,10 +215,11 @@
     budgets.nodes[0]->broker.settle(number, verdict::ran, 500, 0);
     budgets.loop.run_for(50ms);
     CHECK_FALSE(owner.broker.is_busy());
-    owner.link.set_peer(other.link.node(), other.link.own_address());
+    owner.link.set_peer(description_of(other));
     // The next run of the node is live again once its messages arrive.
-    peer_link next(budgets.loop, {"127.0.0.1", 0}, owner.link.node());
-    next.set_peer(other.link.node(), other.link.own_address());
+    peer_link next(budgets.loop,
+                   {.node = owner.link.node(), .address = {"127.0.0.1", 0}, .failure_domain = "a"});
+    next.set_peer(description_of(other));
     next.broadcast(peer_message_kind::load, json::array());
     budgets.loop.run_for(20ms);
     CHECK(other.link.is_live(owner.link.node()));
@@ -330,6 +340,80 @@
     }
 }
 
+TEST_CASE("Gateways of a large fleet use one owner, also if they are in other groups")
+{
+    fixture budgets;
+    budgets.add_nodes(24, 10'000'000, {.max_group_size = 8});
+    budgets.connect();
+    for (auto& item : budgets.nodes) {
+        std::uint64_t number = 0;
+        CHECK(budgets.reserve(*item, 5'000, &number) == reservation_outcome::reserved);
+        item->broker.settle(number, verdict::ran, 4'000, 500);
+    }
+    int writers = 0;
+    for (auto& item : budgets.nodes) {
+        writers += item->objects.writes > 0 ? 1 : 0;
+    }
+    CHECK(writers == 1);
+}
+
+TEST_CASE("A request that waits for an owner that stops is reserved at the next owner")
+{
+    fixture budgets;
+    budgets.add_nodes(24, 10'000'000, {.max_group_size = 8});
+    budgets.connect();
+    std::uint64_t first = 0;
+    REQUIRE(budgets.reserve(*budgets.nodes[0], 1'000, &first) == reservation_outcome::reserved);
+    budgets.nodes[0]->broker.settle(first, verdict::ran, 500, 0);
+    const auto owner = std::find_if(budgets.nodes.begin(), budgets.nodes.end(),
+                                    [](const auto& item) { return item->objects.writes > 0; });
+    REQUIRE(owner != budgets.nodes.end());
+    auto& asking = *(owner == budgets.nodes.begin() ? budgets.nodes.back() : budgets.nodes.front());
+    std::optional<reservation_outcome> result;
+    // The reserve message and the announcement of the stop cross.
+    asking.broker.reserve("w", 1'000, [&](reservation_outcome outcome) { result = outcome; });
+    (*owner)->link.leave();
+    budgets.loop.run_for(100ms);
+    CHECK(result == reservation_outcome::reserved);
+    CHECK_FALSE((*owner)->broker.is_busy());
+}
+
+TEST_CASE("Gateways that disagree about the owner never reserve more than is prepaid")
+{
+    constexpr tokens prepaid = 300'000;
+    const auto seed = GENERATE(range(1, 7));
+    fixture budgets;
+    budgets.add_nodes(6, prepaid, {.max_group_size = 2, .first_suspicion = 40ms});
+    budgets.connect();
+    std::mt19937_64 random(static_cast<std::uint64_t>(seed));
+    const auto draw = [&](std::size_t end) {
+        return std::uniform_int_distribution<std::size_t>(0, end - 1)(random);
+    };
+    tokens used = 0;
+    for (int step = 0; step < 60; ++step) {
+        auto& from = *budgets.nodes[draw(6)];
+        auto& other = *budgets.nodes[draw(6)];
+        if (draw(2) == 0) {
+            from.link.mark_silent(other.link.node());
+        }
+        if (draw(20) == 0) {
+            other.link.leave();
+        }
+        from.objects.late_share = draw(3) == 0 ? 0.3 : 0;
+        budgets.loop.run_for(milliseconds{static_cast<std::int64_t>(draw(30))});
+        const auto upper = static_cast<tokens>(1'000 + draw(12'000));
+        std::uint64_t number = 0;
+        if (budgets.reserve(from, upper, &number) == reservation_outcome::reserved) {
+            const tokens spent = draw(3) == 0 ? upper : upper / 2;
+            used += spent;
+            from.broker.settle(number, verdict::ran, spent, 0);
+        }
+    }
+    CAPTURE(seed);
+    CHECK(used <= prepaid);
+    CHECK(budgets.outcomes[reservation_outcome::reserved] > 5);
+}
+
 TEST_CASE("Lost answers, outages and late writes never let gateways reserve more than is prepaid")
 {
     constexpr tokens prepaid = 200'000;
--- /dev/null
+++ b/src/dotterelport/gateway/feed_exchange.cpp
@@ -0,0 +1,140 @@
+#include "dotterelport/gateway/feed_exchange.hpp"
+
+#include <algorithm>
+#include <cstdint>
+#include <utility>
+
+#include "dotterelport/base/hash.hpp"
+
+namespace dotterelport::gateway {
+namespace {
+
+json to_json(const std::string& kind, const object_store::feed_confirmation& confirmation)
+{
+    return json::array(
+        {kind, confirmation.unchanged_since, confirmation.revision, confirmation.age.count()});
+}
+
+json to_json(const std::string& kind, const object_store::shared_changes& changes)
+{
+    json items = json::array();
+    for (const auto& change : changes.changes) {
+        items.push_back({change.object.name, change.object.object_version, change.removed,
+                         change.object.value});
+    }
+    return json::array(
+        {kind, changes.since, changes.revision, changes.after_outage, std::move(items)});
+}
+
+object_store::feed_confirmation parse_confirmation(const json& item)
+{
+    return {.unchanged_since = item.at(1).get<object_store::version>(),
+            .revision = item.at(2).get<object_store::version>(),
+            .age = std::max(milliseconds{0}, milliseconds{item.at(3).get<std::int64_t>()})};
+}
+
+object_store::shared_changes parse_changes(const json& document)
+{
+    object_store::shared_changes result{.since = document.at(1).get<object_store::version>(),
+                                        .revision = document.at(2).get<object_store::version>(),
+                                        .after_outage = document.at(3).get<bool>(),
+                                        .changes = {}};
+    for (const auto& item : document.at(4)) {
+        result.changes.push_back(
+            {.object = {.name = item.at(0).get<std::string>(),
+                        .object_version = item.at(1).get<object_store::version>(),
+                        .value = item.at(3)},
+             .removed = item.at(2).get<bool>()});
+    }
+    return result;
+}
+
+} // namespace
+
+feed_exchange::feed_exchange(net::event_loop& loop, peer_link& link,
+                             const feed_exchange_settings& settings)
+    : link_(link), settings_(settings),
+      timer_(loop, settings.confirm_interval, [this] { confirm(); })
+{
+    link_.on_message(peer_message_kind::feed_state,
+                     [this](const peer_message& message) { receive_state(message); });
+    link_.on_message(peer_message_kind::feed_changes,
+                     [this](const peer_message& message) { receive_changes(message); });
+}
+
+void feed_exchange::add(object_store::object_feed& feed)
+{
+    feeds_[feed.kind()] = &feed;
+    feed.share([this, kind = feed.kind()] { return is_watcher(kind); },
+               [this, kind = feed.kind()](const object_store::shared_changes& changes) {
+                   publish(kind, changes);
+               });
+}
+
+bool feed_exchange::is_watcher(const std::string& kind) const
+{
+    const auto live = link_.live_peers();
+    if (live.size() + 1 < settings_.min_group_size || link_.is_leaving()) {
+        return true;
+    }
+    const std::uint64_t seed = hash64(kind);
+    const std::uint64_t own_rank = hash64(link_.node(), seed);
+    const auto higher = std::count_if(live.begin(), live.end(), [&](const std::string& node) {
+        return hash64(node, seed) > own_rank;
+    });
+    return static_cast<std::size_t>(higher) < settings_.watchers;
+}
+
+void feed_exchange::confirm()
+{
+    if (link_.is_leaving() || link_.group_size() + 1 < settings_.min_group_size) {
+        return;
+    }
+    json states = json::array();
+    for (const auto& [kind, feed] : feeds_) {
+        const auto confirmation = feed->confirmation();
+        if (confirmation && is_watcher(kind)) {
+            states.push_back(to_json(kind, *confirmation));
+        }
+    }
+    if (!states.empty()) {
+        link_.broadcast(peer_message_kind::feed_state, states);
+    }
+}
+
+void feed_exchange::publish(const std::string& kind, const object_store::shared_changes& changes)
+{
+    if (link_.is_leaving() || link_.group_size() + 1 < settings_.min_group_size ||
+        !is_watcher(kind)) {
+        return;
+    }
+    json content = to_json(kind, changes);
+    if (json::to_msgpack(content).size() <= settings_.max_message_bytes) {
+        link_.broadcast(peer_message_kind::feed_changes, content);
+        return;
+    }
+    link_.broadcast(peer_message_kind::feed_state,
+                    json::array({to_json(kind, {.unchanged_since = changes.revision,
+                                                .revision = changes.revision,
+                                                .age = milliseconds{0}})}));
+}
+
+void feed_exchange::receive_state(const peer_message& message)
+{
+    for (const auto& item : message.content) {
+        const auto feed = feeds_.find(item.at(0).get<std::string>());
+        if (feed != feeds_.end()) {
+            feed->second->receive_confirmation(parse_confirmation(item));
+        }
+    }
+}
+
+void feed_exchange::receive_changes(const peer_message& message)
+{
+    const auto feed = feeds_.find(message.content.at(0).get<std::string>());
+    if (feed != feeds_.end()) {
+        feed->second->receive_changes(parse_changes(message.content));
+    }
+}
+
+} // namespace dotterelport::gateway
--- a/src/dotterelport/gateway/gateway.cpp
+++ b/src/dotterelport/gateway/gateway.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "dotterelport/gateway/events.hpp"
+#include "dotterelport/gateway/feed_exchange.hpp"
 #include "dotterelport/process/operators_server.hpp"
 #include "forwarding.hpp"
 
@@ -24,6 +25,20 @@
 /// Share of the allowed retries per request that a gateway uses.
 constexpr double retry_share_used = 0.8;
 
+/// Number of gateways that is assumed before the list of gateways is known.
+constexpr std::size_t assumed_gateways = 64;
+
+/// Lower limit of the number of gateways that share the retry reserve.
+constexpr std::size_t min_gateways = 4;
+
+peer_description describe(const settings& configured)
+{
+    return {.node = configured.name,
+            .address = configured.peers,
+            .failure_domain = configured.failure_domain,
+            .weight = configured.cpu_share};
+}
+
 } // namespace
 
 struct gateway::state {
@@ -34,6 +49,7 @@
     routing::placement placement;
     peer_link link;
     peer_exchange peers;
+    feed_exchange feeds;
     server_directory servers;
     budget_keeper budgets;
     budget_broker broker;
@@ -57,7 +73,7 @@
           object_store::conditional_objects& objects, const incarnation& self,
           std::function<json()> dump)
         : loop(event_loop), current_settings(configured), backends(loop),
-          link(loop, configured.peers, configured.name), peers(loop, link, placement),
+          link(loop, describe(configured)), peers(loop, link, placement), feeds(loop, link),
           servers({}, [this](const backend_server& server) { server_removed(server); }),
           budgets(loop, objects, self), broker(loop, link, budgets),
           operators(loop, {.address = configured.operators,
@@ -91,10 +107,15 @@
     {
         // Each gateway may retry a share of its own requests and uses an equal part of the common
         // reserve.
-        const auto gateways = static_cast<double>(std::max<std::size_t>(4, link.peer_count() + 1));
+        const std::size_t known = link.peer_count() + 1;
+        const auto gateways =
+            static_cast<double>(known == 1 ? assumed_gateways : std::max(min_gateways, known));
         retry_options.share = current_settings.retry_share * retry_share_used;
         retry_options.max_available =
             std::max(1.0, current_settings.retry_reserve * retry_reserve_used / gateways);
+        for (auto& [service, budget] : retries) {
+            budget.set_options(retry_options);
+        }
     }
 
     [[nodiscard]] std::string not_ready_reason() const
@@ -242,9 +263,20 @@
     });
 }
 
-void gateway::set_peer(const std::string& node, const net::endpoint& address)
+void gateway::set_peer(const peer_description& description)
+{
+    state_->link.set_peer(description);
+    state_->set_retry_options();
+}
+
+void gateway::share(object_store::object_feed& feed)
+{
+    state_->feeds.add(feed);
+}
+
+peer_description gateway::self_description() const
 {
-    state_->link.set_peer(node, address);
+    return describe(state_->current_settings);
 }
 
 void gateway::reconfigure(const settings& new_settings)
--- a/src/dotterelport/gateway/peer_exchange.cpp
+++ b/src/dotterelport/gateway/peer_exchange.cpp
@@ -68,7 +68,7 @@
 
 void peer_exchange::schedule()
 {
-    const auto peers = static_cast<int>(link_.peer_count());
+    const auto peers = static_cast<int>(link_.group_size());
     timer_ =
         loop_.schedule(std::max(settings_.interval, settings_.interval_per_peer * peers), [this] {
             schedule();
@@ -79,7 +79,7 @@
 void peer_exchange::add_prompt(const std::string& server,
                                const std::vector<routing::prompt_part>& parts)
 {
-    if (link_.peer_count() > 0 && !parts.empty() && prompts_.size() < settings_.max_prompts) {
+    if (link_.group_size() > 0 && !parts.empty() && prompts_.size() < settings_.max_prompts) {
         prompts_.push_back({.server = server, .parts = parts});
     }
 }
--- a/src/dotterelport/gateway/peer_link.cpp
+++ b/src/dotterelport/gateway/peer_link.cpp
@@ -1,11 +1,15 @@
 #include "dotterelport/gateway/peer_link.hpp"
 
+#include <algorithm>
 #include <utility>
 
+#include "dotterelport/base/error.hpp"
+#include "dotterelport/gateway/peer_group.hpp"
+
 namespace dotterelport::gateway {
 namespace {
 
-constexpr int highest_kind = static_cast<int>(peer_message_kind::leaving);
+constexpr int highest_kind = static_cast<int>(peer_message_kind::feed_changes);
 
 bool received_within(const std::optional<milliseconds>& last_received, milliseconds limit)
 {
@@ -40,43 +44,79 @@
     }
 }
 
-peer_link::peer_link(net::event_loop& loop, const net::endpoint& address, std::string node,
+json to_json(const peer_description& value)
+{
+    return {{"peers", net::to_string(value.address)},
+            {"failure_domain", value.failure_domain},
+            {"weight", value.weight}};
+}
+
+peer_description parse_peer_description(const std::string& node, const json& document)
+{
+    peer_description result{.node = node,
+                            .address = net::parse_endpoint(document.at("peers").get<std::string>()),
+                            .failure_domain = document.value("failure_domain", "")};
+    result.weight = document.value("weight", result.weight);
+    if (!(result.weight > 0)) {
+        throw format_error("gateway " + node, "/weight", "must be positive");
+    }
+    return result;
+}
+
+peer_link::peer_link(net::event_loop& loop, const peer_description& self,
                      const peer_link_settings& settings)
-    : node_(std::move(node)), settings_(settings),
-      socket_(loop, address, [this](std::string_view datagram) { receive(datagram); }),
+    : self_(self), settings_(settings),
+      socket_(loop, self.address, [this](std::string_view datagram) { receive(datagram); }),
       // A new run starts above the sequence numbers of the previous run.
       sequence_(static_cast<std::uint64_t>(wall_clock_now().count()))
-{}
+{
+    ranking_.set(self_.node, self_.weight);
+}
 
 void peer_link::on_message(peer_message_kind kind, handler handle)
 {
     handlers_[kind] = std::move(handle);
 }
 
-void peer_link::set_peer(const std::string& node, const net::endpoint& address)
+void peer_link::set_peer(const peer_description& description)
 {
-    if (node != node_ && (peers_.size() < settings_.max_peers || peers_.contains(node))) {
-        peers_[node].address = address;
+    if (description.node == self_.node) {
+        return;
     }
+    peers_[description.node].description = description;
+    ranking_.set(description.node, description.weight);
+    group_.reset();
+}
+
+const std::set<std::string>& peer_link::group() const
+{
+    if (!group_) {
+        std::map<std::string, std::string> domains{{self_.node, self_.failure_domain}};
+        for (const auto& [node, peer] : peers_) {
+            domains[node] = peer.description.failure_domain;
+        }
+        group_ = peer_group(self_.node, domains, settings_.max_group_size);
+    }
+    return *group_;
 }
 
 void peer_link::send(const std::string& node, peer_message_kind kind, json content)
 {
     const auto found = peers_.find(node);
     if (found != peers_.end()) {
-        socket_.send(found->second.address, encode({.kind = kind,
-                                                    .node = node_,
-                                                    .sequence = ++sequence_,
-                                                    .content = std::move(content)}));
+        socket_.send(found->second.description.address, encode({.kind = kind,
+                                                                .node = self_.node,
+                                                                .sequence = ++sequence_,
+                                                                .content = std::move(content)}));
     }
 }
 
-void peer_link::broadcast(peer_message_kind kind, json content)
+void peer_link::broadcast(peer_message_kind kind, const json& content)
 {
-    const std::string bytes = encode(
-        {.kind = kind, .node = node_, .sequence = ++sequence_, .content = std::move(content)});
-    for (const auto& [node, peer] : peers_) {
-        socket_.send(peer.address, bytes);
+    const std::string bytes =
+        encode({.kind = kind, .node = self_.node, .sequence = ++sequence_, .content = content});
+    for (const auto& node : group()) {
+        socket_.send(peers_.at(node).description.address, bytes);
     }
 }
 
@@ -89,10 +129,12 @@
         return;
     }
     sender->second.last_received = steady_now();
+    sender->second.silences = 0;
+    sender->second.suspected_until = milliseconds{0};
     if (message->kind == peer_message_kind::leaving) {
-        sender->second.leaving = true;
+        sender->second.leaving_until = steady_now() + settings_.leaving_time;
     } else if (message->kind == peer_message_kind::load) {
-        sender->second.leaving = false;
+        sender->second.leaving_until = milliseconds{0};
     }
     const auto handle = handlers_.find(message->kind);
     if (handle == handlers_.end()) {
@@ -111,7 +153,9 @@
     // sends a reserve message to the wrong owner.
     constexpr int copies = 2;
     for (int i = 0; i < copies; ++i) {
-        broadcast(peer_message_kind::leaving, json::array());
+        for (const auto& [node, peer] : peers_) {
+            send(node, peer_message_kind::leaving, json::array());
+        }
     }
     leaving_ = true;
 }
@@ -119,26 +163,59 @@
 std::vector<std::string> peer_link::live_peers() const
 {
     std::vector<std::string> result;
-    for (const auto& [node, peer] : peers_) {
-        if (!peer.leaving && received_within(peer.last_received, settings_.silent_after)) {
-            result.push_back(node);
-        }
-    }
+    std::copy_if(group().begin(), group().end(), std::back_inserter(result),
+                 [this](const std::string& node) { return is_live(node); });
     return result;
 }
 
 bool peer_link::is_live(const std::string& node) const
 {
     const auto found = peers_.find(node);
-    return found != peers_.end() && !found->second.leaving &&
+    return found != peers_.end() && steady_now() >= found->second.leaving_until &&
            received_within(found->second.last_received, settings_.silent_after);
 }
 
+bool peer_link::is_available(const std::string& node) const
+{
+    if (node == self_.node) {
+        return !leaving_;
+    }
+    if (group().contains(node)) {
+        return is_live(node);
+    }
+    const auto& peer = peers_.at(node);
+    return steady_now() >= std::max(peer.leaving_until, peer.suspected_until);
+}
+
+std::string peer_link::owner(std::uint32_t shard) const
+{
+    const bool is_one_group = group().size() == peers_.size();
+    const std::string found =
+        ranking_.owner(shard, is_one_group ? peers_.size() + 1 : settings_.max_owner_candidates,
+                       [this](const std::string& node) { return is_available(node); });
+    return found.empty() ? self_.node : found;
+}
+
+void peer_link::mark_silent(const std::string& node)
+{
+    const auto found = peers_.find(node);
+    if (found == peers_.end()) {
+        return;
+    }
+    constexpr int max_doublings = 6;
+    auto& peer = found->second;
+    const milliseconds suspicion =
+        settings_.first_suspicion * (1 << std::min(peer.silences, max_doublings));
+    ++peer.silences;
+    peer.suspected_until = steady_now() + std::min(suspicion, settings_.max_suspicion);
+}
+
 json peer_link::dump() const
 {
     json peers = json::object();
     for (const auto& [node, peer] : peers_) {
-        peers[node] = {{"address", net::to_string(peer.address)},
+        peers[node] = {{"address", net::to_string(peer.description.address)},
+                       {"in_group", group().contains(node)},
                        {"heard_ms_ago", peer.last_received
                                             ? json((steady_now() - *peer.last_received).count())
                                             : json()}};
--- a/src/dotterelport/gateway/settings.cpp
+++ b/src/dotterelport/gateway/settings.cpp
@@ -23,6 +23,7 @@
             "peers": {"type": "string"},
             "store": {"type": "string"},
             "relay_port": {"type": "integer", "minimum": 1, "maximum": 65535},
+            "cpu_share": {"type": "number", "exclusiveMinimum": 0},
             "log_level": {"enum": ["debug", "info", "warning", "error"]},
             "grace_s": {"type": "number", "exclusiveMinimum": 0},
             "retry_share": {"type": "number", "minimum": 0},
@@ -65,6 +66,7 @@
     result.peers = address(document, "peers", source);
     result.store = address(document, "store", source);
     result.relay_port = document.at("relay_port");
+    result.cpu_share = document.value("cpu_share", result.cpu_share);
     result.log_level = log_level(document);
     const double grace_s =
         document.value("grace_s", static_cast<double>(result.grace.count()) / ms_per_s);
--- a/src/dotterelport/object_store/object_feed.cpp
+++ b/src/dotterelport/object_store/object_feed.cpp
@@ -6,6 +6,12 @@
 #include "dotterelport/object_store/events.hpp"
 
 namespace dotterelport::object_store {
+namespace {
+
+/// Wait of a watch that only asks for the changes up to now.
+constexpr milliseconds shortest_wait{1};
+
+} // namespace
 
 object_feed::object_feed(net::event_loop& loop, watchable_objects& objects, std::string kind,
                          feed_handler handler, const feed_settings& settings)
@@ -22,7 +28,7 @@
 
 milliseconds object_feed::age() const
 {
-    return steady_now() - last_answer_;
+    return steady_now() - std::max(last_answer_, confirmed_at_.value_or(last_answer_));
 }
 
 bool object_feed::is_after_outage() const
@@ -34,39 +40,57 @@
 {
     last_answer_ = steady_now();
     if (std::exchange(failures_, 0) > 0) {
-        after_outage_until_ = last_answer_ + settings_.outage_grace;
-        log(events::feed_regained, {{"kind", kind_}, {"revision", revision_}});
+        regained();
     }
 }
 
+void object_feed::regained()
+{
+    after_outage_until_ = steady_now() + settings_.outage_grace;
+    log(events::feed_regained, {{"kind", kind_}, {"revision", revision_}});
+}
+
 void object_feed::failed(const std::string& call)
 {
     if (failures_++ == 0) {
         log(events::feed_lost, {{"kind", kind_}, {"call", call}, {"age_ms", age().count()}});
     }
     constexpr int max_doublings = 8;
+    // Changes that others have and this process lacks are urgent.
+    const bool is_follower =
+        is_watcher_ && !is_watcher_() && has_list_ && reported_revision_ <= revision_;
     const auto pause =
-        std::min(settings_.max_backoff,
+        std::min(is_follower ? settings_.max_backoff_of_followers : settings_.max_backoff,
                  settings_.initial_backoff * (1 << std::min(failures_ - 1, max_doublings)));
     // The jitter keeps many processes from retrying at the same moment.
     std::uniform_int_distribution<std::int64_t> jitter(pause.count() / 2, pause.count());
-    loop_.cancel(timer_);
-    timer_ = loop_.schedule(milliseconds{jitter(random_)}, [this] {
-        timer_ = 0;
+    schedule(milliseconds{jitter(random_)}, [this] {
         if (has_list_) {
-            watch();
+            // The answer shows at once that the store is available again.
+            watch(shortest_wait);
         } else {
             list({});
         }
     });
 }
 
+void object_feed::schedule(milliseconds delay, std::function<void()> function)
+{
+    loop_.cancel(timer_);
+    fetch_scheduled_ = false;
+    timer_ = loop_.schedule(delay, [this, function = std::move(function)] {
+        timer_ = 0;
+        function();
+    });
+}
+
 void object_feed::list(const std::string& after)
 {
     if (after.empty()) {
         listed_objects_.clear();
         list_revision_ = 0;
     }
+    call_in_progress_ = store_call::list;
     objects_.list(kind_, after,
                   [this, alive = std::weak_ptr<object_feed*>(alive_)](const list_page& page) {
                       if (!alive.expired()) {
@@ -77,6 +101,7 @@
 
 void object_feed::listed(const list_page& page)
 {
+    call_in_progress_ = store_call::none;
     if (page.status != feed_status::answered) {
         failed("list");
         return;
@@ -94,22 +119,60 @@
     }
     has_list_ = true;
     revision_ = list_revision_;
+    unchanged_since_ = list_revision_;
     handler_.on_list(std::exchange(listed_objects_, {}), is_after_outage());
-    watch();
+    proceed();
+}
+
+bool object_feed::relies_on_others() const
+{
+    return is_watcher_ && !is_watcher_() && confirmed_at_ &&
+           steady_now() - *confirmed_at_ < settings_.max_confirmation_age;
+}
+
+void object_feed::proceed()
+{
+    if (!relies_on_others()) {
+        watch(settings_.max_watch_wait);
+        return;
+    }
+    if (reported_revision_ > revision_) {
+        schedule_fetch();
+        return;
+    }
+    schedule(*confirmed_at_ + settings_.max_confirmation_age - steady_now(), [this] { proceed(); });
 }
 
-void object_feed::watch()
+void object_feed::schedule_fetch()
 {
-    objects_.watch(kind_, revision_, settings_.max_watch_wait,
-                   [this, alive = std::weak_ptr<object_feed*>(alive_)](const change_batch& batch) {
+    std::uniform_int_distribution<std::int64_t> jitter(settings_.fetch_delay.count() / 2,
+                                                       settings_.fetch_delay.count());
+    schedule(milliseconds{jitter(random_)}, [this] {
+        fetch_scheduled_ = false;
+        if (reported_revision_ > revision_) {
+            watch(shortest_wait);
+        } else {
+            proceed();
+        }
+    });
+    fetch_scheduled_ = true;
+}
+
+void object_feed::watch(milliseconds wait)
+{
+    call_in_progress_ = store_call::watch;
+    objects_.watch(kind_, revision_, wait,
+                   [this, since = revision_,
+                    alive = std::weak_ptr<object_feed*>(alive_)](const change_batch& batch) {
                        if (!alive.expired()) {
-                           watched(batch);
+                           watched(since, batch);
                        }
                    });
 }
 
-void object_feed::watched(const change_batch& batch)
+void object_feed::watched(version since, const change_batch& batch)
 {
+    call_in_progress_ = store_call::none;
     if (batch.status == feed_status::unavailable) {
         failed("watch");
         return;
@@ -121,19 +184,89 @@
         list({});
         return;
     }
-    for (const auto& change : batch.changes) {
-        handler_.on_change(change, was_lost || is_after_outage());
+    // Changes that another process has passed on in the meantime are not applied again.
+    if (batch.revision > revision_) {
+        const bool after_outage = was_lost || is_after_outage();
+        apply(batch.changes, after_outage);
+        revision_ = batch.revision;
+        if (!batch.changes.empty()) {
+            unchanged_since_ = batch.revision;
+            if (on_changes_) {
+                on_changes_({.since = since,
+                             .revision = batch.revision,
+                             .after_outage = after_outage,
+                             .changes = batch.changes});
+            }
+        }
     }
-    revision_ = std::max(revision_, batch.revision);
     if (batch.changes.empty()) {
-        watch();
+        proceed();
         return;
     }
-    loop_.cancel(timer_);
-    timer_ = loop_.schedule(settings_.batch_pause, [this] {
-        timer_ = 0;
-        watch();
-    });
+    schedule(settings_.batch_pause, [this] { proceed(); });
+}
+
+void object_feed::apply(const std::vector<object_change>& changes, bool after_outage)
+{
+    for (const auto& change : changes) {
+        handler_.on_change(change, after_outage);
+    }
+}
+
+void object_feed::share(std::function<bool()> is_watcher, changes_handler on_changes)
+{
+    is_watcher_ = std::move(is_watcher);
+    on_changes_ = std::move(on_changes);
+}
+
+std::optional<feed_confirmation> object_feed::confirmation() const
+{
+    if (!has_list_) {
+        return std::nullopt;
+    }
+    return feed_confirmation{.unchanged_since = unchanged_since_,
+                             .revision = revision_,
+                             .age = steady_now() - last_answer_};
+}
+
+void object_feed::receive_confirmation(const feed_confirmation& received)
+{
+    if (!has_list_ || call_in_progress_ == store_call::list ||
+        received.age >= settings_.max_confirmation_age) {
+        return;
+    }
+    const milliseconds confirmed = steady_now() - received.age;
+    confirmed_at_ = std::max(confirmed_at_.value_or(confirmed), confirmed);
+    const bool is_current = revision_ >= received.unchanged_since;
+    reported_revision_ = std::max(reported_revision_, received.revision);
+    if (is_current) {
+        revision_ = std::max(revision_, received.revision);
+    }
+    if (call_in_progress_ != store_call::none || !relies_on_others()) {
+        return;
+    }
+    if (failures_ > 0 && is_current) {
+        failures_ = 0;
+        regained();
+        proceed();
+    } else if (failures_ == 0 && !is_current && !fetch_scheduled_) {
+        schedule_fetch();
+    }
+}
+
+void object_feed::receive_changes(const shared_changes& received)
+{
+    if (!has_list_ || call_in_progress_ == store_call::list) {
+        return;
+    }
+    if (received.since <= revision_ && received.revision > revision_) {
+        revision_ = received.revision;
+        unchanged_since_ = received.revision;
+        apply(received.changes, received.after_outage || is_after_outage());
+    }
+    receive_confirmation({.unchanged_since = received.revision,
+                          .revision = received.revision,
+                          .age = milliseconds{0}});
 }
 
 } // namespace dotterelport::object_store
--- a/src/dotterelport/request/request_test.cpp
+++ b/src/dotterelport/request/request_test.cpp
@@ -142,5 +142,26 @@
     }
 }
 
+TEST_CASE("A retry budget follows a change of its limits without losing or gaining retries")
+{
+    const auto [first_max, second_max, spent, available] =
+        GENERATE(table<double, double, int, int>({
+            {1, 5, 0, 5},
+            {1, 5, 1, 4},
+            {8, 2, 0, 2},
+            {8, 2, 7, 1},
+        }));
+    retry_budget budget({.share = 0.1, .max_available = first_max});
+    for (int i = 0; i < spent; ++i) {
+        CHECK(budget.try_retry());
+    }
+    budget.set_options({.share = 0.1, .max_available = second_max});
+    int retries = 0;
+    while (budget.try_retry()) {
+        ++retries;
+    }
+    CHECK(retries == available);
+}
+
 } // namespace
 } // namespace dotterelport::request
--- a/src/dotterelport/request/retry_budget.cpp
+++ b/src/dotterelport/request/retry_budget.cpp
@@ -4,6 +4,13 @@
 
 namespace dotterelport::request {
 
+void retry_budget::set_options(const options& settings)
+{
+    const double added = std::max(0.0, settings.max_available - settings_.max_available);
+    available_retries_ = std::min(available_retries_ + added, settings.max_available);
+    settings_ = settings;
+}
+
 void retry_budget::record_first_attempt()
 {
     available_retries_ = std::min(available_retries_ + settings_.share, settings_.max_available);
