Keep copies, endless bytes and stops of servers and gateways from callers

An answer without an id is now skipped there. * Heads, answers to other requests and event lines without end were read until the time limit, event lines and bodies into unbounded memory. They are bounded (8 interim heads, 4 skipped answers of 256 KB, 256 KB an event, 32 MB of bodies in all), and a slow caller holds back its server (256 KB). * A stop reset connections that waited to be accepted and kept connections whose next request had arrived. They are answered now; if no other gateway serves, Retry-After is the time to the next run instead of 1 ms. * A byte or a comment ended the watch for stalled servers.

--- a/include/dotterelport/gateway/event_stream.hpp
+++ b/include/dotterelport/gateway/event_stream.hpp
@@ -1,6 +1,7 @@
 #ifndef DOTTERELPORT_GATEWAY_EVENT_STREAM_HPP
 #define DOTTERELPORT_GATEWAY_EVENT_STREAM_HPP
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -18,20 +19,29 @@
     /// @return bytes of the complete events to pass on
     std::string append(std::string_view data);
 
+    /// @brief Returns whether an event is longer than any server sends; the stream cannot be read
+    /// any further then.
+    [[nodiscard]] bool is_overlong() const { return partial_.size() > max_event_bytes; }
+
     /// @brief Discards the incomplete event before the stream is resumed at another server.
-    void resume() { partial_.clear(); }
+    void resume();
 
     /// @brief Removes and returns the bytes after the last complete event.
     [[nodiscard]] std::string take_incomplete();
 
-    /// @brief Number of events passed on so far.
+    /// @brief Number of events passed on so far, without those that have only comments.
     [[nodiscard]] std::uint64_t events() const { return events_; }
 
     /// @brief Id of the last event passed on that has a numeric id.
     [[nodiscard]] std::optional<std::uint64_t> last_id() const { return last_id_; }
 
 private:
+    /// Bounds the memory that a server can make a request use.
+    static constexpr std::size_t max_event_bytes = 256U << 10U;
+
     std::string partial_;
+    /// Part of partial_ in which no event ends.
+    std::size_t scanned_ = 0;
     std::uint64_t events_ = 0;
     std::optional<std::uint64_t> last_id_;
 };
--- a/include/dotterelport/gateway/stop_policy.hpp
+++ b/include/dotterelport/gateway/stop_policy.hpp
@@ -12,6 +12,9 @@
     /// Time from the order until the process is killed.
     milliseconds grace{0};
 
+    /// The process is about to exit and accepts no request any more.
+    bool closing = false;
+
     /// @brief Time by which all answers must be complete.
     [[nodiscard]] milliseconds answers_until() const;
 };
@@ -23,6 +26,11 @@
 /// enough time remains to complete their answers.
 [[nodiscard]] bool accepts_request(const stop_order& order, const route& target, milliseconds now);
 
+/// @brief Time after which a caller that a stopping gateway refuses should come back.
+/// @param others_serve whether other gateways are in reach that are not stopping
+[[nodiscard]] milliseconds retry_after_stop(const stop_order& order, bool others_serve,
+                                            milliseconds now);
+
 /// @brief Returns whether a stopping gateway may stop serving and exit.
 /// @param is_idle no request is in progress here or depends on this gateway's budgets
 /// @param is_last other gateways are known, and all of them are stopping or unreachable
--- a/include/dotterelport/net/backend_client.hpp
+++ b/include/dotterelport/net/backend_client.hpp
@@ -39,7 +39,7 @@
     reset,
     /// The server closed the connection normally before the answer was complete.
     truncated,
-    /// The received bytes are not an HTTP/1 answer.
+    /// The received bytes are not an HTTP/1 answer, or contain too much that belongs to none.
     malformed,
 };
 
@@ -85,6 +85,10 @@
     /// of the request.
     [[nodiscard]] bool was_sent(exchange_id exchange) const;
 
+    /// @brief Returns whether a call uses a connection that carried another call before. An answer
+    /// on it may belong to that call.
+    [[nodiscard]] bool is_reused(exchange_id exchange) const;
+
     /// @brief Stops or resumes reading the answer. Stopping applies backpressure to the server.
     void set_paused(exchange_id exchange, bool paused);
 
--- a/include/dotterelport/net/stream_server.hpp
+++ b/include/dotterelport/net/stream_server.hpp
@@ -46,6 +46,9 @@
     /// @brief Returns whether the client is still connected.
     [[nodiscard]] bool is_open() const { return connection_ != nullptr; }
     [[nodiscard]] bool is_started() const { return started_; }
+    /// @brief Returns whether the client has disconnected, also if on_disconnect was not called yet
+    /// because the loop is late.
+    [[nodiscard]] bool is_abandoned() const;
 
     /// @brief Number of bytes of the answer that were not handed to the kernel yet.
     [[nodiscard]] std::size_t unsent() const;
@@ -54,6 +57,10 @@
     /// answer.
     void on_disconnect(std::function<void()> function) { on_disconnect_ = std::move(function); }
 
+    /// @brief Sets a function that is called each time all bytes of the answer so far have been
+    /// handed to the kernel.
+    void on_drained(std::function<void()> function) { on_drained_ = std::move(function); }
+
 private:
     friend class stream_server;
     friend class stream_connection;
@@ -66,6 +73,7 @@
     milliseconds received_;
     stream_connection* connection_ = nullptr;
     std::function<void()> on_disconnect_;
+    std::function<void()> on_drained_;
     bool started_ = false;
     bool chunked_ = false;
 };
@@ -101,7 +109,8 @@
     /// @brief Answers with "Connection: close" from now on, so that clients reconnect
     /// elsewhere.
     void start_draining() { draining_ = true; }
-    /// @brief Closes the listening socket and the idle connections.
+    /// @brief Closes the listening socket and the idle connections. Requests that have already
+    /// arrived are still handled.
     void stop();
 
     [[nodiscard]] const endpoint& address() const { return address_; }
--- a/include/dotterelport/net/tcp_connection.hpp
+++ b/include/dotterelport/net/tcp_connection.hpp
@@ -59,6 +59,13 @@
     /// @brief Number of written bytes that were not handed to the kernel yet.
     [[nodiscard]] std::size_t unsent() const { return in_flight_.size() + pending_.size(); }
 
+    /// @brief Returns whether the peer has closed the connection, also if the loop has not read
+    /// that far yet. A close behind unread bytes is not seen.
+    [[nodiscard]] bool is_closed_by_peer() const;
+
+    /// @brief Returns whether bytes have arrived that the loop has not read yet.
+    [[nodiscard]] bool has_unread_bytes() const;
+
     /// @brief Limits the time for which sent bytes may stay unacknowledged.
     void limit_unacknowledged(milliseconds limit);
 
@@ -115,9 +122,14 @@
     /// @brief The address, with the port that the kernel chose if port 0 was requested.
     [[nodiscard]] const endpoint& address() const { return address_; }
 
+    /// @brief Accepts the connections that wait in the kernel at once.
+    void accept_pending();
+
 private:
     struct impl;
 
+    void accept(int limit);
+
     endpoint address_;
     std::function<void(std::unique_ptr<tcp_connection>)> accept_;
     st_h2o_socket_t* socket_ = nullptr;
--- a/src/dotterelport/gateway/decisions_test.cpp
+++ b/src/dotterelport/gateway/decisions_test.cpp
@@ -139,6 +139,54 @@
     return builder.build();
 }
 
+TEST_CASE("Comments are passed on, but are not events")
+{
+    event_stream stream;
+    CHECK(stream.append(": wait\n\n") == ": wait\n\n");
+    CHECK(stream.append("\n\n") == "\n\n");
+    CHECK(stream.events() == 0);
+    CHECK(stream.append(": wait\ndata: x\n\n") == ": wait\ndata: x\n\n");
+    CHECK(stream.events() == 1);
+}
+
+TEST_CASE("An event that never ends is noticed, in time that is proportional to its size")
+{
+    event_stream stream;
+    const std::string part(1'000, 'x');
+    int parts = 0;
+    while (!stream.is_overlong()) {
+        CHECK(stream.append(part).empty());
+        REQUIRE(++parts <= 300);
+    }
+    CHECK(parts > 200);
+    stream.resume();
+    CHECK_FALSE(stream.is_overlong());
+    CHECK(stream.append("id: 1\n\n") == "id: 1\n\n");
+}
+
+TEST_CASE("A stopping gateway sends callers to another one, or to its own next run")
+{
+    const stop_order order{.received = 10s, .grace = 8s};
+    const auto [others, now, expected] = GENERATE(table<bool, milliseconds, milliseconds>({
+        {true, 12s, 1ms},
+        {false, 12s, 7s},
+        {false, 17s, 2s},
+        {false, 20s, 1s},
+    }));
+    CHECK(retry_after_stop(order, others, now) == expected);
+}
+
+TEST_CASE("A gateway that is about to exit accepts no request")
+{
+    stop_order order{.received = 10s, .grace = 8s};
+    route booking;
+    booking.kind = route_kind::non_idempotent;
+    booking.target_latency = 150ms;
+    CHECK(accepts_request(order, booking, 11s));
+    order.closing = true;
+    CHECK_FALSE(accepts_request(order, booking, 11s));
+}
+
 TEST_CASE("The longest prefix of a path selects the route")
 {
     const auto catalogue = catalogue_with({"/a/", "/a/b/", "/c/"});
--- a/src/dotterelport/gateway/event_stream.cpp
+++ b/src/dotterelport/gateway/event_stream.cpp
@@ -1,5 +1,6 @@
 #include "dotterelport/gateway/event_stream.hpp"
 
+#include <algorithm>
 #include <charconv>
 #include <utility>
 
@@ -29,6 +30,19 @@
     return std::nullopt;
 }
 
+/// @brief Returns whether an event has only comments, which servers send to keep a connection open.
+bool is_comment(std::string_view event)
+{
+    while (!event.empty()) {
+        const std::string_view line = event.substr(0, event.find('\n'));
+        event.remove_prefix(std::min(event.size(), line.size() + 1));
+        if (!line.empty() && line != "\r" && line.front() != ':') {
+            return false;
+        }
+    }
+    return true;
+}
+
 /// @brief Position after the next blank line, if there is one.
 std::optional<std::size_t> end_of_event(std::string_view data, std::size_t from)
 {
@@ -51,7 +65,7 @@
     partial_.append(data);
     std::string complete_events;
     std::size_t begin = 0;
-    while (const auto end = end_of_event(partial_, begin)) {
+    while (const auto end = end_of_event(partial_, std::max(begin, scanned_))) {
         const std::string_view event = std::string_view(partial_).substr(begin, *end - begin);
         begin = *end;
         const auto id = event_id(event);
@@ -61,15 +75,25 @@
         if (id) {
             last_id_ = id;
         }
-        ++events_;
+        events_ += is_comment(event) ? 0 : 1;
         complete_events.append(event);
     }
     partial_.erase(0, begin);
+    // The last bytes may be the start of a blank line.
+    constexpr std::size_t max_line_end = 2;
+    scanned_ = partial_.size() - std::min(partial_.size(), max_line_end);
     return complete_events;
 }
 
+void event_stream::resume()
+{
+    partial_.clear();
+    scanned_ = 0;
+}
+
 std::string event_stream::take_incomplete()
 {
+    scanned_ = 0;
     return std::exchange(partial_, {});
 }
 
--- a/src/dotterelport/gateway/forwarding.cpp
+++ b/src/dotterelport/gateway/forwarding.cpp
@@ -21,10 +21,17 @@
 /// Timeout of routes that set none.
 constexpr milliseconds default_timeout{30'000};
 
-/// A request that may be repeated is cancelled at a server from which no data arrives within this
-/// multiple of the target latency.
+/// A request that may be repeated is cancelled at a server that sends no complete event, or no
+/// answer, within this multiple of the target latency.
 constexpr int stall_factor = 2;
 
+/// Multiple of the longest acceptable pause after which a stream that has begun counts as stalled.
+/// Much longer than the pauses of a loaded server: resuming elsewhere costs a new prefill.
+constexpr int stall_pauses = 4;
+
+/// Shortest pause between two checks for a stalled server.
+constexpr milliseconds min_stall_check{50};
+
 /// Retry-After when the servers refused a request: time after which a busy server is likely to have
 /// free capacity.
 constexpr milliseconds busy_server_retry_after{300};
@@ -37,8 +44,13 @@
 /// grant may cover the request immediately.
 constexpr milliseconds other_gateway_retry_after{50};
 
-/// Maximum size of an answer that is buffered because it is not streamed.
+/// Maximum size of an answer that is buffered because it is not streamed, and of all of them
+/// together; the smallest VMs have 88 MB for the process.
 constexpr std::size_t max_answer_bytes = 8U << 20U;
+constexpr std::size_t max_buffered_bytes = 32U << 20U;
+
+/// The server of a stream is paused while more bytes than this wait for the caller.
+constexpr std::size_t max_unsent_bytes = 256U << 10U;
 
 constexpr int bad_request = 400;
 constexpr int unauthorized = 401;
@@ -49,6 +61,7 @@
 constexpr int too_many_requests = 429;
 constexpr int bad_gateway = 502;
 constexpr int unavailable = 503;
+constexpr int gateway_timeout = 504;
 
 /// @brief Returns whether a status implies that the request has not run.
 bool implies_not_run(int status)
@@ -157,7 +170,9 @@
         return;
     }
     if (context_.stopping && !accepts_request(*context_.stopping, *route_, steady_now())) {
-        refuse(unavailable, "stopping", milliseconds{1});
+        refuse(unavailable, "stopping",
+               retry_after_stop(*context_.stopping, !context_.link.live_peers().empty(),
+                                steady_now()));
         return;
     }
     choose_service();
@@ -278,6 +293,16 @@
 
 void forwarding::dispatch()
 {
+    // On an overloaded VM the loop may be late: the caller may have left, or the time limit may
+    // have passed, without any callback so far.
+    if (exchange_->is_abandoned()) {
+        caller_gone();
+        return;
+    }
+    if (time_left() <= milliseconds{0}) {
+        deadline_expired();
+        return;
+    }
     const auto choice = choose_server();
     const backend_server* server = choice ? context_.servers.find(choice->server) : nullptr;
     if (server == nullptr) {
@@ -356,7 +381,9 @@
 bool forwarding::received_head(const net::http1_answer_head& head)
 {
     const auto answer = context_.wire.decode_answer(head);
-    if (answer.id && *answer.id != request_.id) {
+    // On a connection that was used before, an answer without an id may be a late copy of an
+    // earlier one.
+    if (answer.id ? *answer.id != request_.id : context_.backends.is_reused(attempt_->exchange)) {
         return false;
     }
     attempt_->head = head;
@@ -371,18 +398,58 @@
 void forwarding::received_data(std::string_view data)
 {
     context_.placement.answered(attempt_->server, attempt_->id, steady_now());
-    if (attempt_->is_streamed) {
-        context_.loop.cancel(std::exchange(stall_timer_, 0));
-        write_events(events_.append(data));
+    if (!attempt_->is_streamed) {
+        buffer_body(data);
+        return;
+    }
+    const std::uint64_t events_before = events_.events();
+    write_events(events_.append(data));
+    if (events_.events() > events_before) {
+        last_progress_ = steady_now();
+    }
+    if (events_.is_overlong()) {
+        context_.backends.cancel(attempt_->exchange);
+        attempt_failed(verdict::may_have_run, attempt_end::malformed);
         return;
     }
+    limit_unsent();
+}
+
+void forwarding::buffer_body(std::string_view data)
+{
     attempt_->body.append(data);
-    if (attempt_->body.size() > max_answer_bytes) {
+    context_.buffered_bytes += data.size();
+    if (attempt_->body.size() > max_answer_bytes || context_.buffered_bytes > max_buffered_bytes) {
         context_.backends.cancel(attempt_->exchange);
         attempt_failed(verdict::may_have_run, attempt_end::too_large);
     }
 }
 
+void forwarding::clear_attempt()
+{
+    if (attempt_) {
+        context_.buffered_bytes -= attempt_->body.size();
+        attempt_.reset();
+    }
+}
+
+void forwarding::limit_unsent()
+{
+    if (server_paused_ || exchange_->unsent() <= max_unsent_bytes) {
+        return;
+    }
+    server_paused_ = true;
+    context_.backends.set_paused(attempt_->exchange, true);
+    exchange_->on_drained([self = shared_from_this()] {
+        if (!std::exchange(self->server_paused_, false) || !self->attempt_) {
+            return;
+        }
+        // The pause was the caller's.
+        self->last_progress_ = steady_now();
+        self->context_.backends.set_paused(self->attempt_->exchange, false);
+    });
+}
+
 void forwarding::write_events(std::string_view events)
 {
     if (events.empty()) {
@@ -418,7 +485,7 @@
         sends_ < route_->max_attempts && time_left() > milliseconds{0} && retries().try_retry()) {
         close_attempt(attempt_end::server_error);
         may_have_run_ = true;
-        attempt_.reset();
+        clear_attempt();
         dispatch();
         return;
     }
@@ -531,7 +598,7 @@
     log(events::attempt_ended, fields);
     if (attempt_) {
         close_attempt(end);
-        attempt_.reset();
+        clear_attempt();
     }
     execute(decision, end, fields);
 }
@@ -562,11 +629,30 @@
         route_->target_latency <= milliseconds{0}) {
         return;
     }
+    last_progress_ = steady_now();
+    check_stall();
+}
+
+milliseconds forwarding::stall_limit() const
+{
+    const milliseconds first_event = route_->target_latency * stall_factor;
+    return events_.events() > attempt_->events_before
+               ? std::max(first_event, catalogue_->pause_limit() * stall_pauses)
+               : first_event;
+}
+
+void forwarding::check_stall()
+{
+    const milliseconds remaining = last_progress_ + stall_limit() - steady_now();
+    if (remaining <= milliseconds{0} && !server_paused_) {
+        stalled();
+        return;
+    }
     stall_timer_ = context_.loop.schedule(
-        route_->target_latency * stall_factor, [self = shared_from_this(), id = attempt_->id] {
+        std::max(remaining, min_stall_check), [self = shared_from_this(), id = attempt_->id] {
+            self->stall_timer_ = 0;
             if (!self->finished_ && self->attempt_ && self->attempt_->id == id) {
-                self->stall_timer_ = 0;
-                self->stalled();
+                self->check_stall();
             }
         });
 }
@@ -582,12 +668,16 @@
 
 void forwarding::deadline_expired()
 {
-    deadline_timer_ = 0;
+    context_.loop.cancel(std::exchange(deadline_timer_, 0));
     if (finished_) {
         return;
     }
     if (!attempt_) {
-        refuse(unavailable, reserving_ ? "no_grant" : "timeout", store_retry_after);
+        if (may_have_run_) {
+            refuse(gateway_timeout, "timeout");
+        } else {
+            refuse(unavailable, reserving_ ? "no_grant" : "timeout", store_retry_after);
+        }
         return;
     }
     const bool was_sent = context_.backends.was_sent(attempt_->exchange);
@@ -606,7 +696,7 @@
         may_have_run_ = may_have_run_ || context_.backends.was_sent(attempt_->exchange);
         context_.backends.cancel(attempt_->exchange);
         close_attempt(attempt_end::caller_gone);
-        attempt_.reset();
+        clear_attempt();
     }
     finish();
 }
@@ -658,7 +748,9 @@
     context_.loop.cancel(deadline_timer_);
     context_.loop.cancel(stall_timer_);
     settle();
+    clear_attempt();
     exchange_->on_disconnect(nullptr);
+    exchange_->on_drained(nullptr);
     done_();
 }
 
--- a/src/dotterelport/gateway/forwarding.hpp
+++ b/src/dotterelport/gateway/forwarding.hpp
@@ -36,6 +36,7 @@
     server_directory& servers;
     routing::placement& placement;
     peer_exchange& peers;
+    const peer_link& link;
     budget_broker& budgets;
     metrics& counters;
     /// Retry budget of each service.
@@ -46,6 +47,8 @@
     std::uint64_t& last_attempt;
     /// Set when the process receives a stop order.
     const std::optional<stop_order>& stopping;
+    /// Bytes of answers that are buffered for all requests.
+    std::size_t buffered_bytes = 0;
 };
 
 /// Forwards one request: finds its route, checks its key, reserves its budget, chooses a server,
@@ -87,6 +90,10 @@
     void received_all();
     void received_failure(net::backend_failure failure);
     void write_events(std::string_view events);
+    void buffer_body(std::string_view data);
+    void clear_attempt();
+    /// @brief Pauses the server while the caller reads more slowly than the server sends.
+    void limit_unsent();
     void complete_answer();
     /// @brief Ends the attempt and decides what to do next.
     void attempt_failed(verdict outcome, attempt_end end);
@@ -95,6 +102,10 @@
 
     void arm_timers();
     void arm_stall_timer();
+    /// @brief Ends the attempt if the server has sent no complete event for the stall limit.
+    void check_stall();
+    /// @brief Time without progress after which the attempt counts as stalled.
+    [[nodiscard]] milliseconds stall_limit() const;
     void deadline_expired();
     void stalled();
     void caller_gone();
@@ -133,6 +144,9 @@
     event_stream events_;
     std::optional<milliseconds> first_output_;
     milliseconds last_output_{0};
+    /// Time of the last progress of the attempt: of its send or its last complete event.
+    milliseconds last_progress_{0};
+    bool server_paused_ = false;
     /// Longest time between two writes of a stream's events.
     milliseconds longest_pause_{0};
     milliseconds longest_pause_began_{0};
--- a/src/dotterelport/gateway/gateway.cpp
+++ b/src/dotterelport/gateway/gateway.cpp
@@ -15,6 +15,9 @@
 /// Time limit for returning the grants.
 constexpr milliseconds grant_return_limit{250};
 
+/// Time for refusing the requests that arrived just before the listening socket was closed.
+constexpr milliseconds last_refusals{30};
+
 /// Interval of the drain checks and of expiring registrations and reservations.
 constexpr milliseconds check_interval{100};
 
@@ -86,6 +89,7 @@
                                                  .servers = servers,
                                                  .placement = placement,
                                                  .peers = peers,
+                                                 .link = link,
                                                  .budgets = broker,
                                                  .counters = counters,
                                                  .retries = retries,
@@ -176,9 +180,10 @@
             log(events::drain_timeout, {{"requests", requests.size()}});
         }
         returning_grants = true;
+        stopping->closing = true;
         callers->stop();
         loop.schedule(grant_return_limit, [this] { leave(); });
-        budgets.drain([this] { leave(); });
+        budgets.drain([this] { loop.schedule(last_refusals, [this] { leave(); }); });
     }
 
     void leave()
--- a/src/dotterelport/gateway/stop_policy.cpp
+++ b/src/dotterelport/gateway/stop_policy.cpp
@@ -17,6 +17,12 @@
 /// Time reserved at the end of the grace period to return the grants and shut down cleanly.
 constexpr milliseconds stop_margin{350};
 
+/// Retry-After while another gateway serves: a client reconnects there.
+constexpr milliseconds other_gateway_retry_after{1};
+
+/// Time that the next run of a process needs until it serves.
+constexpr milliseconds restart_time{1'000};
+
 /// Multiple of the target latency within which nearly all answers are complete; in the benchmark,
 /// all but one in 10,000 answers take less than 2.2 times the target latency.
 constexpr int latency_multiple = 4;
@@ -33,6 +39,9 @@
 
 bool accepts_request(const stop_order& order, const route& target, milliseconds now)
 {
+    if (order.closing) {
+        return false;
+    }
     if (target.kind == route_kind::streaming) {
         return now - order.received < stream_accept_limit;
     }
@@ -42,6 +51,13 @@
     return now + needed <= order.answers_until();
 }
 
+milliseconds retry_after_stop(const stop_order& order, bool others_serve, milliseconds now)
+{
+    return others_serve
+               ? other_gateway_retry_after
+               : std::max(milliseconds{0}, order.received + order.grace - now) + restart_time;
+}
+
 bool may_leave(const stop_order& order, milliseconds now, bool is_idle, bool is_last)
 {
     if (now >= order.answers_until()) {
--- a/src/dotterelport/net/backend_client.cpp
+++ b/src/dotterelport/net/backend_client.cpp
@@ -33,6 +33,14 @@
 /// Heads of answers larger than this are malformed.
 constexpr std::size_t max_answer_head_bytes = 32'768;
 
+/// Maximum number of interim (1xx) heads before the head of an answer.
+constexpr int max_interim_heads = 8;
+
+/// Maximum number and total size of answers to other requests that are skipped on a connection. A
+/// server that sends more is not expected to answer at all.
+constexpr int max_skipped_answers = 4;
+constexpr std::size_t max_skipped_bytes = 256U << 10U;
+
 /// @brief Time for which an idle connection may be kept; 0 if the server closes it at once.
 milliseconds keep_alive_time(const http1_answer_head& head)
 {
@@ -91,6 +99,10 @@
         std::optional<body_decoder> body;
         milliseconds keep_alive{0};
         bool skipping = false;
+        bool is_reused = false;
+        int interim_heads = 0;
+        int skipped_answers = 0;
+        std::size_t skipped_bytes = 0;
         /// The connection must not be reused: it carried an answer to another request, so that more
         /// such answers may follow, or its end is the end of the answer.
         bool must_close = false;
@@ -122,6 +134,7 @@
         }
         if (auto kept = take_idle(call->call.to, call->call.max_idle)) {
             ++counters.connections_reused;
+            call->is_reused = true;
             send(*call, std::move(kept));
             return;
         }
@@ -313,6 +326,10 @@
         socket.consume(parsed.size);
         constexpr int first_final_status = 200;
         if (parsed.head.status < first_final_status) {
+            if (++call->interim_heads > max_interim_heads) {
+                fail(call, backend_failure::malformed);
+                return false;
+            }
             return true;
         }
         const auto framing = answer_framing(parsed.head, call->call.method);
@@ -330,6 +347,10 @@
         if (call->skipping) {
             ++counters.unmatched_answers;
             call->must_close = true;
+            if (++call->skipped_answers > max_skipped_answers) {
+                fail(call, backend_failure::malformed);
+                return false;
+            }
         }
         return true;
     }
@@ -342,7 +363,15 @@
         }
         auto& socket = *call->transport->socket;
         std::string content;
-        socket.consume(call->body->feed(socket.input(), content));
+        const std::size_t consumed = call->body->feed(socket.input(), content);
+        socket.consume(consumed);
+        if (call->skipping) {
+            call->skipped_bytes += consumed;
+            if (call->skipped_bytes > max_skipped_bytes) {
+                fail(call, backend_failure::malformed);
+                return false;
+            }
+        }
         if (!content.empty() && !call->skipping) {
             call->handler.on_data(content);
             if (!is_current(call)) {
@@ -438,6 +467,12 @@
     return call != nullptr && call->transport != nullptr;
 }
 
+bool backend_client::is_reused(exchange_id exchange) const
+{
+    const auto call = impl_->find(exchange);
+    return call != nullptr && call->is_reused;
+}
+
 void backend_client::set_paused(exchange_id exchange, bool paused)
 {
     const auto call = impl_->find(exchange);
--- a/src/dotterelport/net/backend_client_test.cpp
+++ b/src/dotterelport/net/backend_client_test.cpp
@@ -163,6 +163,61 @@
     CHECK(net.client.statistics().connections_opened == 2);
 }
 
+TEST_CASE("A server that sends heads or answers to other requests without end is given up")
+{
+    const std::string repeated =
+        GENERATE(as<std::string>(), "HTTP/1.1 102 Processing\r\n\r\n",
+                 "HTTP/1.1 200 OK\r\nId: old\r\nContent-Length: 3\r\n\r\nold",
+                 "HTTP/1.1 200 OK\r\nId: old\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nold\r\n",
+                 "HTTP/1.1 200 OK\r\nId: old\r\n\r\nold");
+    fixture net;
+    // The first write contains the head, the later ones repeat it or continue its body.
+    net.answer = repeated;
+    const periodic_timer more(net.loop, 1ms, [&] {
+        for (const auto& connection : net.connections) {
+            for (int i = 0; i < 64; ++i) {
+                connection->write(repeated + std::string(1'000, ' '));
+            }
+        }
+    });
+    const milliseconds began = steady_now();
+    net.call("new");
+    CHECK(net.failure == backend_failure::malformed);
+    CHECK(steady_now() - began < 1s);
+    CHECK(net.client.connection_count() == 0);
+}
+
+TEST_CASE("Interim heads before an answer are skipped")
+{
+    fixture net;
+    net.answer = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n"
+                 "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    net.call();
+    CHECK(net.complete);
+    CHECK(net.body == "ok");
+}
+
+TEST_CASE("A call knows whether its connection was used before")
+{
+    fixture net;
+    net.answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    std::vector<bool> reused;
+    for (int i = 0; i < 2; ++i) {
+        exchange_id id = 0;
+        id = net.client.start({.to = net.listener->address(), .bytes = "x\r\n\r\n"},
+                              {.on_head =
+                                   [&](const http1_answer_head&) {
+                                       reused.push_back(net.client.is_reused(id));
+                                       return true;
+                                   },
+                               .on_data = [](std::string_view) {},
+                               .on_complete = [&] { net.loop.stop(); },
+                               .on_failure = [](backend_failure) {}});
+        net.loop.run_for(test_limit);
+    }
+    CHECK(reused == std::vector<bool>{false, true});
+}
+
 TEST_CASE("Bytes after an answer belong to no request")
 {
     fixture net;
--- a/src/dotterelport/net/stream_connection.cpp
+++ b/src/dotterelport/net/stream_connection.cpp
@@ -206,6 +206,10 @@
 {
     if (close_after_write_ && exchange_ == nullptr) {
         close();
+    } else if (exchange_ != nullptr && exchange_->on_drained_) {
+        // The function may end the exchange.
+        const auto exchange = exchange_;
+        exchange->on_drained_();
     }
 }
 
--- a/src/dotterelport/net/stream_connection.hpp
+++ b/src/dotterelport/net/stream_connection.hpp
@@ -35,6 +35,8 @@
     /// arrived.
     [[nodiscard]] bool is_idle() const;
     [[nodiscard]] std::size_t unsent() const { return connection_->unsent(); }
+    [[nodiscard]] bool has_unread_bytes() const { return connection_->has_unread_bytes(); }
+    [[nodiscard]] bool is_closed_by_client() const { return connection_->is_closed_by_peer(); }
 
 private:
     void received();
--- a/src/dotterelport/net/stream_server.cpp
+++ b/src/dotterelport/net/stream_server.cpp
@@ -94,6 +94,11 @@
     connection_->abort();
 }
 
+bool stream_exchange::is_abandoned() const
+{
+    return !is_open() || connection_->is_closed_by_client();
+}
+
 std::size_t stream_exchange::unsent() const
 {
     return is_open() ? connection_->unsent() : 0;
@@ -121,10 +126,15 @@
 
 void stream_server::stop()
 {
-    listener_.reset();
+    // Closing the listening socket resets the connections that wait to be accepted, and closing a
+    // connection with unread bytes resets it.
+    if (listener_ != nullptr) {
+        listener_->accept_pending();
+        listener_.reset();
+    }
     std::vector<std::uint64_t> idle;
     for (const auto& [id, connection] : connections_) {
-        if (connection->is_idle()) {
+        if (connection->is_idle() && !connection->has_unread_bytes()) {
             idle.push_back(id);
         }
     }
--- a/src/dotterelport/net/stream_server_test.cpp
+++ b/src/dotterelport/net/stream_server_test.cpp
@@ -1,9 +1,15 @@
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+#include <array>
 #include <memory>
 #include <string>
 #include <vector>
 
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include "dotterelport/net/stream_server.hpp"
 #include "dotterelport/net/tcp_connection.hpp"
 
@@ -166,5 +172,79 @@
     CHECK(net.ended);
 }
 
+/// A client that uses blocking calls, so that its requests wait in the kernel while the loop does
+/// not run.
+class kernel_client {
+public:
+    explicit kernel_client(const endpoint& server) : descriptor_(::socket(AF_INET, SOCK_STREAM, 0))
+    {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(server.port);
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        REQUIRE(::connect(descriptor_, reinterpret_cast<sockaddr*>(&address), sizeof(address)) ==
+                0);
+    }
+    ~kernel_client() { ::close(descriptor_); }
+    kernel_client(const kernel_client&) = delete;
+    kernel_client& operator=(const kernel_client&) = delete;
+
+    void send(std::string_view bytes) const
+    {
+        REQUIRE(::send(descriptor_, bytes.data(), bytes.size(), 0) ==
+                static_cast<ssize_t>(bytes.size()));
+    }
+
+    /// Bytes that have arrived; empty after a reset.
+    [[nodiscard]] std::string received() const
+    {
+        std::array<char, 1'024> buffer{};
+        const ssize_t size = ::recv(descriptor_, buffer.data(), buffer.size(), MSG_DONTWAIT);
+        return {buffer.data(), static_cast<std::size_t>(std::max<ssize_t>(0, size))};
+    }
+
+private:
+    int descriptor_;
+};
+
+TEST_CASE("Requests that arrived before the server stops are handled")
+{
+    fixture net;
+    // One on a connection that was used before, and some on connections that wait to be accepted.
+    const kernel_client kept(net.server->address());
+    net.loop.run_for(20ms);
+    std::vector<std::unique_ptr<kernel_client>> waiting;
+    kept.send("GET /kept HTTP/1.1\r\n\r\n");
+    for (int i = 0; i < 3; ++i) {
+        waiting.push_back(std::make_unique<kernel_client>(net.server->address()));
+        waiting.back()->send("GET /waiting HTTP/1.1\r\n\r\n");
+    }
+    net.server->start_draining();
+    net.server->stop();
+    net.wait_until([&] { return net.exchanges.size() == 4; });
+    CHECK(net.exchanges.size() == 4);
+    for (const auto& exchange : net.exchanges) {
+        exchange->respond(503, {}, "late");
+    }
+    net.loop.run_for(50ms);
+    CHECK(kept.received().ends_with("late"));
+    for (const auto& client : waiting) {
+        CHECK(client->received().ends_with("late"));
+    }
+}
+
+TEST_CASE("A client that has left is noticed before the loop reads that")
+{
+    fixture net;
+    auto leaving = std::make_unique<kernel_client>(net.server->address());
+    leaving->send("GET / HTTP/1.1\r\n\r\n");
+    net.wait_until([&] { return net.exchanges.size() == 1; });
+    REQUIRE(net.exchanges.size() == 1);
+    CHECK_FALSE(net.exchanges[0]->is_abandoned());
+    leaving.reset();
+    CHECK(net.exchanges[0]->is_open());
+    CHECK(net.exchanges[0]->is_abandoned());
+}
+
 } // namespace
 } // namespace dotterelport::net
--- a/src/dotterelport/net/tcp_connection.cpp
+++ b/src/dotterelport/net/tcp_connection.cpp
@@ -19,6 +19,13 @@
 /// Maximum number of connections that wait to be accepted.
 constexpr int listen_backlog = 1024;
 
+/// @brief Result of recv() for the next byte, which stays unread.
+ssize_t peek(int descriptor)
+{
+    char next = 0;
+    return ::recv(descriptor, &next, sizeof(next), MSG_PEEK | MSG_DONTWAIT);
+}
+
 } // namespace
 
 struct tcp_connection::impl {
@@ -121,6 +128,17 @@
     }
 }
 
+bool tcp_connection::is_closed_by_peer() const
+{
+    const ssize_t size = peek(h2o_socket_get_fd(socket_));
+    return size == 0 || (size < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+}
+
+bool tcp_connection::has_unread_bytes() const
+{
+    return peek(h2o_socket_get_fd(socket_)) > 0;
+}
+
 void tcp_connection::limit_unacknowledged(milliseconds limit)
 {
     const auto limit_ms = static_cast<unsigned>(limit.count());
@@ -184,20 +202,28 @@
     {
         // Bounds the time for which other connections wait.
         constexpr int accepts_per_wakeup = 64;
-        auto* self = static_cast<tcp_listener*>(listener->data);
-        if (failure != nullptr) {
-            return;
-        }
-        for (int i = 0; i < accepts_per_wakeup; ++i) {
-            auto* socket = h2o_evloop_socket_accept(listener);
-            if (socket == nullptr) {
-                return;
-            }
-            self->accept_(std::make_unique<tcp_connection>(socket));
+        if (failure == nullptr) {
+            static_cast<tcp_listener*>(listener->data)->accept(accepts_per_wakeup);
         }
     }
 };
 
+void tcp_listener::accept(int limit)
+{
+    for (int i = 0; i < limit; ++i) {
+        auto* socket = h2o_evloop_socket_accept(socket_);
+        if (socket == nullptr) {
+            return;
+        }
+        accept_(std::make_unique<tcp_connection>(socket));
+    }
+}
+
+void tcp_listener::accept_pending()
+{
+    accept(listen_backlog);
+}
+
 tcp_listener::tcp_listener(event_loop& loop, const endpoint& address,
                            std::function<void(std::unique_ptr<tcp_connection>)> accept)
     : address_(address), accept_(std::move(accept))
