Answer requests for tokens over another path, and let later ones wait for the next round

(1) A round of the ledger refused all that waited at its end, also requests that came after its start, for which it had asked no tokens. (2) A call over a path that is cut off took 600 ms and a backoff of 250 ms before the relay was tried, longer than requests wait. (3) An owner that waited for the store seemed dead after 140 ms; all who asked it opened grants of their own. Change: a request waits for the round after its arrival; the time limit of a call follows the usual time of its path (200 to 600 ms) and the first retry follows at once; an owner answers that it waits, and is then given 450 ms. Tests: "While the owner waits for a slow store, others wait for it and open no grants" failed by (1) with the other changes in place; "The time limit of a call..." and "After one failed call..." are new.

--- a/include/dotterelport/gateway/budget_broker.hpp
+++ b/include/dotterelport/gateway/budget_broker.hpp
@@ -16,6 +16,8 @@
     milliseconds reserve_resend_interval{45};
     /// Time without an answer of the owner after which this gateway uses its own grants.
     milliseconds owner_timeout{140};
+    /// The same, once the owner has answered that it waits for a larger grant.
+    milliseconds waiting_owner_timeout{450};
     /// Interval at which an unconfirmed settlement is sent again.
     milliseconds settle_resend_interval{200};
     /// Time after which an unconfirmed settlement is dropped; the owner then charges the upper
@@ -67,6 +69,8 @@
         budget_keeper::reservation_handler done;
         milliseconds requested_at{0};
         bool waiting = true;
+        /// The owner has answered that it waits for a larger grant.
+        bool owner_waits = false;
         net::timer_id timer = 0;
     };
 
--- a/include/dotterelport/gateway/shard_keeper.hpp
+++ b/include/dotterelport/gateway/shard_keeper.hpp
@@ -44,8 +44,8 @@
     /// Maximum age of a ledger read for it to be used to refuse requests that exceed the remaining
     /// tokens, without another read.
     milliseconds max_ledger_age{500};
-    /// Backoff after a round without an answer of the store, doubled after each further failure up
-    /// to max_backoff.
+    /// Backoff after the second round in a row without an answer of the store, doubled after each
+    /// further one up to max_backoff. The round after the first one follows at once.
     milliseconds initial_backoff{250};
     milliseconds max_backoff{1'000};
     budget::demand_share sizing = default_sizing();
@@ -65,7 +65,7 @@
     }
     void record_answer() { failures = 0; }
 
-    /// @param initial_backoff backoff after the first failure, doubled after each further one
+    /// @param initial_backoff backoff after the second failure, doubled after each further one
     /// @param max_backoff upper limit of the backoff
     void record_failure(milliseconds now, milliseconds initial_backoff, milliseconds max_backoff);
 };
@@ -120,6 +120,9 @@
         milliseconds deadline{0};
         reservation_handler done;
         net::timer_id timer = 0;
+        /// The round in progress obtains tokens for it. A request that arrives later waits for the
+        /// next round.
+        bool is_in_round = false;
     };
 
     reservation_outcome try_reserve(const request_key& key, tokens upper_tokens);
--- a/include/dotterelport/object_store/store_paths.hpp
+++ b/include/dotterelport/object_store/store_paths.hpp
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -33,6 +34,13 @@
     /// to the longest penalty.
     milliseconds first_penalty{700};
     milliseconds longest_penalty{5'000};
+    /// Limits of the time for an answer to a short call. Between them, it is a multiple of the
+    /// usual time: the store answers in a few milliseconds on most days and in some hundred on its
+    /// slowest ones, and a call over a path that is cut off must not delay requests for as long as
+    /// these.
+    milliseconds shortest_timeout{200};
+    milliseconds longest_timeout{600};
+    double timeout_factor = 8.0;
 };
 
 /// Chooses how to reach the store: directly, or through a relay when this process cannot reach the
@@ -49,8 +57,13 @@
     /// @brief Chooses the path of the next call.
     [[nodiscard]] net::endpoint choose(path_use use, milliseconds now) const;
 
+    /// @brief Time limit for the answer to a short call over a path.
+    [[nodiscard]] milliseconds timeout(const net::endpoint& path) const;
+
     /// @brief Records whether the store answered over a path.
-    void record_result(const net::endpoint& path, bool answered, milliseconds now);
+    /// @param duration time until the answer; nothing for a call that waited for changes
+    void record_result(const net::endpoint& path, bool answered, milliseconds now,
+                       std::optional<milliseconds> duration = std::nullopt);
 
     /// @brief Returns whether calls go directly to the store.
     [[nodiscard]] bool is_direct() const;
@@ -61,6 +74,9 @@
     struct path_state {
         int failures = 0;
         milliseconds avoided_until{0};
+        /// Moving average of the time until an answer; nothing before the first one, and after a
+        /// failure.
+        std::optional<double> answer_ms;
     };
 
     [[nodiscard]] const path_state& state_of(const net::endpoint& path) const;
--- a/src/dotterelport/gateway/budget_broker.cpp
+++ b/src/dotterelport/gateway/budget_broker.cpp
@@ -1,11 +1,18 @@
 #include "dotterelport/gateway/budget_broker.hpp"
 
+#include <memory>
 #include <utility>
 #include <vector>
 
 #include "dotterelport/gateway/events.hpp"
 
 namespace dotterelport::gateway {
+namespace {
+
+/// Answer to a reserve message that is not an outcome: the owner waits for a larger grant.
+constexpr int waiting_for_grant = 3;
+
+} // namespace
 
 budget_broker::budget_broker(net::event_loop& loop, peer_link& link, budget_keeper& keeper,
                              const budget_broker_settings& settings)
@@ -75,6 +82,7 @@
         return;
     }
     item.owner = owner;
+    item.owner_waits = false;
     item.requested_at = steady_now();
     request_from_owner(number);
 }
@@ -86,8 +94,12 @@
         return;
     }
     auto& item = found->second;
-    if (steady_now() - item.requested_at >= settings_.owner_timeout) {
-        link_.mark_silent(item.owner);
+    const milliseconds timeout =
+        item.owner_waits ? settings_.waiting_owner_timeout : settings_.owner_timeout;
+    if (steady_now() - item.requested_at >= timeout) {
+        if (!item.owner_waits) {
+            link_.mark_silent(item.owner);
+        }
         // The owner may have reserved the tokens; the settlement releases them.
         start_settlement(item.owner, number, verdict::not_run, 0, 0);
         item.owner.clear();
@@ -205,18 +217,27 @@
         link_.send(message.node, peer_message_kind::leaving, json::array());
         return;
     }
+    const auto answered = std::make_shared<bool>(false);
     // A repeated message replaces the reservation that still waits for the first one.
     keeper_.abandon(workspace, key);
-    keeper_.reserve(workspace, key, upper_tokens,
-                    [this, workspace, key, upper_tokens, answer](reservation_outcome outcome) {
-                        if (outcome == reservation_outcome::reserved) {
-                            lent_.emplace(key, lent_reservation{.workspace = workspace,
-                                                                .key = key,
-                                                                .upper_tokens = upper_tokens,
-                                                                .lent_at = steady_now()});
-                        }
-                        answer(outcome);
-                    });
+    keeper_.reserve(
+        workspace, key, upper_tokens,
+        [this, workspace, key, upper_tokens, answer, answered](reservation_outcome outcome) {
+            *answered = true;
+            if (outcome == reservation_outcome::reserved) {
+                lent_.emplace(key, lent_reservation{.workspace = workspace,
+                                                    .key = key,
+                                                    .upper_tokens = upper_tokens,
+                                                    .lent_at = steady_now()});
+            }
+            answer(outcome);
+        });
+    if (!*answered) {
+        // Otherwise the asking gateways would consider this one dead and all open grants of their
+        // own.
+        link_.send(message.node, peer_message_kind::reserved,
+                   json::array({number, waiting_for_grant}));
+    }
 }
 
 void budget_broker::receive_leaving(const peer_message& message)
@@ -243,7 +264,11 @@
     const int outcome = message.content.at(1).get<int>();
     const auto found = reservations_.find(number);
     if (found == reservations_.end() || !found->second.waiting ||
-        found->second.owner != message.node || outcome < 0 || outcome > last_outcome) {
+        found->second.owner != message.node) {
+        return;
+    }
+    found->second.owner_waits = outcome == waiting_for_grant;
+    if (outcome < 0 || outcome > last_outcome) {
         return;
     }
     finish(number, static_cast<reservation_outcome>(outcome));
--- a/src/dotterelport/gateway/budgets_test.cpp
+++ b/src/dotterelport/gateway/budgets_test.cpp
@@ -23,6 +23,7 @@
     net::event_loop& loop;
     object_store::store& store;
     bool reachable = true;
+    milliseconds delay{0};
     /// Share of writes that take effect late, after an answer with an unknown result.
     double late_share = 0;
     std::mt19937_64 random{5};
@@ -37,8 +38,9 @@
               std::function<void(const object_store::read_result&)> done) override
     {
         ++reads;
-        loop.post(
-            [this, key, done] { done(reachable ? store.read(key) : object_store::read_result{}); });
+        loop.schedule(delay, [this, key, done] {
+            done(reachable ? store.read(key) : object_store::read_result{});
+        });
     }
 
     void write(const std::string& key, const std::string& value,
@@ -46,7 +48,7 @@
                std::function<void(const object_store::write_result&)> done) override
     {
         ++writes;
-        loop.post([this, key, value, if_version, done] {
+        loop.schedule(delay, [this, key, value, if_version, done] {
             if (!reachable) {
                 done({});
                 return;
@@ -357,6 +359,42 @@
     CHECK(writers == 1);
 }
 
+TEST_CASE("While the owner waits for a slow store, others wait for it and open no grants")
+{
+    fixture budgets;
+    budgets.add_nodes(24, 10'000'000, {.max_group_size = 8});
+    budgets.connect();
+    for (auto& item : budgets.nodes) {
+        item->objects.delay = 120ms;
+    }
+    std::vector<std::optional<reservation_outcome>> results(budgets.nodes.size());
+    for (std::size_t i = 0; i < budgets.nodes.size(); ++i) {
+        budgets.nodes[i]->broker.reserve(
+            "w", 1'000, [&results, i](reservation_outcome outcome) { results[i] = outcome; });
+    }
+    budgets.loop.run_for(440ms);
+    int writers = 0;
+    for (std::size_t i = 0; i < budgets.nodes.size(); ++i) {
+        CHECK(results[i] == reservation_outcome::reserved);
+        writers += budgets.nodes[i]->objects.writes > 0 ? 1 : 0;
+    }
+    CHECK(writers == 1);
+}
+
+TEST_CASE("After one failed call, the ledger is read again at once over another path")
+{
+    fixture budgets;
+    budgets.add_nodes(1, 1'000'000);
+    auto& only = *budgets.nodes[0];
+    only.objects.reachable = false;
+    std::optional<reservation_outcome> result;
+    only.broker.reserve("w", 1'000, [&](reservation_outcome outcome) { result = outcome; });
+    budgets.loop.schedule(30ms, [&] { only.objects.reachable = true; });
+    only.objects.delay = 20ms;
+    budgets.loop.run_for(200ms);
+    CHECK(result == reservation_outcome::reserved);
+}
+
 TEST_CASE("A request that waits for an owner that stops is reserved at the next owner")
 {
     fixture budgets;
--- a/src/dotterelport/gateway/shard_keeper.cpp
+++ b/src/dotterelport/gateway/shard_keeper.cpp
@@ -71,9 +71,11 @@
 void store_health::record_failure(milliseconds now, milliseconds initial_backoff,
                                   milliseconds max_backoff)
 {
+    // The first retry follows at once, as it takes another path to the store.
     constexpr int max_doublings = 6;
+    const int doublings = std::min(failures - 1, max_doublings);
     retry_at =
-        now + std::min(max_backoff, initial_backoff * (1 << std::min(failures, max_doublings)));
+        failures == 0 ? now : now + std::min(max_backoff, initial_backoff * (1 << doublings));
     ++failures;
 }
 
@@ -211,8 +213,9 @@
     for (auto& account : session_.holder().accounts()) {
         account.waiting_tokens = 0;
     }
-    for (const auto& item : waiting_) {
+    for (auto& item : waiting_) {
         session_.holder().account(item.key.workspace).waiting_tokens += item.upper_tokens;
+        item.is_in_round = true;
     }
 }
 
@@ -340,9 +343,10 @@
             is_exhausted(item->key.workspace, item->upper_tokens)) {
             outcome = reservation_outcome::exhausted;
         }
-        // A complete round has obtained all that the ledger can grant, so further waiting is
-        // useless.
-        if (outcome == reservation_outcome::no_grant && now < item->deadline && !round_complete &&
+        // A complete round has obtained all that the ledger can grant for the requests that it
+        // counted, so further waiting is useless for them.
+        const bool may_wait = !round_complete || !item->is_in_round;
+        if (outcome == reservation_outcome::no_grant && now < item->deadline && may_wait &&
             !health_->is_backing_off(now)) {
             ++item;
             continue;
--- a/src/dotterelport/object_store/store_paths.cpp
+++ b/src/dotterelport/object_store/store_paths.cpp
@@ -1,6 +1,7 @@
 #include "dotterelport/object_store/store_paths.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 #include "dotterelport/object_store/events.hpp"
@@ -67,13 +68,33 @@
     return found == relays_.end() ? nullptr : &*found;
 }
 
-void store_paths::record_result(const net::endpoint& path, bool answered, milliseconds now)
+milliseconds store_paths::timeout(const net::endpoint& path) const
 {
+    const auto& usual_ms = state_of(path).answer_ms;
+    if (!usual_ms) {
+        return settings_.longest_timeout;
+    }
+    const milliseconds wanted{std::llround(*usual_ms * settings_.timeout_factor)};
+    return std::clamp(wanted, settings_.shortest_timeout, settings_.longest_timeout);
+}
+
+void store_paths::record_result(const net::endpoint& path, bool answered, milliseconds now,
+                                std::optional<milliseconds> duration)
+{
+    constexpr double weight = 0.2;
     path_state& state = states_[path];
     const bool was_direct = is_direct();
     if (answered) {
-        state = {};
+        state.failures = 0;
+        state.avoided_until = milliseconds{0};
+        if (duration) {
+            const auto ms = static_cast<double>(duration->count());
+            const double usual_ms = state.answer_ms.value_or(ms);
+            // A slower answer counts at once, so that a store that turns slow is waited for.
+            state.answer_ms = std::max(ms, usual_ms + weight * (ms - usual_ms));
+        }
     } else {
+        state.answer_ms.reset();
         constexpr int max_doublings = 6;
         const auto penalty =
             settings_.first_penalty * (1 << std::min(state.failures, max_doublings));
--- a/src/dotterelport/object_store/store_paths_test.cpp
+++ b/src/dotterelport/object_store/store_paths_test.cpp
@@ -79,6 +79,27 @@
     CHECK(paths.choose(use, 2s) == store_address);
 }
 
+TEST_CASE("The time limit of a call follows the store's usual time within its limits")
+{
+    auto paths = make_paths();
+    CHECK(paths.timeout(store_address) == 600ms);
+    paths.record_result(store_address, true, 1s, 4ms);
+    CHECK(paths.timeout(store_address) == 200ms);
+    CHECK(paths.timeout(near_relay) == 600ms);
+    // A slow answer raises it at once, fast ones lower it again, a watch does not change it.
+    paths.record_result(store_address, true, 2s, 60ms);
+    CHECK(paths.timeout(store_address) == 480ms);
+    paths.record_result(store_address, true, 2s);
+    CHECK(paths.timeout(store_address) == 480ms);
+    for (int i = 0; i < 10; ++i) {
+        paths.record_result(store_address, true, 3s, 4ms);
+    }
+    CHECK(paths.timeout(store_address) == 200ms);
+    // After a failure, the next call may find a store that has turned slow.
+    paths.record_result(store_address, false, 4s);
+    CHECK(paths.timeout(store_address) == 600ms);
+}
+
 TEST_CASE("A removed relay is no longer used")
 {
     auto paths = make_paths();
