--- a/src/dotterelport/gateway/forwarding.cpp
+++ b/src/dotterelport/gateway/forwarding.cpp
@@ -21,17 +21,6 @@
 /// Timeout of routes that set none.
 constexpr milliseconds default_timeout{30'000};
 
-/// A request that may be repeated is cancelled at a server that sends no complete event, or no
-/// answer, within this multiple of the target latency.
-constexpr int stall_factor = 2;
-
-/// Multiple of the longest acceptable pause after which a stream that has begun counts as stalled.
-/// Much longer than the pauses of a loaded server: resuming elsewhere costs a new prefill.
-constexpr int stall_pauses = 4;
-
-/// Shortest pause between two checks for a stalled server.
-constexpr milliseconds min_stall_check{50};
-
 /// Retry-After when the servers refused a request: time after which a busy server is likely to have
 /// free capacity.
 constexpr milliseconds busy_server_retry_after{300};
@@ -44,41 +33,14 @@
 /// grant may cover the request immediately.
 constexpr milliseconds other_gateway_retry_after{50};
 
-/// Maximum size of an answer that is buffered because it is not streamed, and of all of them
-/// together; the smallest VMs have 88 MB for the process.
-constexpr std::size_t max_answer_bytes = 8U << 20U;
-constexpr std::size_t max_buffered_bytes = 32U << 20U;
-
-/// The server of a stream is paused while more bytes than this wait for the caller.
-constexpr std::size_t max_unsent_bytes = 256U << 10U;
-
 constexpr int bad_request = 400;
 constexpr int unauthorized = 401;
 constexpr int payment_required = 402;
 constexpr int not_found = 404;
-constexpr int request_timeout = 408;
-constexpr int misdirected = 421;
-constexpr int too_many_requests = 429;
 constexpr int bad_gateway = 502;
 constexpr int unavailable = 503;
 constexpr int gateway_timeout = 504;
 
-/// @brief Returns whether a status implies that the request has not run.
-bool implies_not_run(int status)
-{
-    return status == request_timeout || status == misdirected || status == too_many_requests ||
-           status == unavailable;
-}
-
-constexpr int first_server_error = 500;
-
-bool is_success(int status)
-{
-    constexpr int first = 200;
-    constexpr int end = 300;
-    return status >= first && status < end;
-}
-
 std::string format_seconds(milliseconds duration)
 {
     std::array<char, 32> text{};
@@ -87,33 +49,6 @@
     return {text.data(), static_cast<std::size_t>(size)};
 }
 
-attempt_end to_attempt_end(net::backend_failure failure)
-{
-    switch (failure) {
-    case net::backend_failure::not_connected:
-        return attempt_end::not_connected;
-    case net::backend_failure::reset:
-        return attempt_end::reset;
-    case net::backend_failure::truncated:
-        return attempt_end::truncated;
-    case net::backend_failure::malformed:
-        return attempt_end::malformed;
-    }
-    return attempt_end::reset;
-}
-
-net::header_list end_to_end_headers(const net::header_list& headers)
-{
-    net::header_list result;
-    result.reserve(headers.size());
-    for (const auto& header : headers) {
-        if (!net::is_hop_by_hop(header.first, headers)) {
-            result.push_back(header);
-        }
-    }
-    return result;
-}
-
 } // namespace
 
 forwarding::forwarding(forwarding_context& context, std::shared_ptr<net::stream_exchange> exchange,
@@ -378,168 +313,6 @@
     return handler;
 }
 
-bool forwarding::received_head(const net::http1_answer_head& head)
-{
-    const auto answer = context_.wire.decode_answer(head);
-    // On a connection that was used before, an answer without an id may be a late copy of an
-    // earlier one.
-    if (answer.id ? *answer.id != request_.id : context_.backends.is_reused(attempt_->exchange)) {
-        return false;
-    }
-    attempt_->head = head;
-    attempt_->answer = answer;
-    attempt_->is_streamed = route_->kind == route_kind::streaming && is_success(head.status);
-    if (answer.load) {
-        context_.placement.record_report(attempt_->server, *answer.load, steady_now());
-    }
-    return true;
-}
-
-void forwarding::received_data(std::string_view data)
-{
-    context_.placement.answered(attempt_->server, attempt_->id, steady_now());
-    if (!attempt_->is_streamed) {
-        buffer_body(data);
-        return;
-    }
-    const std::uint64_t events_before = events_.events();
-    write_events(events_.append(data));
-    if (events_.events() > events_before) {
-        last_progress_ = steady_now();
-    }
-    if (events_.is_overlong()) {
-        context_.backends.cancel(attempt_->exchange);
-        attempt_failed(verdict::may_have_run, attempt_end::malformed);
-        return;
-    }
-    limit_unsent();
-}
-
-void forwarding::buffer_body(std::string_view data)
-{
-    attempt_->body.append(data);
-    context_.buffered_bytes += data.size();
-    if (attempt_->body.size() > max_answer_bytes || context_.buffered_bytes > max_buffered_bytes) {
-        context_.backends.cancel(attempt_->exchange);
-        attempt_failed(verdict::may_have_run, attempt_end::too_large);
-    }
-}
-
-void forwarding::clear_attempt()
-{
-    if (attempt_) {
-        context_.buffered_bytes -= attempt_->body.size();
-        attempt_.reset();
-    }
-}
-
-void forwarding::limit_unsent()
-{
-    if (server_paused_ || exchange_->unsent() <= max_unsent_bytes) {
-        return;
-    }
-    server_paused_ = true;
-    context_.backends.set_paused(attempt_->exchange, true);
-    exchange_->on_drained([self = shared_from_this()] {
-        if (!std::exchange(self->server_paused_, false) || !self->attempt_) {
-            return;
-        }
-        // The pause was the caller's.
-        self->last_progress_ = steady_now();
-        self->context_.backends.set_paused(self->attempt_->exchange, false);
-    });
-}
-
-void forwarding::write_events(std::string_view events)
-{
-    if (events.empty()) {
-        return;
-    }
-    if (!exchange_->is_started()) {
-        first_output_ = steady_now();
-        exchange_->start(attempt_->head->status, end_to_end_headers(attempt_->head->headers));
-    } else {
-        const milliseconds pause = steady_now() - last_output_;
-        if (pause > longest_pause_) {
-            longest_pause_ = pause;
-            longest_pause_began_ = last_output_;
-        }
-    }
-    last_output_ = steady_now();
-    exchange_->write(events);
-}
-
-void forwarding::received_all()
-{
-    const int status = attempt_->head->status;
-    if (attempt_->answer.not_run) {
-        attempt_failed(verdict::not_run, attempt_->answer.replaced ? attempt_end::server_replaced
-                                                                   : attempt_end::server_refused);
-        return;
-    }
-    if (is_success(status) && !attempt_->answer.authentic) {
-        attempt_failed(verdict::may_have_run, attempt_end::unsigned_answer);
-        return;
-    }
-    if (status >= first_server_error && route_->may_repeat() && !exchange_->is_started() &&
-        sends_ < route_->max_attempts && time_left() > milliseconds{0} && retries().try_retry()) {
-        close_attempt(attempt_end::server_error);
-        may_have_run_ = true;
-        clear_attempt();
-        dispatch();
-        return;
-    }
-    if (implies_not_run(status)) {
-        // The server did not state that it has not run the request, so the answer to the caller
-        // must not imply it.
-        attempt_failed(verdict::may_have_run, attempt_end::unclear);
-        return;
-    }
-    complete_answer();
-}
-
-void forwarding::complete_answer()
-{
-    may_have_run_ = true;
-    if (attempt_->is_streamed) {
-        write_events(events_.take_incomplete());
-    }
-    const int status = attempt_->head->status;
-    const milliseconds now = steady_now();
-    context_.counters.record_answer(service_, status,
-                                    first_output_.value_or(now) - exchange_->received(),
-                                    now - exchange_->received());
-    json fields = log_fields();
-    fields["status"] = status;
-    fields["events"] = events_.events();
-    fields["sends"] = sends_;
-    fields["first_output_ms"] = (first_output_.value_or(now) - exchange_->received()).count();
-    if (longest_pause_ > milliseconds{0}) {
-        fields["longest_pause_ms"] = longest_pause_.count();
-        fields["longest_pause_after_ms"] = (longest_pause_began_ - exchange_->received()).count();
-    }
-    log(events::request_answered, fields);
-    if (exchange_->is_started()) {
-        exchange_->finish();
-    } else {
-        exchange_->respond(status, end_to_end_headers(attempt_->head->headers), attempt_->body);
-    }
-    close_attempt(status >= first_server_error ? attempt_end::server_error : attempt_end::answered);
-    finish();
-}
-
-void forwarding::received_failure(net::backend_failure failure)
-{
-    if (failure == net::backend_failure::not_connected) {
-        --sends_;
-        ++failed_connects_;
-        attempt_failed(may_have_run_ ? verdict::may_have_run : verdict::not_run,
-                       attempt_end::not_connected);
-        return;
-    }
-    attempt_failed(verdict::may_have_run, to_attempt_end(failure));
-}
-
 void forwarding::close_attempt(attempt_end end)
 {
     const milliseconds now = steady_now();
@@ -622,50 +395,6 @@
     }
 }
 
-void forwarding::arm_stall_timer()
-{
-    context_.loop.cancel(std::exchange(stall_timer_, 0));
-    if (!route_->may_repeat() || sends_ >= route_->max_attempts ||
-        route_->target_latency <= milliseconds{0}) {
-        return;
-    }
-    last_progress_ = steady_now();
-    check_stall();
-}
-
-milliseconds forwarding::stall_limit() const
-{
-    const milliseconds first_event = route_->target_latency * stall_factor;
-    return events_.events() > attempt_->events_before
-               ? std::max(first_event, catalogue_->pause_limit() * stall_pauses)
-               : first_event;
-}
-
-void forwarding::check_stall()
-{
-    const milliseconds remaining = last_progress_ + stall_limit() - steady_now();
-    if (remaining <= milliseconds{0} && !server_paused_) {
-        stalled();
-        return;
-    }
-    stall_timer_ = context_.loop.schedule(
-        std::max(remaining, min_stall_check), [self = shared_from_this(), id = attempt_->id] {
-            self->stall_timer_ = 0;
-            if (!self->finished_ && self->attempt_ && self->attempt_->id == id) {
-                self->check_stall();
-            }
-        });
-}
-
-void forwarding::stalled()
-{
-    if (context_.servers.available(service_).size() <= tried_servers_.size()) {
-        return;
-    }
-    context_.backends.cancel(attempt_->exchange);
-    attempt_failed(verdict::may_have_run, attempt_end::stalled);
-}
-
 void forwarding::deadline_expired()
 {
     context_.loop.cancel(std::exchange(deadline_timer_, 0));
@@ -717,12 +446,6 @@
     finish();
 }
 
-tokens forwarding::delivered_tokens() const
-{
-    return std::min(request_.max_output_tokens,
-                    static_cast<tokens>(events_.events()) * tokens_per_event_);
-}
-
 void forwarding::settle()
 {
     if (!has_reservation_) {
