--- a/src/dotterelport/gateway/shard_keeper.cpp
+++ b/src/dotterelport/gateway/shard_keeper.cpp
@@ -36,7 +36,7 @@
     result.trouble_factor = 0;
     result.reserve_requests = 0.5;
     result.largest_share = 0.3;
-    result.least_prepaid_fraction = 0.01;
+    result.least_prepaid_fraction = 0.003;
     result.near_end_fraction = 1.0;
     result.least_factor = 0.1;
     result.assumed_request = 10'000;
@@ -45,7 +45,7 @@
     result.idle_limit = milliseconds{3'000};
     result.demand_memory = milliseconds{8'000};
     result.grow_below = 0.4;
-    result.shrink_above = 3.0;
+    result.shrink_above = 1.5;
     return result;
 }
 
