--- a/include/dotterelport/gateway/events.hpp
+++ b/include/dotterelport/gateway/events.hpp
@@ -64,6 +64,15 @@
     933, severity::warning, "reservation_left_behind",
     "Another gateway did not settle its reservation in time; the upper bound is charged."};
 
+inline constexpr log_event owner_silent{
+    935, severity::info, "owner_silent",
+    "The owner of a ledger shard did not answer in time; this gateway reserves under its own "
+    "grants, "
+    "and another gateway is asked until the owner is considered reachable again."};
+inline constexpr log_event feed_role_changed{
+    936, severity::info, "feed_role_changed",
+    "The gateway begins or stops to watch a kind of objects for its group."};
+
 inline constexpr log_event ledger_step{
     934, severity::info, "ledger_step",
     "The budget ledger or a bill is read or written; grants change once the write is confirmed."};
--- a/include/dotterelport/gateway/feed_exchange.hpp
+++ b/include/dotterelport/gateway/feed_exchange.hpp
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <map>
+#include <set>
 #include <string>
 
 #include "dotterelport/base/json.hpp"
@@ -38,7 +39,11 @@
     /// @brief Returns whether this gateway watches a kind of objects.
     [[nodiscard]] bool is_watcher(const std::string& kind) const;
 
+    /// @brief Role, revision and age of each feed, for /dump.
+    [[nodiscard]] json dump() const;
+
 private:
+    void log_roles();
     void confirm();
     void publish(const std::string& kind, const object_store::shared_changes& changes);
     void receive_state(const peer_message& message);
@@ -47,6 +52,8 @@
     peer_link& link_;
     feed_exchange_settings settings_;
     std::map<std::string, object_store::object_feed*> feeds_;
+    /// Kinds that this gateway watches, as last logged.
+    std::set<std::string> watched_kinds_;
     net::periodic_timer timer_;
 };
 
--- a/src/dotterelport/ctl/event_catalogue.cpp
+++ b/src/dotterelport/ctl/event_catalogue.cpp
@@ -105,6 +105,8 @@
         gateway::ledger_unavailable,
         gateway::ledger_read,
         gateway::settlement_lost,
+        gateway::owner_silent,
+        gateway::feed_role_changed,
         gateway::reservation_left_behind,
         gateway::ledger_step,
         store::feed_lost,
--- a/src/dotterelport/gateway/budget_broker.cpp
+++ b/src/dotterelport/gateway/budget_broker.cpp
@@ -98,6 +98,7 @@
         item.owner_waits ? settings_.waiting_owner_timeout : settings_.owner_timeout;
     if (steady_now() - item.requested_at >= timeout) {
         if (!item.owner_waits) {
+            log(events::owner_silent, {{"owner", item.owner}, {"workspace", item.workspace}});
             link_.mark_silent(item.owner);
         }
         // The owner may have reserved the tokens; the settlement releases them.
--- a/src/dotterelport/gateway/feed_exchange.cpp
+++ b/src/dotterelport/gateway/feed_exchange.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "dotterelport/base/hash.hpp"
+#include "dotterelport/gateway/events.hpp"
 
 namespace dotterelport::gateway {
 namespace {
@@ -85,8 +86,38 @@
     return static_cast<std::size_t>(higher) < settings_.watchers;
 }
 
+void feed_exchange::log_roles()
+{
+    for (const auto& [kind, feed] : feeds_) {
+        const bool watches = is_watcher(kind);
+        if (watches != watched_kinds_.contains(kind)) {
+            log(events::feed_role_changed, {{"kind", kind},
+                                            {"watches", watches},
+                                            {"live_gateways", link_.live_peers().size() + 1}});
+            if (watches) {
+                watched_kinds_.insert(kind);
+            } else {
+                watched_kinds_.erase(kind);
+            }
+        }
+    }
+}
+
+json feed_exchange::dump() const
+{
+    json result = json::object();
+    for (const auto& [kind, feed] : feeds_) {
+        const auto confirmation = feed->confirmation();
+        result[kind] = {{"watches", is_watcher(kind)},
+                        {"revision", confirmation ? json(confirmation->revision) : json()},
+                        {"confirmed_ms_ago", feed->age().count()}};
+    }
+    return result;
+}
+
 void feed_exchange::confirm()
 {
+    log_roles();
     if (link_.is_leaving() || link_.group_size() + 1 < settings_.min_group_size) {
         return;
     }
--- a/src/dotterelport/gateway/gateway.cpp
+++ b/src/dotterelport/gateway/gateway.cpp
@@ -328,6 +328,7 @@
             {"servers", state_->servers.dump()},
             {"placement", state_->placement.dump(steady_now())},
             {"peers", state_->link.dump()},
+            {"feeds", state_->feeds.dump()},
             {"reservations", state_->broker.dump()},
             {"budgets", state_->budgets.dump()}};
 }
