--- a/include/dotterelport/gateway/event_stream.hpp
+++ b/include/dotterelport/gateway/event_stream.hpp
@@ -29,6 +29,9 @@
     /// @brief Removes and returns the bytes after the last complete event.
     [[nodiscard]] std::string take_incomplete();
 
+    /// @brief Number of bytes received after the last complete event.
+    [[nodiscard]] std::size_t incomplete_bytes() const { return partial_.size(); }
+
     /// @brief Number of events passed on so far, without those that have only comments.
     [[nodiscard]] std::uint64_t events() const { return events_; }
 
--- a/include/dotterelport/net/http1.hpp
+++ b/include/dotterelport/net/http1.hpp
@@ -66,6 +66,9 @@
 /// How the end of a body is determined.
 using body_framing = std::variant<length_framing, chunked_framing, close_framing>;
 
+/// @brief Name of a framing for logs.
+std::string_view to_string(const body_framing& framing);
+
 /// @brief Framing of a request's body.
 /// @return nothing if the headers contradict each other or name an unknown transfer coding; such a
 /// request could hide a second request in its body (request smuggling)
--- a/src/dotterelport/gateway/forwarding.cpp
+++ b/src/dotterelport/gateway/forwarding.cpp
@@ -368,6 +368,7 @@
     fields["sends"] = sends_;
     fields["decision"] = to_string(decision);
     fields["status"] = attempt_ && attempt_->head ? attempt_->head->status : 0;
+    add_answer_fields(fields);
     log(events::attempt_ended, fields);
     if (attempt_) {
         close_attempt(end);
--- a/src/dotterelport/gateway/forwarding.hpp
+++ b/src/dotterelport/gateway/forwarding.hpp
@@ -69,6 +69,8 @@
         net::exchange_id exchange = 0;
         milliseconds sent{0};
         std::optional<net::http1_answer_head> head;
+        /// How the end of the answer's body is determined.
+        net::body_framing framing;
         backend_answer answer;
         /// Body of an answer that is buffered until it is complete.
         std::string body;
@@ -121,6 +123,8 @@
     [[nodiscard]] tokens delivered_tokens() const;
     [[nodiscard]] routing::placement_request placement_request() const;
     [[nodiscard]] json log_fields() const;
+    /// @brief Adds how the answer of the attempt was framed and what it lacks.
+    void add_answer_fields(json& fields) const;
 
     forwarding_context& context_;
     std::shared_ptr<net::stream_exchange> exchange_;
--- a/src/dotterelport/gateway/forwarding_answer.cpp
+++ b/src/dotterelport/gateway/forwarding_answer.cpp
@@ -83,6 +83,8 @@
         return false;
     }
     attempt_->head = head;
+    attempt_->framing = net::answer_framing(head, exchange_->head().method)
+                            .value_or(net::body_framing{net::close_framing{}});
     attempt_->answer = answer;
     attempt_->is_streamed = route_->kind == route_kind::streaming && is_success(head.status);
     if (answer.load) {
@@ -194,9 +196,22 @@
     complete_answer();
 }
 
+void forwarding::add_answer_fields(json& fields) const
+{
+    if (!attempt_ || !attempt_->head) {
+        return;
+    }
+    fields["framing"] = net::to_string(attempt_->framing);
+    if (attempt_->is_streamed) {
+        fields["incomplete_event_bytes"] = events_.incomplete_bytes();
+    }
+}
+
 void forwarding::complete_answer()
 {
     may_have_run_ = true;
+    json fields = log_fields();
+    add_answer_fields(fields);
     if (attempt_->is_streamed) {
         write_events(events_.take_incomplete());
     }
@@ -205,7 +220,6 @@
     context_.counters.record_answer(service_, status,
                                     first_output_.value_or(now) - exchange_->received(),
                                     now - exchange_->received());
-    json fields = log_fields();
     fields["status"] = status;
     fields["events"] = events_.events();
     fields["sends"] = sends_;
--- a/src/dotterelport/net/http1.cpp
+++ b/src/dotterelport/net/http1.cpp
@@ -170,6 +170,12 @@
         .size = static_cast<std::size_t>(size)};
 }
 
+std::string_view to_string(const body_framing& framing)
+{
+    constexpr std::array<std::string_view, 3> names{"length", "chunked", "close"};
+    return names[framing.index()];
+}
+
 std::optional<body_framing> request_framing(const http1_request_head& head)
 {
     const header_framing declared = read_framing(head.headers);
