Treat a stream that ends inside an event as broken off

Cause: the end of the connection completes an answer without length and chunks, and the gateway passed on whatever followed the last complete event as the end of the stream. Whether the events themselves were complete was never checked, in any framing. Change: when the framing says that an answer is complete, its events decide: bytes after the last blank line, other than comments and blank lines, mean that it was broken off. So does an answer with close framing without a single event. The attempt then ends as truncated, which resumes the stream elsewhere if it may be, aborts it if it has begun, and is a 502 otherwise. Events in an answer that is buffered are checked in the same way. Conclusion: the framing of HTTP alone cannot show that a stream is complete.

--- a/include/dotterelport/gateway/event_stream.hpp
+++ b/include/dotterelport/gateway/event_stream.hpp
@@ -7,6 +7,8 @@
 #include <string>
 #include <string_view>
 
+#include "dotterelport/net/line_splitter.hpp"
+
 namespace dotterelport::gateway {
 
 /// Splits a stream of server-sent events into complete events. When the stream is resumed at
@@ -29,6 +31,9 @@
     /// @brief Removes and returns the bytes after the last complete event.
     [[nodiscard]] std::string take_incomplete();
 
+    /// @brief Returns whether the received bytes end inside an event.
+    [[nodiscard]] bool ends_inside_event() const { return net::ends_inside_event(partial_); }
+
     /// @brief Number of bytes received after the last complete event.
     [[nodiscard]] std::size_t incomplete_bytes() const { return partial_.size(); }
 
--- a/include/dotterelport/net/line_splitter.hpp
+++ b/include/dotterelport/net/line_splitter.hpp
@@ -39,6 +39,10 @@
     line_splitter splitter_;
 };
 
+/// @brief Returns whether server-sent events end before the blank line that ends the last event, so
+/// that the stream was broken off. Comments between events belong to none.
+bool ends_inside_event(std::string_view stream);
+
 /// @brief Formats one server-sent event.
 std::string format_sse(std::string_view data);
 
--- a/src/dotterelport/gateway/forwarding.hpp
+++ b/src/dotterelport/gateway/forwarding.hpp
@@ -75,6 +75,7 @@
         /// Body of an answer that is buffered until it is complete.
         std::string body;
         bool is_streamed = false;
+        bool has_body = false;
         std::uint64_t events_before = 0;
     };
 
@@ -96,6 +97,8 @@
     void clear_attempt();
     /// @brief Pauses the server while the caller reads more slowly than the server sends.
     void limit_unsent();
+    /// @brief Returns whether the answer, whose framing is complete, lacks a part of its events.
+    [[nodiscard]] bool ends_early() const;
     void complete_answer();
     /// @brief Ends the attempt and decides what to do next.
     void attempt_failed(verdict outcome, attempt_end end);
--- a/src/dotterelport/gateway/forwarding_answer.cpp
+++ b/src/dotterelport/gateway/forwarding_answer.cpp
@@ -60,6 +60,13 @@
     return attempt_end::reset;
 }
 
+bool is_event_stream(std::string_view content_type)
+{
+    constexpr std::string_view event_stream_type = "text/event-stream";
+    return net::equals_ignoring_case(content_type.substr(0, event_stream_type.size()),
+                                     event_stream_type);
+}
+
 net::header_list end_to_end_headers(const net::header_list& headers)
 {
     net::header_list result;
@@ -96,6 +103,7 @@
 void forwarding::received_data(std::string_view data)
 {
     context_.placement.answered(attempt_->server, attempt_->id, steady_now());
+    attempt_->has_body = true;
     if (!attempt_->is_streamed) {
         buffer_body(data);
         return;
@@ -193,9 +201,29 @@
         attempt_failed(verdict::may_have_run, attempt_end::unclear);
         return;
     }
+    if (ends_early()) {
+        attempt_failed(verdict::may_have_run, attempt_end::truncated);
+        return;
+    }
     complete_answer();
 }
 
+bool forwarding::ends_early() const
+{
+    const auto content_type = net::find_header(attempt_->head->headers, "content-type");
+    if (content_type ? !is_event_stream(*content_type) : !attempt_->is_streamed) {
+        return false;
+    }
+    if (!attempt_->is_streamed) {
+        return net::ends_inside_event(attempt_->body);
+    }
+    // The end of a connection does not tell an empty stream from one that broke off before its
+    // first event.
+    const bool is_empty = events_.events() == 0 || !attempt_->has_body;
+    return events_.ends_inside_event() ||
+           (is_empty && std::holds_alternative<net::close_framing>(attempt_->framing));
+}
+
 void forwarding::add_answer_fields(json& fields) const
 {
     if (!attempt_ || !attempt_->head) {
--- a/src/dotterelport/net/line_splitter.cpp
+++ b/src/dotterelport/net/line_splitter.cpp
@@ -51,6 +51,25 @@
     data_.append(line);
 }
 
+bool ends_inside_event(std::string_view stream)
+{
+    bool inside = false;
+    while (!stream.empty()) {
+        const auto end = stream.find('\n');
+        std::string_view line = stream.substr(0, end);
+        if (!line.empty() && line.back() == '\r') {
+            line.remove_suffix(1);
+        }
+        if (end == std::string_view::npos) {
+            return inside || !line.empty();
+        }
+        stream.remove_prefix(end + 1);
+        const bool is_comment = !line.empty() && line.front() == ':';
+        inside = !line.empty() && (inside || !is_comment);
+    }
+    return inside;
+}
+
 std::string format_sse(std::string_view data)
 {
     std::string event = "data: ";
