Fail a call whose connection ends while an answer to another request is skipped

Cause: an answer with another id and close framing, such as a late second copy on a kept connection, is skipped. When the server then closed the connection, its end completed the skipped answer, and the call was reported as complete although no head had been passed on. The gateway then read the head that did not exist. Change: the end of the connection completes only the call's own answer; otherwise the call fails as truncated. The test of the gateway passed by chance before, since the bytes of an absent head are undefined.

--- a/src/dotterelport/net/backend_client.cpp
+++ b/src/dotterelport/net/backend_client.cpp
@@ -273,7 +273,8 @@
             drop(transport);
             return;
         }
-        if (end == stream_end::finished && call->body) {
+        // The end of an answer to another request leaves the call without an answer of its own.
+        if (end == stream_end::finished && call->body && !call->skipping) {
             call->body->finish();
             if (call->body->progress() == body_decoder::state::complete) {
                 call->must_close = true;
--- a/src/dotterelport/net/backend_client_test.cpp
+++ b/src/dotterelport/net/backend_client_test.cpp
@@ -163,6 +163,21 @@
     CHECK(net.client.statistics().connections_opened == 2);
 }
 
+TEST_CASE("The end of the connection does not complete a call whose own answer has not begun")
+{
+    const std::string other =
+        GENERATE(as<std::string>(), "HTTP/1.1 200 OK\r\nId: old\r\n\r\nold",
+                 "HTTP/1.1 200 OK\r\nId: old\r\nConnection: close\r\n\r\n",
+                 "HTTP/1.1 200 OK\r\nId: old\r\nContent-Length: 3\r\n\r\nold",
+                 "HTTP/1.1 102 Processing\r\n\r\n");
+    fixture net;
+    net.answer = other;
+    net.close_after_answer = true;
+    net.call("new");
+    CHECK_FALSE(net.complete);
+    CHECK(net.failure == backend_failure::truncated);
+}
+
 TEST_CASE("A server that sends heads or answers to other requests without end is given up")
 {
     const std::string repeated =
