Read every answer of the processes' HTTP client with backend_client

Callers could see: an application's answer that was cut off, passed on by the agent as whole; the same for answers to calls between processes and to the store. Cause: http_client used h2o's client, which reports the end of an answer with close framing also when the connection was reset, and takes an answer in chunks as complete when the connection closes after a chunk, without the last one. Change: http_client is a layer over backend_client, which only the gateway used. It keeps its interface and its limits; an idle connection is now reused only if it is open and has no unread bytes, which h2o's pool checked before, and backend_client cancels its timers when it is destroyed, as it may end before its loop.

--- a/include/dotterelport/net/http_client.hpp
+++ b/include/dotterelport/net/http_client.hpp
@@ -67,7 +67,8 @@
 /// Identifies an exchange in progress; 0 is never used.
 using exchange_id = std::uint64_t;
 
-/// HTTP/1.1 client on the event loop, with a pool of kept-alive connections for each endpoint.
+/// HTTP/1.1 client for processes that read an answer as a whole or in parts. Uses backend_client,
+/// so that an answer is complete under the same conditions everywhere.
 class http_client {
 public:
     explicit http_client(event_loop& loop, address_overrides overrides = {});
@@ -89,9 +90,9 @@
     /// @brief Number of exchanges in progress.
     [[nodiscard]] std::size_t exchanges_in_progress() const;
 
+private:
     struct impl;
 
-private:
     std::unique_ptr<impl> impl_;
 };
 
--- a/src/dotterelport/net/backend_client.cpp
+++ b/src/dotterelport/net/backend_client.cpp
@@ -120,6 +120,18 @@
 
     explicit impl(event_loop& event_loop) : loop(event_loop) {}
 
+    ~impl()
+    {
+        for (const auto& [to, kept] : idle) {
+            for (const auto& transport : kept) {
+                loop.cancel(transport->timer);
+            }
+        }
+    }
+
+    impl(const impl&) = delete;
+    impl& operator=(const impl&) = delete;
+
     std::shared_ptr<call_state> find(exchange_id id) const
     {
         const auto found = calls.find(id);
@@ -188,7 +200,8 @@
             auto kept = std::move(found->second.back());
             found->second.pop_back();
             loop.cancel(std::exchange(kept->timer, 0));
-            if (now - kept->idle_since <= std::min(max_idle, kept->idle_limit)) {
+            if (now - kept->idle_since <= std::min(max_idle, kept->idle_limit) &&
+                kept->socket->is_quiet()) {
                 return kept;
             }
             close(kept);
--- a/src/dotterelport/net/backend_client_test.cpp
+++ b/src/dotterelport/net/backend_client_test.cpp
@@ -165,11 +165,10 @@
 
 TEST_CASE("The end of the connection does not complete a call whose own answer has not begun")
 {
-    const std::string other =
-        GENERATE(as<std::string>(), "HTTP/1.1 200 OK\r\nId: old\r\n\r\nold",
-                 "HTTP/1.1 200 OK\r\nId: old\r\nConnection: close\r\n\r\n",
-                 "HTTP/1.1 200 OK\r\nId: old\r\nContent-Length: 3\r\n\r\nold",
-                 "HTTP/1.1 102 Processing\r\n\r\n");
+    const std::string other = GENERATE(as<std::string>(), "HTTP/1.1 200 OK\r\nId: old\r\n\r\nold",
+                                       "HTTP/1.1 200 OK\r\nId: old\r\nConnection: close\r\n\r\n",
+                                       "HTTP/1.1 200 OK\r\nId: old\r\nContent-Length: 3\r\n\r\nold",
+                                       "HTTP/1.1 102 Processing\r\n\r\n");
     fixture net;
     net.answer = other;
     net.close_after_answer = true;
--- a/src/dotterelport/net/net_test.cpp
+++ b/src/dotterelport/net/net_test.cpp
@@ -11,6 +11,7 @@
 #include "dotterelport/net/http_server.hpp"
 #include "dotterelport/net/line_splitter.hpp"
 #include "dotterelport/net/rpc.hpp"
+#include "dotterelport/net/tcp_connection.hpp"
 
 namespace dotterelport::net {
 namespace {
@@ -130,6 +131,53 @@
     CHECK(answer.stage == stage);
 }
 
+/// Answers each connection with given bytes and then ends it, normally or by a reset.
+struct ending_server {
+    event_loop& loop;
+    std::string answer;
+    bool by_reset;
+    std::vector<std::unique_ptr<tcp_connection>> connections;
+    tcp_listener listener;
+
+    ending_server(event_loop& event_loop, std::string bytes, bool reset)
+        : loop(event_loop), answer(std::move(bytes)), by_reset(reset),
+          listener(loop, {"127.0.0.1", 0}, [this](auto connection) {
+              auto* raw = connection.get();
+              connections.push_back(std::move(connection));
+              raw->start({.on_input = [this, raw] { raw->write(answer); },
+                          .on_end = [](stream_end /*end*/) {}});
+              // A reset would discard bytes that the client has not received yet.
+              loop.schedule(milliseconds{60}, [this, raw] {
+                  raw->consume(raw->input().size());
+                  if (by_reset) {
+                      raw->reset_on_close();
+                  }
+                  connections.clear();
+              });
+          })
+    {}
+};
+
+TEST_CASE("Only the normal end of a connection completes an answer that it delimits")
+{
+    const auto [answer, by_reset, is_complete] = GENERATE(table<std::string, bool, bool>({
+        {"HTTP/1.1 200 OK\r\n\r\n{\"a\":1}", false, true},
+        {"HTTP/1.1 200 OK\r\n\r\n{\"a\":1}", true, false},
+        {"HTTP/1.0 200 OK\r\n\r\n{\"a\":1}", true, false},
+        {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{\"a\":1}", false, false},
+        {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{\"a\":1}", true, false},
+        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n7\r\n{\"a\":1}\r\n", false, false},
+        {"HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\n{\"a\":1}", true, true},
+    }));
+    CAPTURE(answer, by_reset);
+    fixture net;
+    const ending_server server(net.loop, answer, by_reset);
+    const auto received = net.fetch({.to = server.listener.address()});
+    CHECK(received.failed() != is_complete);
+    CHECK((received.failed() ? received.stage == failure_stage::answering
+                             : received.body == "{\"a\":1}"));
+}
+
 // Guards against a loop that waits for sockets while a write of an exchange is pending. The server
 // has its own loop, as its events would otherwise wake up the client's.
 TEST_CASE("Exchanges on a kept-alive connection do not wait for the loop's next timer")
