Pass a reset of the store's connection on through the relay

Callers could see: an answer of the store that was broken off, as complete, when it came through the relay. Cause: the relay ended the router's connection with a normal close in all cases: when the store reset its own, and when the relay itself ended. An answer with close framing is complete then. Change: the router's connection is reset on close, also when the process dies, until the store has closed normally and all its bytes are sent.

--- a/include/dotterelport/net/tcp_connection.hpp
+++ b/include/dotterelport/net/tcp_connection.hpp
@@ -72,9 +72,9 @@
     /// @brief Limits the time for which sent bytes may stay unacknowledged.
     void limit_unacknowledged(milliseconds limit);
 
-    /// @brief Makes the destructor reset the connection, so that the peer does not mistake the end
-    /// for a normal close.
-    void reset_on_close();
+    /// @brief Sets whether the connection is reset when it is destroyed, or when the process ends,
+    /// so that the peer does not mistake its end for a normal close.
+    void reset_on_close(bool enabled = true);
 
 private:
     struct impl;
--- a/src/dotterelport/net/tcp_connection.cpp
+++ b/src/dotterelport/net/tcp_connection.cpp
@@ -146,9 +146,9 @@
                  sizeof(limit_ms));
 }
 
-void tcp_connection::reset_on_close()
+void tcp_connection::reset_on_close(bool enabled)
 {
-    const linger no_linger{.l_onoff = 1, .l_linger = 0};
+    const linger no_linger{.l_onoff = enabled ? 1 : 0, .l_linger = 0};
     ::setsockopt(h2o_socket_get_fd(socket_), SOL_SOCKET, SO_LINGER, &no_linger, sizeof(no_linger));
 }
 
--- a/src/dotterelport/object_store/store_relay.cpp
+++ b/src/dotterelport/object_store/store_relay.cpp
@@ -32,16 +32,12 @@
     const std::uint64_t id = ++last_id_;
     auto item = std::make_shared<connection_pair>();
     item->router = std::move(connection);
+    // Unless the store closes its connection normally, an answer that ends with it is not complete.
+    item->router->reset_on_close();
     pairs_.emplace(id, item);
     item->router->start({.on_input = [this, id] { forward(id, true); },
                          .on_end = [this, id](net::stream_end /*end*/) { close(id); },
-                         .on_drained =
-                             [this, id] {
-                                 const auto found = pairs_.find(id);
-                                 if (found != pairs_.end() && found->second->store_closed) {
-                                     close(id);
-                                 }
-                             }});
+                         .on_drained = [this, id] { finish_if_sent(id); }});
     item->connector = std::make_unique<net::tcp_connector>(
         loop_, options_.store, options_.connect_timeout,
         [this, id](std::unique_ptr<net::tcp_connection> opened) {
@@ -68,11 +64,12 @@
                                 if (ended == pairs_.end()) {
                                     return;
                                 }
-                                ended->second->store_closed = true;
-                                if (end == net::stream_end::reset ||
-                                    ended->second->router->unsent() == 0) {
+                                if (end == net::stream_end::reset) {
                                     close(id);
+                                    return;
                                 }
+                                ended->second->store_closed = true;
+                                finish_if_sent(id);
                             }});
     forward(id, true);
 }
@@ -90,6 +87,17 @@
     from.consume(from.input().size());
 }
 
+void store_relay::finish_if_sent(std::uint64_t id)
+{
+    const auto found = pairs_.find(id);
+    if (found == pairs_.end() || !found->second->store_closed ||
+        found->second->router->unsent() > 0) {
+        return;
+    }
+    found->second->router->reset_on_close(false);
+    close(id);
+}
+
 void store_relay::close(std::uint64_t id)
 {
     const auto found = pairs_.find(id);
--- a/src/dotterelport/object_store/store_relay_test.cpp
+++ b/src/dotterelport/object_store/store_relay_test.cpp
@@ -7,6 +7,7 @@
 
 #include "dotterelport/net/http_client.hpp"
 #include "dotterelport/net/http_server.hpp"
+#include "dotterelport/net/tcp_connection.hpp"
 #include "dotterelport/object_store/store_relay.hpp"
 
 namespace dotterelport::object_store {
@@ -67,6 +68,45 @@
     CHECK(run.relay->connection_count() == 0);
 }
 
+/// A store that begins an answer whose end is the end of its connection.
+struct unframed_store {
+    std::vector<std::unique_ptr<net::tcp_connection>> connections;
+    net::tcp_listener listener;
+
+    explicit unframed_store(net::event_loop& loop)
+        : listener(loop, {"127.0.0.1", 0}, [this](auto connection) {
+              auto* raw = connection.get();
+              connections.push_back(std::move(connection));
+              raw->start({.on_input =
+                              [raw] {
+                                  raw->consume(raw->input().size());
+                                  raw->write("HTTP/1.1 200 OK\r\n\r\n{\"items\":[]}");
+                              },
+                          .on_end = [](net::stream_end /*end*/) {}});
+          })
+    {}
+};
+
+TEST_CASE(
+    "An answer that ends with its connection is complete behind the relay only if it was before")
+{
+    enum class ending { store_closes, store_resets, relay_ends };
+    const auto end = GENERATE(ending::store_closes, ending::store_resets, ending::relay_ends);
+    fixture run;
+    unframed_store store(run.loop);
+    run.relay->set_store(store.listener.address());
+    run.loop.schedule(100ms, [&] {
+        REQUIRE(store.connections.size() == 1);
+        if (end == ending::relay_ends) {
+            run.relay.reset();
+            return;
+        }
+        store.connections[0]->reset_on_close(end == ending::store_resets);
+        store.connections.clear();
+    });
+    CHECK(run.call("x").failed() == (end != ending::store_closes));
+}
+
 TEST_CASE("Connections beyond the limit are closed")
 {
     fixture run(0);
