Detect a reset that a write received first

Callers could see: an answer with close framing whose connection was reset while the request was still being sent, as complete. Cause: the kernel reports a reset once. If the write of the request received it, the following read returned the end of the stream like a normal close, and a normal close completes such an answer. Change: tcp_connection reports a reset if a write has failed, or if a write is in progress and the kernel has closed the connection.

--- a/include/dotterelport/net/tcp_connection.hpp
+++ b/include/dotterelport/net/tcp_connection.hpp
@@ -81,6 +81,7 @@
 
     void read(const char* failure);
     void written(const char* failure);
+    [[nodiscard]] bool was_reset(const char* failure) const;
     void send_pending();
 
     st_h2o_socket_t* socket_;
@@ -88,6 +89,7 @@
     std::string in_flight_;
     std::string pending_;
     bool ended_ = false;
+    bool write_failed_ = false;
 };
 
 /// An attempt to connect. Destroying the connector cancels the attempt.
--- a/src/dotterelport/net/backend_client_test.cpp
+++ b/src/dotterelport/net/backend_client_test.cpp
@@ -150,6 +150,39 @@
     CHECK_FALSE(net.complete);
 }
 
+TEST_CASE("A reset that a write detects first does not complete an answer without a length")
+{
+    fixture net;
+    net.answer = "HTTP/1.1 200 OK\r\n\r\npart";
+    // More than the buffers of a connection that its server does not read.
+    constexpr std::size_t request_size = 64U << 20U;
+    tcp_listener unread(net.loop, {"127.0.0.1", 0}, [&](auto connection) {
+        connection->write(net.answer);
+        net.connections.push_back(std::move(connection));
+    });
+    net.loop.schedule(200ms, [&] {
+        REQUIRE(net.connections.size() == 1);
+        net.connections[0]->reset_on_close();
+        net.connections.clear();
+    });
+    net.client.start({.to = unread.address(), .bytes = std::string(request_size, 'x')},
+                     {.on_head = [](const http1_answer_head&) { return true; },
+                      .on_data = [](std::string_view) {},
+                      .on_complete =
+                          [&] {
+                              net.complete = true;
+                              net.loop.stop();
+                          },
+                      .on_failure =
+                          [&](backend_failure reason) {
+                              net.failure = reason;
+                              net.loop.stop();
+                          }});
+    net.loop.run_for(test_limit);
+    CHECK_FALSE(net.complete);
+    CHECK(net.failure == backend_failure::reset);
+}
+
 TEST_CASE("An answer to another request is skipped")
 {
     fixture net;
--- a/src/dotterelport/net/tcp_connection.cpp
+++ b/src/dotterelport/net/tcp_connection.cpp
@@ -26,6 +26,15 @@
     return ::recv(descriptor, &next, sizeof(next), MSG_PEEK | MSG_DONTWAIT);
 }
 
+/// @brief Returns whether neither direction of a connection is open, as after a reset.
+bool is_connection_closed(int descriptor)
+{
+    tcp_info info{};
+    socklen_t size = sizeof(info);
+    return ::getsockopt(descriptor, IPPROTO_TCP, TCP_INFO, &info, &size) == 0 &&
+           info.tcpi_state == TCP_CLOSE;
+}
+
 } // namespace
 
 struct tcp_connection::impl {
@@ -90,9 +99,18 @@
     }
     ended_ = true;
     pause_reading();
+    functions_.on_end(was_reset(failure) ? stream_end::reset : stream_end::finished);
+}
+
+bool tcp_connection::was_reset(const char* failure) const
+{
     // h2o reports a normal close and a socket error by different constants.
-    functions_.on_end(failure == h2o_socket_error_closed ? stream_end::finished
-                                                         : stream_end::reset);
+    if (failure != h2o_socket_error_closed || write_failed_) {
+        return true;
+    }
+    // The kernel reports a reset once. If a write received it, whose callback may still follow, the
+    // next read looks like a normal close.
+    return !in_flight_.empty() && is_connection_closed(h2o_socket_get_fd(socket_));
 }
 
 void tcp_connection::write(std::string_view bytes)
@@ -119,6 +137,7 @@
     in_flight_.clear();
     if (failure != nullptr) {
         // The read side also detects the end of the connection and reports it.
+        write_failed_ = true;
         pending_.clear();
         return;
     }
