Treat an application's events that end inside an event as broken off

Callers could see: an application's stream, passed on by its agent as whole, whose last event is cut off. Change: the agent checks the events of an answer of type text/event-stream before it passes it on; the run then ends as crashed, like any other answer that ended early. The check is shared with the gateway.

--- a/include/dotterelport/net/line_splitter.hpp
+++ b/include/dotterelport/net/line_splitter.hpp
@@ -39,6 +39,9 @@
     line_splitter splitter_;
 };
 
+/// @brief Returns whether a Content-Type is that of server-sent events.
+bool is_event_stream(std::string_view content_type);
+
 /// @brief Returns whether server-sent events end before the blank line that ends the last event, so
 /// that the stream was broken off. Comments between events belong to none.
 bool ends_inside_event(std::string_view stream);
--- a/src/dotterelport/agent/answer_reader.cpp
+++ b/src/dotterelport/agent/answer_reader.cpp
@@ -121,6 +121,10 @@
         return backend_result{verdict::ran, request::failure_reason::backend_error,
                               "the answer is too large", std::nullopt};
     }
+    const std::string content_type = headers_.value("content-type", "");
+    if (net::is_event_stream(content_type) && net::ends_inside_event(body_)) {
+        return std::nullopt;
+    }
     on_chunk_({{"status", status_}, {"headers", headers_}, {"body", body_}});
     return backend_result{};
 }
--- a/src/dotterelport/gateway/forwarding_answer.cpp
+++ b/src/dotterelport/gateway/forwarding_answer.cpp
@@ -60,13 +60,6 @@
     return attempt_end::reset;
 }
 
-bool is_event_stream(std::string_view content_type)
-{
-    constexpr std::string_view event_stream_type = "text/event-stream";
-    return net::equals_ignoring_case(content_type.substr(0, event_stream_type.size()),
-                                     event_stream_type);
-}
-
 net::header_list end_to_end_headers(const net::header_list& headers)
 {
     net::header_list result;
@@ -211,7 +204,7 @@
 bool forwarding::ends_early() const
 {
     const auto content_type = net::find_header(attempt_->head->headers, "content-type");
-    if (content_type ? !is_event_stream(*content_type) : !attempt_->is_streamed) {
+    if (content_type ? !net::is_event_stream(*content_type) : !attempt_->is_streamed) {
         return false;
     }
     if (!attempt_->is_streamed) {
--- a/src/dotterelport/net/line_splitter.cpp
+++ b/src/dotterelport/net/line_splitter.cpp
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "dotterelport/net/http1.hpp"
+
 namespace dotterelport::net {
 
 line_splitter::line_splitter(std::function<void(std::string_view)> on_line)
@@ -51,6 +53,13 @@
     data_.append(line);
 }
 
+bool is_event_stream(std::string_view content_type)
+{
+    constexpr std::string_view event_stream_type = "text/event-stream";
+    return equals_ignoring_case(content_type.substr(0, event_stream_type.size()),
+                                event_stream_type);
+}
+
 bool ends_inside_event(std::string_view stream)
 {
     bool inside = false;
