Reset an unfinished answer to an HTTP/1.0 caller when the gateway ends

Callers could see: an answer without chunks whose gateway was killed, as complete: the kernel closes the connections of a dead process normally. Change: while such an answer is in progress, any end of its connection is a reset; a finished one is closed normally.

--- a/src/dotterelport/net/stream_connection.cpp
+++ b/src/dotterelport/net/stream_connection.cpp
@@ -178,6 +178,20 @@
     close();
 }
 
+void stream_connection::begin_unframed_answer()
+{
+    has_unframed_answer_ = true;
+    connection_->reset_on_close();
+}
+
+void stream_connection::close_after_answer()
+{
+    if (has_unframed_answer_) {
+        connection_->reset_on_close(false);
+    }
+    close();
+}
+
 void stream_connection::finish_exchange()
 {
     const bool closing = will_close();
@@ -186,7 +200,7 @@
     if (closing) {
         close_after_write_ = true;
         if (connection_->unsent() == 0) {
-            close();
+            close_after_answer();
         }
         return;
     }
@@ -205,7 +219,7 @@
 void stream_connection::drained()
 {
     if (close_after_write_ && exchange_ == nullptr) {
-        close();
+        close_after_answer();
     } else if (exchange_ != nullptr && exchange_->on_drained_) {
         // The function may end the exchange.
         const auto exchange = exchange_;
--- a/src/dotterelport/net/stream_connection.hpp
+++ b/src/dotterelport/net/stream_connection.hpp
@@ -22,6 +22,9 @@
     stream_connection& operator=(const stream_connection&) = delete;
 
     void send(std::string_view bytes) { connection_->write(bytes); }
+    /// @brief Begins an answer that the end of the connection delimits. Until it is finished, any
+    /// end of the connection is a reset.
+    void begin_unframed_answer();
     /// @brief Ends the current exchange after its last byte was queued.
     void finish_exchange();
     /// @brief Resets the connection, so that the client sees the answer as incomplete.
@@ -39,6 +42,8 @@
     [[nodiscard]] bool is_closed_by_client() const { return connection_->is_closed_by_peer(); }
 
 private:
+    /// @brief Closes the connection after a complete answer.
+    void close_after_answer();
     void received();
     void ended();
     void drained();
@@ -62,6 +67,7 @@
     std::optional<milliseconds> first_byte_time_;
     timer_id timer_ = 0;
     bool close_after_write_ = false;
+    bool has_unframed_answer_ = false;
     bool closed_ = false;
     bool parsing_ = false;
 };
--- a/src/dotterelport/net/stream_server.cpp
+++ b/src/dotterelport/net/stream_server.cpp
@@ -51,6 +51,9 @@
     }
     chunked_ = head_.minor_version > 0;
     started_ = true;
+    if (!chunked_) {
+        connection_->begin_unframed_answer();
+    }
     connection_->send(
         format_head(status, headers, chunked_ ? "Transfer-Encoding: chunked\r\n" : ""));
 }
--- a/src/dotterelport/net/stream_server_test.cpp
+++ b/src/dotterelport/net/stream_server_test.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -28,7 +29,7 @@
     std::unique_ptr<tcp_connector> connector;
     std::unique_ptr<tcp_connection> client;
     std::string received;
-    bool ended = false;
+    std::optional<stream_end> end;
 
     explicit fixture(const stream_server::options& settings = {})
         : server(std::make_unique<stream_server>(loop, endpoint{"127.0.0.1", 0}, settings,
@@ -47,8 +48,8 @@
                                        loop.stop();
                                    },
                                .on_end =
-                                   [this](stream_end /*end*/) {
-                                       ended = true;
+                                   [this](stream_end how) {
+                                       end = how;
                                        loop.stop();
                                    }});
                 loop.stop();
@@ -116,10 +117,30 @@
     net.wait_for("part\r\n");
     net.exchanges.at(0)->abort();
     net.loop.run_for(test_limit);
-    CHECK(net.ended);
+    CHECK(net.end.has_value());
     CHECK(net.received.find("\r\n0\r\n") == std::string::npos);
 }
 
+TEST_CASE("An answer that the connection's end delimits is complete only if it was finished")
+{
+    enum class ending { finished, aborted, server_ended };
+    const auto how = GENERATE(ending::finished, ending::aborted, ending::server_ended);
+    fixture net;
+    net.send("GET / HTTP/1.0\r\n\r\n");
+    net.exchanges.at(0)->start(200, {});
+    net.exchanges.at(0)->write("part");
+    net.wait_for("part");
+    if (how == ending::finished) {
+        net.exchanges.at(0)->finish();
+    } else if (how == ending::aborted) {
+        net.exchanges.at(0)->abort();
+    } else {
+        net.server.reset();
+    }
+    net.wait_until([&] { return net.end.has_value(); });
+    CHECK(net.end == (how == ending::finished ? stream_end::finished : stream_end::reset));
+}
+
 TEST_CASE(
     "Requests that exceed the limits or are malformed are rejected and not passed to the handler")
 {
@@ -152,9 +173,9 @@
     net.server->start_draining();
     net.send("GET / HTTP/1.1\r\n\r\n");
     net.exchanges.at(0)->respond(200, {}, "x");
-    net.wait_until([&] { return net.ended; });
+    net.wait_until([&] { return net.end.has_value(); });
     CHECK(net.received.find("Connection: close") != std::string::npos);
-    CHECK(net.ended);
+    CHECK(net.end.has_value());
 }
 
 TEST_CASE("Stopping closes idle connections and leaves requests in progress alone")
@@ -168,8 +189,8 @@
     CHECK(net.received.ends_with("late"));
     net.wait_until([&] { return net.server->exchange_count() == 0; });
     net.server->stop();
-    net.wait_until([&] { return net.ended; });
-    CHECK(net.ended);
+    net.wait_until([&] { return net.end.has_value(); });
+    CHECK(net.end.has_value());
 }
 
 /// A client that uses blocking calls, so that its requests wait in the kernel while the loop does
