Quarantine the part of prompts that crashes engines

Cause: the gateway did not relate failures of different requests. Its path had no counterpart to the quarantine by content of the path with agents, which would not help either: no two of these requests are alike. Change: request/crash_attribution decides without I/O. A part that was in requests without a first event at three crashes, and in no answered request since the first of them, is quarantined; parts that were at the same crashes are quarantined only together, until an answer or a further crash tells them apart; crashes at the same moment count once. Whole content is treated alike. gateway/crash_watch does the I/O: it takes a server that ends such requests for crashed only if it refuses a new connection, announces crashes and answers of suspects to all gateways, repeats quarantines within the group, and keeps them in one object of the store, which a gateway reads when it starts. Refused requests get 503, which is true, with the rest of the quarantine as Retry-After. request/quarantine_table is not reused: it never forgets, so answers could not clear a part.

--- a/include/dotterelport/gateway/attempt_policy.hpp
+++ b/include/dotterelport/gateway/attempt_policy.hpp
@@ -42,6 +42,8 @@
     caller_gone,
     /// No further server is available.
     no_server,
+    /// The request has a part, or a content, that crashes servers.
+    quarantined,
 };
 
 /// @brief Name of an attempt end for logs and metrics.
--- a/include/dotterelport/gateway/events.hpp
+++ b/include/dotterelport/gateway/events.hpp
@@ -73,6 +73,21 @@
     936, severity::info, "feed_role_changed",
     "The gateway begins or stops to watch a kind of objects for its group."};
 
+inline constexpr log_event server_examined{940, severity::info, "server_examined",
+                                           "A backend server ended connections of requests that it "
+                                           "had not begun to answer; it has crashed "
+                                           "if it refuses a new connection."};
+inline constexpr log_event suspects_quarantined{
+    941, severity::warning, "suspects_quarantined",
+    "Requests with this part of a prompt or this content are refused, because they crash the "
+    "backend servers that run them."};
+inline constexpr log_event quarantine_not_saved{
+    942, severity::warning, "quarantine_not_saved",
+    "The quarantines were not written to the store; the object is read and written again."};
+inline constexpr log_event quarantine_unreadable{
+    943, severity::error, "quarantine_unreadable",
+    "The stored quarantines could not be read and are not used."};
+
 inline constexpr log_event ledger_step{
     934, severity::info, "ledger_step",
     "The budget ledger or a bill is read or written; grants change once the write is confirmed."};
--- a/include/dotterelport/gateway/peer_link.hpp
+++ b/include/dotterelport/gateway/peer_link.hpp
@@ -36,6 +36,8 @@
     feed_state,
     /// Passes on changes of objects in the store.
     feed_changes,
+    /// Reports crashes of backend servers and what is quarantined because of them.
+    crashes,
 };
 
 /// A message between gateways.
@@ -108,6 +110,8 @@
     void send(const std::string& node, peer_message_kind kind, json content);
     /// @brief Sends a message to the gateways of the group.
     void broadcast(peer_message_kind kind, const json& content);
+    /// @brief Sends a message to all gateways of the fleet. For rare news only.
+    void announce(peer_message_kind kind, const json& content);
 
     /// @brief Announces to the other gateways that this one is stopping; load messages are not sent
     /// any more.
--- /dev/null
+++ b/include/dotterelport/request/crash_attribution.hpp
@@ -0,0 +1,132 @@
+#ifndef DOTTERELPORT_REQUEST_CRASH_ATTRIBUTION_HPP
+#define DOTTERELPORT_REQUEST_CRASH_ATTRIBUTION_HPP
+
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <vector>
+
+#include "dotterelport/base/clock.hpp"
+
+namespace dotterelport::request {
+
+/// What of a request may crash the backend servers that run it.
+enum class suspect_kind {
+    /// A part of its prompt, which other requests share.
+    part,
+    /// Its whole content; only a repeated request has the same.
+    content,
+};
+
+/// Something that may crash backend servers.
+struct suspect {
+    suspect_kind kind = suspect_kind::part;
+    /// Id of the part, or hash of the content.
+    std::uint64_t id = 0;
+
+    auto operator<=>(const suspect&) const = default;
+};
+
+/// @brief Name of a suspect for logs, for example "part:1f2e".
+std::string to_string(const suspect& value);
+
+/// Refuses the requests that have all of some suspects. There is more than one if no crash tells
+/// which of them is to blame.
+struct quarantine_entry {
+    /// Sorted.
+    std::vector<suspect> suspects;
+    /// Steady time at which the quarantine ends.
+    milliseconds until{0};
+};
+
+/// Finds which part of requests crashes the backend servers that run them.
+///
+/// A server that crashes fails all of its requests, and sound ones share the workspace and other
+/// parts with the request that is to blame. A part is quarantined if it was at several crashed
+/// servers, in requests that had not begun to be answered, and no request with it was answered in
+/// between, while others were. Parts that were at the same crashes are quarantined together: only
+/// requests with all of them are refused, until an answer or a further crash tells them apart.
+/// Crashes that a quarantined part explains no longer count against others. Answers from all
+/// routers and crashes seen by all of them may be recorded.
+class crash_attribution {
+public:
+    struct options {
+        /// Crashes after which a suspect is quarantined.
+        std::size_t crash_limit = 3;
+        /// Crashes within this time count once, since they may have a common cause, such as the
+        /// loss of a rack.
+        milliseconds common_cause_window{300};
+        /// Reports about one server within this time are about one crash.
+        milliseconds same_crash_window{2'000};
+        /// Time after which a crash no longer counts.
+        milliseconds crash_memory{60'000};
+        milliseconds quarantine_time{600'000};
+        /// Time for which a cleared suspect is not quarantined because of another router's older
+        /// message.
+        milliseconds clear_time{5'000};
+        /// Number of crashes that are remembered.
+        std::size_t max_crashes = 64;
+    };
+
+    crash_attribution() = default;
+    explicit crash_attribution(const options& settings) : options_(settings) {}
+
+    /// @brief Records that a server crashed.
+    /// @param suspects those of requests at the server that had not begun to be answered
+    /// @return quarantines that begin because of it
+    std::vector<quarantine_entry> record_crash(const std::string& server,
+                                               std::span<const suspect> suspects, milliseconds now);
+
+    /// @brief Records that a request was answered completely, so that none of its suspects crashes
+    /// servers.
+    /// @return those that were under suspicion or in quarantine
+    std::vector<suspect> record_answer(std::span<const suspect> suspects, milliseconds now);
+
+    /// @brief Takes over a quarantine of another router.
+    /// @return whether it refuses requests that were not refused before
+    bool adopt(quarantine_entry entry, milliseconds now);
+
+    /// @brief Time for which a request is refused; nothing if it may run.
+    [[nodiscard]] std::optional<milliseconds> refused_for(std::span<const suspect> suspects,
+                                                          milliseconds now) const;
+
+    [[nodiscard]] std::vector<quarantine_entry> quarantined(milliseconds now) const;
+
+    /// @brief Number of crashes that count against a suspect.
+    [[nodiscard]] std::size_t crashes(const suspect& what) const;
+
+private:
+    struct crash {
+        milliseconds at{0};
+        std::set<std::string> servers;
+        std::set<suspect> suspects;
+        /// Answers that were recorded before the crash.
+        std::uint64_t answers_before = 0;
+    };
+
+    crash& find_or_add(const std::string& server, milliseconds now);
+    /// @brief Returns whether the crashes suffice to blame a suspect.
+    [[nodiscard]] bool is_blamed(const suspect& what) const;
+    /// @brief Suspects that the last crash shows to be to blame; each item of the result alone.
+    [[nodiscard]] std::vector<std::vector<suspect>> blamed_for(const crash& last) const;
+    /// @return whether the quarantine did not exist
+    bool quarantine(const quarantine_entry& entry, milliseconds now);
+
+    options options_;
+    /// Ordered by time.
+    std::deque<crash> crashes_;
+    /// Also those that have ended: the first crash after the end renews a quarantine.
+    std::vector<quarantine_entry> quarantines_;
+    std::map<suspect, milliseconds> cleared_at_;
+    std::uint64_t answers_ = 0;
+};
+
+} // namespace dotterelport::request
+
+#endif
--- /dev/null
+++ b/src/dotterelport/gateway/crash_watch.cpp
@@ -0,0 +1,382 @@
+#include "dotterelport/gateway/crash_watch.hpp"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+#include "dotterelport/base/clock.hpp"
+#include "dotterelport/gateway/events.hpp"
+
+namespace dotterelport::gateway {
+namespace {
+
+using request::suspect;
+
+constexpr const char* object_key = "quarantine/suspects";
+
+/// Shard whose owner writes the quarantines, so that gateways do not compete for the object.
+constexpr std::uint32_t writer_shard = 0;
+
+constexpr milliseconds check_interval{250};
+
+/// Datagrams may be lost.
+constexpr int copies_of_news = 2;
+
+/// Number of suspects in one message; keeps the datagram below the size at which links fragment
+/// it.
+constexpr std::size_t max_suspects_per_message = 100;
+
+json to_json(const suspect& what)
+{
+    return json::array({static_cast<int>(what.kind), what.id});
+}
+
+suspect parse_suspect(const json& document)
+{
+    return {.kind = document.at(0).get<int>() == 0 ? request::suspect_kind::part
+                                                   : request::suspect_kind::content,
+            .id = document.at(1).get<std::uint64_t>()};
+}
+
+json to_json(std::span<const suspect> suspects)
+{
+    json result = json::array();
+    for (const auto& what : suspects) {
+        result.push_back(to_json(what));
+    }
+    return result;
+}
+
+std::vector<suspect> parse_suspects(const json& document)
+{
+    std::vector<suspect> result;
+    std::transform(document.begin(), document.end(), std::back_inserter(result), parse_suspect);
+    return result;
+}
+
+json names_of(std::span<const suspect> suspects)
+{
+    json result = json::array();
+    for (const auto& what : suspects) {
+        result.push_back(to_string(what));
+    }
+    return result;
+}
+
+} // namespace
+
+json to_json(const crash_message& message, milliseconds now)
+{
+    json crashes = json::array();
+    for (const auto& report : message.crashes) {
+        crashes.push_back({report.server, to_json(report.suspects)});
+    }
+    json quarantined = json::array();
+    for (const auto& entry : message.quarantined) {
+        quarantined.push_back({to_json(entry.suspects), (entry.until - now).count()});
+    }
+    return json::array({std::move(crashes), to_json(message.cleared), std::move(quarantined)});
+}
+
+crash_message parse_crash_message(const json& document, milliseconds now)
+{
+    crash_message result;
+    for (const auto& item : document.at(0)) {
+        result.crashes.push_back(
+            {.server = item.at(0).get<std::string>(), .suspects = parse_suspects(item.at(1))});
+    }
+    result.cleared = parse_suspects(document.at(1));
+    for (const auto& item : document.at(2)) {
+        result.quarantined.push_back({.suspects = parse_suspects(item.at(0)),
+                                      .until = now + milliseconds{item.at(1).get<std::int64_t>()}});
+    }
+    return result;
+}
+
+crash_watch::crash_watch(net::event_loop& loop, peer_link& link,
+                         object_store::conditional_objects& objects,
+                         const crash_watch_settings& settings)
+    : loop_(loop), link_(link), objects_(objects), settings_(settings),
+      checks_(loop, check_interval,
+              [this] {
+                  repeat_quarantines();
+                  check_store();
+              }),
+      self_(std::make_shared<crash_watch*>(this))
+{
+    link_.on_message(peer_message_kind::crashes,
+                     [this](const peer_message& message) { receive(message); });
+    loop_.post([weak = std::weak_ptr<crash_watch*>(self_)] {
+        if (const auto self = weak.lock()) {
+            (*self)->check_store();
+        }
+    });
+}
+
+crash_watch::~crash_watch()
+{
+    loop_.cancel(send_timer_);
+    for (const auto& [server, item] : examinations_) {
+        loop_.cancel(item.timer);
+    }
+}
+
+void crash_watch::attempt_lost(const std::string& server, const net::endpoint& address,
+                               std::span<const suspect> suspects)
+{
+    if (suspects.empty()) {
+        return;
+    }
+    const auto [found, is_new] = examinations_.try_emplace(server);
+    auto& item = found->second;
+    item.suspects.insert(suspects.begin(), suspects.end());
+    if (is_new) {
+        item.address = address;
+        item.timer = loop_.schedule(settings_.collect_time, [this, server] { probe(server); });
+    }
+}
+
+void crash_watch::probe(const std::string& server)
+{
+    auto& item = examinations_.at(server);
+    item.timer = 0;
+    item.probe_started = steady_now();
+    item.probe = std::make_unique<net::tcp_connector>(
+        loop_, item.address, settings_.probe_timeout,
+        [this, server](const std::unique_ptr<net::tcp_connection>& connection) {
+            probed(server, connection != nullptr);
+        });
+}
+
+void crash_watch::probed(const std::string& server, bool accepted)
+{
+    auto node = examinations_.extract(server);
+    auto& item = node.mapped();
+    // Destroyed in the next iteration of the loop, as its callback is running.
+    loop_.post([probe = std::shared_ptr<net::tcp_connector>(std::move(item.probe))] {});
+    const milliseconds duration = steady_now() - item.probe_started;
+    const bool refused = !accepted && duration < settings_.probe_timeout;
+    const crash_report report{.server = server,
+                              .suspects = {item.suspects.begin(), item.suspects.end()}};
+    log(events::server_examined, {{"server", server},
+                                  {"crashed", refused},
+                                  {"accepted", accepted},
+                                  {"after_ms", duration.count()},
+                                  {"suspects", report.suspects.size()}});
+    if (!refused) {
+        return;
+    }
+    record_crash(report, link_.node());
+    for (std::size_t i = 0; i < report.suspects.size(); i += max_suspects_per_message) {
+        const auto begin = report.suspects.begin() + static_cast<std::ptrdiff_t>(i);
+        const auto size = std::min(max_suspects_per_message, report.suspects.size() - i);
+        news_.crashes.push_back(
+            {.server = server, .suspects = {begin, begin + static_cast<std::ptrdiff_t>(size)}});
+    }
+    schedule_send();
+}
+
+void crash_watch::record_crash(const crash_report& report, std::string_view source)
+{
+    const milliseconds now = steady_now();
+    const auto begun = attribution_.record_crash(report.server, report.suspects, now);
+    if (begun.empty()) {
+        return;
+    }
+    for (const auto& entry : begun) {
+        log(events::suspects_quarantined, {{"suspects", names_of(entry.suspects)},
+                                           {"server", report.server},
+                                           {"reported_by", source}});
+    }
+    news_.quarantined.insert(news_.quarantined.end(), begun.begin(), begun.end());
+    schedule_send();
+    check_store();
+}
+
+void crash_watch::answered(std::span<const suspect> suspects)
+{
+    const auto cleared = attribution_.record_answer(suspects, steady_now());
+    if (!cleared.empty()) {
+        news_.cleared.insert(news_.cleared.end(), cleared.begin(), cleared.end());
+        schedule_send();
+    }
+}
+
+std::optional<milliseconds> crash_watch::refused_for(std::span<const suspect> suspects) const
+{
+    return attribution_.refused_for(suspects, steady_now());
+}
+
+void crash_watch::receive(const peer_message& message)
+{
+    const milliseconds now = steady_now();
+    const crash_message news = parse_crash_message(message.content, now);
+    if (!news.cleared.empty()) {
+        attribution_.record_answer(news.cleared, now);
+    }
+    for (const auto& report : news.crashes) {
+        record_crash(report, message.node);
+    }
+    for (const auto& entry : news.quarantined) {
+        if (attribution_.adopt(entry, now)) {
+            log(events::suspects_quarantined,
+                {{"suspects", names_of(entry.suspects)}, {"reported_by", message.node}});
+        }
+    }
+}
+
+void crash_watch::schedule_send()
+{
+    if (send_timer_ == 0) {
+        send_timer_ = loop_.schedule(settings_.batch_time, [this] { send_news(); });
+    }
+}
+
+void crash_watch::send_news()
+{
+    send_timer_ = 0;
+    const milliseconds now = steady_now();
+    std::vector<crash_message> messages(1);
+    std::size_t size = 0;
+    for (auto& report : news_.crashes) {
+        if (size > 0 && size + report.suspects.size() > max_suspects_per_message) {
+            messages.emplace_back();
+            size = 0;
+        }
+        size += report.suspects.size();
+        messages.back().crashes.push_back(std::move(report));
+    }
+    messages.back().cleared = std::move(news_.cleared);
+    messages.back().quarantined = std::move(news_.quarantined);
+    news_ = {};
+    for (const auto& message : messages) {
+        const json content = to_json(message, now);
+        for (int i = 0; i < copies_of_news; ++i) {
+            link_.announce(peer_message_kind::crashes, content);
+        }
+    }
+}
+
+void crash_watch::repeat_quarantines()
+{
+    const milliseconds now = steady_now();
+    const auto interval =
+        settings_.repeat_interval * static_cast<int>(std::max<std::size_t>(link_.group_size(), 1));
+    if (now - last_repeat_ < interval) {
+        return;
+    }
+    last_repeat_ = now;
+    const crash_message message{
+        .crashes = {}, .cleared = {}, .quarantined = attribution_.quarantined(now)};
+    if (!message.quarantined.empty()) {
+        link_.broadcast(peer_message_kind::crashes, to_json(message, now));
+    }
+}
+
+crash_watch::stored_quarantines crash_watch::quarantined_suspects() const
+{
+    stored_quarantines result;
+    for (const auto& entry : attribution_.quarantined(steady_now())) {
+        result.insert(entry.suspects);
+    }
+    return result;
+}
+
+void crash_watch::check_store()
+{
+    if (store_busy_ || steady_now() < next_store_call_) {
+        return;
+    }
+    if (!stored_) {
+        load();
+        return;
+    }
+    const auto content = quarantined_suspects();
+    if (content == *stored_ || link_.owner(writer_shard) != link_.node()) {
+        return;
+    }
+    json entries = json::array();
+    const milliseconds to_wall = wall_clock_now() - steady_now();
+    for (const auto& entry : attribution_.quarantined(steady_now())) {
+        entries.push_back({to_json(entry.suspects), (entry.until + to_wall).count()});
+    }
+    store_busy_ = true;
+    objects_.write(object_key, json{{"quarantined", std::move(entries)}}.dump(), stored_version_,
+                   [weak = std::weak_ptr<crash_watch*>(self_),
+                    content](const object_store::write_result& result) {
+                       if (const auto self = weak.lock()) {
+                           (*self)->saved(content, result);
+                       }
+                   });
+}
+
+void crash_watch::saved(const stored_quarantines& content, const object_store::write_result& result)
+{
+    store_busy_ = false;
+    if (result.status == object_store::write_status::applied) {
+        stored_ = content;
+        stored_version_ = result.object_version;
+        return;
+    }
+    // Another gateway has written, or the result is unknown: read before the next write.
+    log(events::quarantine_not_saved, {{"quarantines", content.size()}});
+    stored_.reset();
+    next_store_call_ = steady_now() + settings_.store_retry;
+}
+
+void crash_watch::load()
+{
+    store_busy_ = true;
+    objects_.read(object_key, [weak = std::weak_ptr<crash_watch*>(self_)](
+                                  const object_store::read_result& found) {
+        if (const auto self = weak.lock()) {
+            (*self)->loaded(found);
+        }
+    });
+}
+
+void crash_watch::loaded(const object_store::read_result& found)
+{
+    store_busy_ = false;
+    next_store_call_ = steady_now() + settings_.store_retry;
+    if (found.status == object_store::read_status::unavailable) {
+        return;
+    }
+    next_store_call_ = milliseconds{0};
+    stored_.emplace();
+    stored_version_ = found.value.object_version;
+    if (found.status == object_store::read_status::absent) {
+        return;
+    }
+    const milliseconds now = steady_now();
+    const milliseconds to_steady = now - wall_clock_now();
+    try {
+        const json document = json::parse(found.value.value);
+        for (const auto& item : document.at("quarantined")) {
+            const request::quarantine_entry entry{
+                .suspects = parse_suspects(item.at(0)),
+                .until = milliseconds{item.at(1).get<std::int64_t>()} + to_steady};
+            stored_->insert(entry.suspects);
+            if (attribution_.adopt(entry, now)) {
+                log(events::suspects_quarantined,
+                    {{"suspects", names_of(entry.suspects)}, {"reported_by", "store"}});
+            }
+        }
+    } catch (const json::exception& failure) {
+        // The next quarantine replaces the object.
+        log(events::quarantine_unreadable, {{"error", failure.what()}});
+    }
+}
+
+json crash_watch::dump() const
+{
+    const milliseconds now = steady_now();
+    json quarantined = json::object();
+    for (const auto& entry : attribution_.quarantined(now)) {
+        quarantined[names_of(entry.suspects).dump()] = (entry.until - now).count();
+    }
+    return {{"quarantined_ms", std::move(quarantined)},
+            {"is_stored", stored_ == quarantined_suspects()}};
+}
+
+} // namespace dotterelport::gateway
--- a/src/dotterelport/gateway/forwarding.cpp
+++ b/src/dotterelport/gateway/forwarding.cpp
@@ -5,6 +5,7 @@
 #include <cstdio>
 #include <utility>
 
+#include "dotterelport/base/hash.hpp"
 #include "dotterelport/gateway/events.hpp"
 #include "dotterelport/routing/urgency.hpp"
 
@@ -49,6 +50,20 @@
     return {text.data(), static_cast<std::size_t>(size)};
 }
 
+/// @brief Parts that other requests share, all but the last, and the content.
+std::vector<request::suspect> suspects_of(const caller_request& request,
+                                          const net::http1_request_head& head,
+                                          std::string_view body)
+{
+    std::vector<request::suspect> result;
+    for (std::size_t i = 0; i + 1 < request.parts.size(); ++i) {
+        result.push_back({.kind = request::suspect_kind::part, .id = request.parts[i].id});
+    }
+    const std::uint64_t target = hash64(head.target, hash64(request.key.value_or("")));
+    result.push_back({.kind = request::suspect_kind::content, .id = hash64(body, target)});
+    return result;
+}
+
 } // namespace
 
 forwarding::forwarding(forwarding_context& context, std::shared_ptr<net::stream_exchange> exchange,
@@ -112,7 +127,20 @@
     }
     choose_service();
     arm_timers();
-    reserve();
+    suspects_ = suspects_of(request_, head, exchange_->body());
+    if (!refuse_quarantined()) {
+        reserve();
+    }
+}
+
+bool forwarding::refuse_quarantined()
+{
+    if (!context_.crashes.refused_for(suspects_)) {
+        return false;
+    }
+    attempt_failed(may_have_run_ ? verdict::may_have_run : verdict::not_run,
+                   attempt_end::quarantined);
+    return true;
 }
 
 bool forwarding::authorize()
@@ -238,6 +266,9 @@
         deadline_expired();
         return;
     }
+    if (refuse_quarantined()) {
+        return;
+    }
     const auto choice = choose_server();
     const backend_server* server = choice ? context_.servers.find(choice->server) : nullptr;
     if (server == nullptr) {
@@ -387,8 +418,7 @@
         exchange_->abort();
         finish();
     } else if (std::holds_alternative<refuse_not_run>(decision) && !may_have_run_) {
-        refuse(unavailable, to_string(end),
-               end == attempt_end::no_server ? store_retry_after : busy_server_retry_after);
+        refuse(unavailable, to_string(end), retry_after(end));
     } else {
         // The last server has not run the request, but an earlier server may have.
         const auto* failure = std::get_if<report_failure>(&decision);
@@ -396,6 +426,18 @@
     }
 }
 
+milliseconds forwarding::retry_after(attempt_end end) const
+{
+    switch (end) {
+    case attempt_end::no_server:
+        return store_retry_after;
+    case attempt_end::quarantined:
+        return context_.crashes.refused_for(suspects_).value_or(busy_server_retry_after);
+    default:
+        return busy_server_retry_after;
+    }
+}
+
 void forwarding::deadline_expired()
 {
     context_.loop.cancel(std::exchange(deadline_timer_, 0));
--- a/src/dotterelport/gateway/forwarding.hpp
+++ b/src/dotterelport/gateway/forwarding.hpp
@@ -13,6 +13,7 @@
 
 #include "dotterelport/gateway/attempt_policy.hpp"
 #include "dotterelport/gateway/budget_broker.hpp"
+#include "dotterelport/gateway/crash_watch.hpp"
 #include "dotterelport/gateway/event_stream.hpp"
 #include "dotterelport/gateway/peer_exchange.hpp"
 #include "dotterelport/gateway/protocol.hpp"
@@ -38,6 +39,7 @@
     peer_exchange& peers;
     const peer_link& link;
     budget_broker& budgets;
+    crash_watch& crashes;
     metrics& counters;
     /// Retry budget of each service.
     std::map<std::string, request::retry_budget>& retries;
@@ -80,6 +82,9 @@
     };
 
     [[nodiscard]] bool authorize();
+    /// @brief Ends the request if it would crash the server that runs it.
+    /// @return whether the request has ended
+    bool refuse_quarantined();
     void choose_service();
     void reserve();
     void reserved(reservation_outcome outcome);
@@ -117,6 +122,7 @@
 
     /// @brief Carries out the decision made after an attempt.
     void execute(const attempt_decision& decision, attempt_end end, const json& fields);
+    [[nodiscard]] milliseconds retry_after(attempt_end end) const;
     void refuse(int status, std::string_view reason, milliseconds retry_after = milliseconds{0});
     void settle();
     void finish();
@@ -143,6 +149,8 @@
     /// Time limit set by the caller, the route or a stop order, whichever is earliest.
     milliseconds deadline_{0};
 
+    /// What of the request may crash servers.
+    std::vector<request::suspect> suspects_;
     std::optional<attempt> attempt_;
     std::vector<std::string> tried_servers_;
     std::uint32_t sends_ = 0;
--- a/src/dotterelport/gateway/forwarding_answer.cpp
+++ b/src/dotterelport/gateway/forwarding_answer.cpp
@@ -250,6 +250,9 @@
         fields["longest_pause_after_ms"] = (longest_pause_began_ - exchange_->received()).count();
     }
     log(events::request_answered, fields);
+    if (is_success(status)) {
+        context_.crashes.answered(suspects_);
+    }
     if (exchange_->is_started()) {
         exchange_->finish();
     } else {
@@ -268,6 +271,11 @@
                        attempt_end::not_connected);
         return;
     }
+    const bool had_begun = events_.events() > attempt_->events_before;
+    const auto* server = context_.servers.find(attempt_->server);
+    if (failure != net::backend_failure::malformed && !had_begun && server != nullptr) {
+        context_.crashes.attempt_lost(server->id, server->address, suspects_);
+    }
     attempt_failed(verdict::may_have_run, to_attempt_end(failure));
 }
 
--- a/src/dotterelport/gateway/gateway.cpp
+++ b/src/dotterelport/gateway/gateway.cpp
@@ -56,6 +56,7 @@
     server_directory servers;
     budget_keeper budgets;
     budget_broker broker;
+    crash_watch crashes;
     process::operators_server operators;
     metrics counters;
     std::map<std::string, request::retry_budget> retries;
@@ -78,7 +79,7 @@
         : loop(event_loop), current_settings(configured), backends(loop),
           link(loop, describe(configured)), peers(loop, link, placement), feeds(loop, link),
           servers({}, [this](const backend_server& server) { server_removed(server); }),
-          budgets(loop, objects, self), broker(loop, link, budgets),
+          budgets(loop, objects, self), broker(loop, link, budgets), crashes(loop, link, objects),
           operators(loop, {.address = configured.operators,
                            .not_ready_reason = [this] { return not_ready_reason(); },
                            .dump = std::move(dump)}),
@@ -91,6 +92,7 @@
                                                  .peers = peers,
                                                  .link = link,
                                                  .budgets = broker,
+                                                 .crashes = crashes,
                                                  .counters = counters,
                                                  .retries = retries,
                                                  .retry_options = retry_options,
@@ -330,7 +332,8 @@
             {"peers", state_->link.dump()},
             {"feeds", state_->feeds.dump()},
             {"reservations", state_->broker.dump()},
-            {"budgets", state_->budgets.dump()}};
+            {"budgets", state_->budgets.dump()},
+            {"crashes", state_->crashes.dump()}};
 }
 
 } // namespace dotterelport::gateway
--- a/src/dotterelport/gateway/peer_link.cpp
+++ b/src/dotterelport/gateway/peer_link.cpp
@@ -9,7 +9,7 @@
 namespace dotterelport::gateway {
 namespace {
 
-constexpr int highest_kind = static_cast<int>(peer_message_kind::feed_changes);
+constexpr int highest_kind = static_cast<int>(peer_message_kind::crashes);
 
 bool received_within(const std::optional<milliseconds>& last_received, milliseconds limit)
 {
@@ -120,6 +120,15 @@
     }
 }
 
+void peer_link::announce(peer_message_kind kind, const json& content)
+{
+    const std::string bytes =
+        encode({.kind = kind, .node = self_.node, .sequence = ++sequence_, .content = content});
+    for (const auto& [node, peer] : peers_) {
+        socket_.send(peer.description.address, bytes);
+    }
+}
+
 void peer_link::receive(std::string_view datagram)
 {
     const auto message = decode_peer_message(datagram);
@@ -153,9 +162,7 @@
     // sends a reserve message to the wrong owner.
     constexpr int copies = 2;
     for (int i = 0; i < copies; ++i) {
-        for (const auto& [node, peer] : peers_) {
-            send(node, peer_message_kind::leaving, json::array());
-        }
+        announce(peer_message_kind::leaving, json::array());
     }
     leaving_ = true;
 }
--- /dev/null
+++ b/src/dotterelport/request/crash_attribution_test.cpp
@@ -0,0 +1,253 @@
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "dotterelport/request/crash_attribution.hpp"
+
+namespace dotterelport::request {
+namespace {
+
+using namespace std::chrono_literals;
+
+suspect part(std::uint64_t id)
+{
+    return {.kind = suspect_kind::part, .id = id};
+}
+
+suspect content(std::uint64_t id)
+{
+    return {.kind = suspect_kind::content, .id = id};
+}
+
+/// Records crashes of different servers, one second apart, and an answer without suspects between
+/// them.
+struct history {
+    crash_attribution attribution;
+    milliseconds now{0};
+    int servers = 0;
+
+    std::vector<quarantine_entry> crash(const std::vector<suspect>& suspects)
+    {
+        now += 1s;
+        attribution.record_answer({}, now);
+        return attribution.record_crash("s" + std::to_string(++servers), suspects, now);
+    }
+
+    std::vector<suspect> answer(const std::vector<suspect>& suspects)
+    {
+        return attribution.record_answer(suspects, now);
+    }
+
+    [[nodiscard]] bool refuses(const std::vector<suspect>& suspects) const
+    {
+        return attribution.refused_for(suspects, now).has_value();
+    }
+};
+
+TEST_CASE("A part that was at three crashes and is never answered is quarantined")
+{
+    history run;
+    CHECK(run.crash({part(1), part(7), content(1)}).empty());
+    run.answer({part(1), part(2)});
+    CHECK(run.crash({part(1), part(3), part(7), content(2)}).empty());
+    run.answer({part(1), part(3)});
+    const auto begun = run.crash({part(1), part(7), content(3)});
+    REQUIRE(begun.size() == 1);
+    CHECK(begun[0].suspects == std::vector<suspect>{part(7)});
+    CHECK(run.refuses({part(9), part(7), content(4)}));
+    CHECK_FALSE(run.refuses({part(1), part(2), content(5)}));
+    CHECK(run.attribution.refused_for(std::vector{part(7)}, run.now) == 600s);
+}
+
+TEST_CASE("A part is not quarantined if crashes are too few, at once, old, or explained otherwise")
+{
+    history run;
+    SECTION("an answer clears it")
+    {
+        run.crash({part(1)});
+        run.crash({part(1)});
+        CHECK(run.answer({part(1)}) == std::vector<suspect>{part(1)});
+        CHECK(run.answer({part(1)}).empty());
+        CHECK(run.crash({part(1)}).empty());
+    }
+    SECTION("many servers crash at the same moment")
+    {
+        run.answer({});
+        for (int i = 0; i < 20; ++i) {
+            run.attribution.record_crash("s" + std::to_string(i), std::vector{part(1)},
+                                         milliseconds{10 * i});
+        }
+    }
+    SECTION("several gateways report one crash")
+    {
+        run.answer({});
+        for (int i = 0; i < 4; ++i) {
+            run.attribution.record_crash("s", std::vector{part(1)}, milliseconds{400 * i});
+        }
+    }
+    SECTION("the crashes are far apart")
+    {
+        for (int i = 0; i < 6; ++i) {
+            run.crash({part(1)});
+            run.now += 40s;
+        }
+    }
+    SECTION("nothing else is answered either")
+    {
+        for (int i = 0; i < 6; ++i) {
+            run.attribution.record_crash("s" + std::to_string(i), std::vector{part(1)},
+                                         i * 1'000ms);
+        }
+    }
+    SECTION("another part was at more crashes")
+    {
+        run.crash({part(2)});
+        for (int i = 0; i < 2; ++i) {
+            run.crash({part(1), part(2)});
+        }
+        CHECK(run.refuses({part(2)}));
+        CHECK(run.crash({part(1)}).empty());
+    }
+    CHECK_FALSE(run.refuses({part(1)}));
+}
+
+TEST_CASE("Parts that were at the same crashes are refused together until they are told apart")
+{
+    history run;
+    for (int i = 0; i < 3; ++i) {
+        run.crash({part(1), part(2)});
+    }
+    CHECK(run.refuses({part(1), part(2)}));
+    CHECK_FALSE(run.refuses({part(1)}));
+    CHECK_FALSE(run.refuses({part(2)}));
+    SECTION("by an answer")
+    {
+        run.answer({part(1)});
+        CHECK(run.refuses({part(2)}));
+        CHECK_FALSE(run.refuses({part(1)}));
+    }
+    SECTION("by a further crash")
+    {
+        run.crash({part(2)});
+        CHECK(run.refuses({part(2)}));
+        CHECK_FALSE(run.refuses({part(1)}));
+    }
+    SECTION("by an answer that has both")
+    {
+        run.answer({part(1), part(2)});
+        CHECK_FALSE(run.refuses({part(1), part(2)}));
+    }
+}
+
+TEST_CASE("Content that crashed three servers is quarantined, and the parts of others are not")
+{
+    history run;
+    for (int i = 0; i < 3; ++i) {
+        run.crash({part(1), content(5)});
+        run.answer({part(1), content(6)});
+    }
+    CHECK(run.refuses({part(2), content(5)}));
+    CHECK_FALSE(run.refuses({part(1), content(7)}));
+}
+
+TEST_CASE("A quarantine ends after its time and is renewed by one crash")
+{
+    history run;
+    for (int i = 0; i < 3; ++i) {
+        run.crash({part(1)});
+    }
+    run.now += 601s;
+    CHECK_FALSE(run.refuses({part(1)}));
+    CHECK(run.attribution.quarantined(run.now).empty());
+    CHECK(run.crash({part(1), part(2)}).size() == 1);
+    CHECK(run.refuses({part(1)}));
+    CHECK_FALSE(run.refuses({part(2)}));
+}
+
+TEST_CASE("A quarantine is adopted from others once, and not after an answer")
+{
+    history run;
+    run.now = 10s;
+    const quarantine_entry entry{.suspects = {part(1)}, .until = 100s};
+    CHECK(run.attribution.adopt(entry, run.now));
+    CHECK_FALSE(run.attribution.adopt(entry, run.now));
+    CHECK(run.refuses({part(1)}));
+    CHECK(run.answer({part(1)}) == std::vector<suspect>{part(1)});
+    CHECK_FALSE(run.attribution.adopt(entry, run.now));
+    CHECK_FALSE(run.refuses({part(1)}));
+    run.now = 101s;
+    CHECK_FALSE(run.attribution.adopt(entry, run.now));
+}
+
+/// Requests on a pool of engines, of which some have the deadly part. Each gateway knows the
+/// crashes of the others after a delay.
+struct poisoned_day {
+    std::mt19937 random;
+    int engines = 18;
+    double deadly_share = 0.05;
+    int workspaces = 10;
+    /// Time for which requests may still reach engines after the fifth crash.
+    milliseconds grace = 3s;
+    int crashes = 0;
+    milliseconds fifth_crash{0};
+    int crashes_after_grace = 0;
+    int sound_refused = 0;
+
+    void play(crash_attribution& attribution)
+    {
+        std::uniform_real_distribution<double> chance(0, 1);
+        std::uniform_int_distribution<std::uint64_t> common(1,
+                                                            static_cast<std::uint64_t>(workspaces));
+        std::uniform_int_distribution<std::uint64_t> rare(1'000, 1'300);
+        constexpr std::uint64_t deadly_id = 99;
+        for (milliseconds now{0}; now < 30s; now += 25ms) {
+            std::vector<suspect> request{part(common(random)), part(rare(random)),
+                                         content(static_cast<std::uint64_t>(now.count()))};
+            const bool is_deadly = chance(random) < deadly_share;
+            if (is_deadly) {
+                request[1] = part(deadly_id);
+            }
+            const bool refused = attribution.refused_for(request, now).has_value();
+            sound_refused += !is_deadly && refused ? 1 : 0;
+            if (refused) {
+                continue;
+            }
+            if (!is_deadly) {
+                attribution.record_answer(request, now);
+                continue;
+            }
+            constexpr int fifth = 5;
+            if (++crashes == fifth) {
+                fifth_crash = now;
+            }
+            crashes_after_grace += crashes > fifth && now > fifth_crash + grace ? 1 : 0;
+            // Sound requests that the engine had not begun to answer.
+            std::vector<suspect> suspects = request;
+            const int bystanders = static_cast<int>(chance(random) * 6);
+            for (int i = 0; i < bystanders; ++i) {
+                suspects.push_back(part(common(random)));
+                suspects.push_back(part(rare(random)));
+            }
+            attribution.record_crash("s" + std::to_string(now.count()), suspects, now);
+        }
+    }
+};
+
+TEST_CASE("Few engines crash, and no sound request is refused, at any share of deadly requests")
+{
+    const double share = GENERATE(0.01, 0.05, 0.3);
+    const int workspaces = GENERATE(1, 10);
+    const unsigned seed = GENERATE(1U, 2U, 3U, 4U, 5U);
+    CAPTURE(share, workspaces, seed);
+    crash_attribution attribution;
+    poisoned_day day{.random = std::mt19937(seed), .deadly_share = share, .workspaces = workspaces};
+    day.play(attribution);
+    CHECK(day.crashes_after_grace <= 3);
+    CHECK(day.sound_refused == 0);
+}
+
+} // namespace
+} // namespace dotterelport::request
