Blame the part that explains most crashes, once all reports have arrived

Cause: a report was evaluated when it arrived. A gateway that had only bystanders at the crashed engine may report first, and then the part that is to blame was not among those that were compared. Change: reports are evaluated 120 ms after the first one. The part at most unexplained crashes is blamed first, and crashes that a quarantine explains do not count against others; before, only a quarantine of a single part explained any. Crashes within 150 ms instead of 300 ms count once, so that fewer engines crash where many such requests come.

--- a/include/dotterelport/gateway/crash_watch.hpp
+++ b/include/dotterelport/gateway/crash_watch.hpp
@@ -46,6 +46,9 @@
     milliseconds probe_timeout{200};
     /// Time for which news are collected before they are sent.
     milliseconds batch_time{50};
+    /// Time for which reports of other gateways about a crash are awaited before it is evaluated;
+    /// longer than batch_time and the way to another gateway.
+    milliseconds evaluation_delay{120};
     /// Interval at which quarantines are repeated in a group of two; proportional to its size.
     milliseconds repeat_interval{500};
     /// Interval at which a failed call to the store is repeated.
@@ -92,7 +95,8 @@
 
     void probe(const std::string& server);
     void probed(const std::string& server, bool accepted);
-    void record_crash(const crash_report& report, std::string_view source);
+    void record_crash(const crash_report& report);
+    void evaluate();
     void receive(const peer_message& message);
     void schedule_send();
     void send_news();
@@ -111,6 +115,7 @@
     std::map<std::string, examination> examinations_;
     crash_message news_;
     net::timer_id send_timer_ = 0;
+    net::timer_id evaluation_timer_ = 0;
     milliseconds last_repeat_{0};
     /// Content of the stored object, once it was read.
     std::optional<stored_quarantines> stored_;
--- a/include/dotterelport/request/crash_attribution.hpp
+++ b/include/dotterelport/request/crash_attribution.hpp
@@ -48,12 +48,12 @@
 /// Finds which part of requests crashes the backend servers that run them.
 ///
 /// A server that crashes fails all of its requests, and sound ones share the workspace and other
-/// parts with the request that is to blame. A part is quarantined if it was at several crashed
-/// servers, in requests that had not begun to be answered, and no request with it was answered in
-/// between, while others were. Parts that were at the same crashes are quarantined together: only
+/// parts with the request that is to blame. A part is blamed if it was at several crashed servers,
+/// in requests that had not begun to be answered, and no request with it was answered in between,
+/// while others were. The part that explains most crashes is blamed first, and these crashes do not
+/// count against others. Parts that were at the same crashes are quarantined together: only
 /// requests with all of them are refused, until an answer or a further crash tells them apart.
-/// Crashes that a quarantined part explains no longer count against others. Answers from all
-/// routers and crashes seen by all of them may be recorded.
+/// Answers from all routers and crashes seen by all of them may be recorded.
 class crash_attribution {
 public:
     struct options {
@@ -61,7 +61,7 @@
         std::size_t crash_limit = 3;
         /// Crashes within this time count once, since they may have a common cause, such as the
         /// loss of a rack.
-        milliseconds common_cause_window{300};
+        milliseconds common_cause_window{150};
         /// Reports about one server within this time are about one crash.
         milliseconds same_crash_window{2'000};
         /// Time after which a crash no longer counts.
@@ -70,18 +70,20 @@
         /// Time for which a cleared suspect is not quarantined because of another router's older
         /// message.
         milliseconds clear_time{5'000};
-        /// Number of crashes that are remembered.
-        std::size_t max_crashes = 64;
     };
 
     crash_attribution() = default;
     explicit crash_attribution(const options& settings) : options_(settings) {}
 
-    /// @brief Records that a server crashed.
+    /// @brief Records that a server crashed. Several routers may report the same crash.
     /// @param suspects those of requests at the server that had not begun to be answered
-    /// @return quarantines that begin because of it
-    std::vector<quarantine_entry> record_crash(const std::string& server,
-                                               std::span<const suspect> suspects, milliseconds now);
+    void record_crash(const std::string& server, std::span<const suspect> suspects,
+                      milliseconds now);
+
+    /// @brief Decides what is to blame for the recorded crashes; to be called once the reports
+    /// about a crash have arrived, as some of them may name bystanders only.
+    /// @return quarantines that begin
+    std::vector<quarantine_entry> evaluate(milliseconds now);
 
     /// @brief Records that a request was answered completely, so that none of its suspects crashes
     /// servers.
@@ -98,9 +100,6 @@
 
     [[nodiscard]] std::vector<quarantine_entry> quarantined(milliseconds now) const;
 
-    /// @brief Number of crashes that count against a suspect.
-    [[nodiscard]] std::size_t crashes(const suspect& what) const;
-
 private:
     struct crash {
         milliseconds at{0};
@@ -110,11 +109,24 @@
         std::uint64_t answers_before = 0;
     };
 
+    /// A bit for each of crashes_.
+    using crash_set = std::uint64_t;
+
+    struct blame {
+        std::vector<suspect> suspects;
+        crash_set crashes = 0;
+    };
+
     crash& find_or_add(const std::string& server, milliseconds now);
-    /// @brief Returns whether the crashes suffice to blame a suspect.
-    [[nodiscard]] bool is_blamed(const suspect& what) const;
-    /// @brief Suspects that the last crash shows to be to blame; each item of the result alone.
-    [[nodiscard]] std::vector<std::vector<suspect>> blamed_for(const crash& last) const;
+    [[nodiscard]] crash_set crashes_with(std::span<const suspect> suspects) const;
+    /// @brief Crashes at which quarantined parts were.
+    [[nodiscard]] crash_set explained_crashes(milliseconds now) const;
+    /// @brief Unexplained crashes of each suspect that enough of them count against.
+    [[nodiscard]] std::map<suspect, crash_set> candidates(crash_set explained) const;
+    /// @brief Parts that explain most of the unexplained crashes.
+    [[nodiscard]] std::optional<blame> most_blamed_parts(crash_set explained) const;
+    /// @brief Renews quarantines that have ended, and narrows those of several parts.
+    void revise(crash_set explained, milliseconds now, std::vector<quarantine_entry>& begun);
     /// @return whether the quarantine did not exist
     bool quarantine(const quarantine_entry& entry, milliseconds now);
 
--- a/src/dotterelport/gateway/crash_watch.cpp
+++ b/src/dotterelport/gateway/crash_watch.cpp
@@ -116,6 +116,7 @@
 crash_watch::~crash_watch()
 {
     loop_.cancel(send_timer_);
+    loop_.cancel(evaluation_timer_);
     for (const auto& [server, item] : examinations_) {
         loop_.cancel(item.timer);
     }
@@ -166,7 +167,7 @@
     if (!refused) {
         return;
     }
-    record_crash(report, link_.node());
+    record_crash(report);
     for (std::size_t i = 0; i < report.suspects.size(); i += max_suspects_per_message) {
         const auto begin = report.suspects.begin() + static_cast<std::ptrdiff_t>(i);
         const auto size = std::min(max_suspects_per_message, report.suspects.size() - i);
@@ -176,17 +177,24 @@
     schedule_send();
 }
 
-void crash_watch::record_crash(const crash_report& report, std::string_view source)
+void crash_watch::record_crash(const crash_report& report)
 {
-    const milliseconds now = steady_now();
-    const auto begun = attribution_.record_crash(report.server, report.suspects, now);
+    attribution_.record_crash(report.server, report.suspects, steady_now());
+    if (evaluation_timer_ == 0) {
+        evaluation_timer_ = loop_.schedule(settings_.evaluation_delay, [this] { evaluate(); });
+    }
+}
+
+void crash_watch::evaluate()
+{
+    evaluation_timer_ = 0;
+    const auto begun = attribution_.evaluate(steady_now());
     if (begun.empty()) {
         return;
     }
     for (const auto& entry : begun) {
-        log(events::suspects_quarantined, {{"suspects", names_of(entry.suspects)},
-                                           {"server", report.server},
-                                           {"reported_by", source}});
+        log(events::suspects_quarantined,
+            {{"suspects", names_of(entry.suspects)}, {"reported_by", link_.node()}});
     }
     news_.quarantined.insert(news_.quarantined.end(), begun.begin(), begun.end());
     schedule_send();
@@ -215,7 +223,7 @@
         attribution_.record_answer(news.cleared, now);
     }
     for (const auto& report : news.crashes) {
-        record_crash(report, message.node);
+        record_crash(report);
     }
     for (const auto& entry : news.quarantined) {
         if (attribution_.adopt(entry, now)) {
--- a/src/dotterelport/gateway/crash_watch_test.cpp
+++ b/src/dotterelport/gateway/crash_watch_test.cpp
@@ -52,7 +52,10 @@
     node(net::event_loop& loop, const std::string& name, memory_objects& objects)
         : link(loop, {.node = name, .address = {"127.0.0.1", 0}, .failure_domain = "a"}),
           watch(loop, link, objects,
-                {.collect_time = 5ms, .batch_time = 10ms, .repeat_interval = 100ms})
+                {.collect_time = 5ms,
+                 .batch_time = 10ms,
+                 .evaluation_delay = 50ms,
+                 .repeat_interval = 100ms})
     {}
 };
 
--- a/src/dotterelport/request/crash_attribution.cpp
+++ b/src/dotterelport/request/crash_attribution.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <bit>
 #include <charconv>
 #include <iterator>
 
@@ -10,6 +11,9 @@
 namespace dotterelport::request {
 namespace {
 
+/// Number of crashes that are remembered; a set of crashes has a bit for each.
+constexpr std::size_t max_crashes = 64;
+
 constexpr enum_names<suspect_kind, 2> kind_names{{
     {suspect_kind::part, "part"},
     {suspect_kind::content, "content"},
@@ -34,35 +38,13 @@
     return std::string(name_of(kind_names, value.kind)) + ":" + std::string(digits.data(), end);
 }
 
-std::vector<quarantine_entry> crash_attribution::record_crash(const std::string& server,
-                                                              std::span<const suspect> suspects,
-                                                              milliseconds now)
+void crash_attribution::record_crash(const std::string& server, std::span<const suspect> suspects,
+                                     milliseconds now)
 {
     while (!crashes_.empty() && now - crashes_.front().at > options_.crash_memory) {
         crashes_.pop_front();
     }
-    for (auto& entry : quarantines_) {
-        if (entry.suspects.size() > 1 || !has_all(entry.suspects, suspects)) {
-            continue;
-        }
-        if (now < entry.until) {
-            // The request was sent before the quarantine, which explains the crash.
-            return {};
-        }
-        entry.until = now + options_.quarantine_time;
-        return {entry};
-    }
-    crash& last = find_or_add(server, now);
-    last.suspects.insert(suspects.begin(), suspects.end());
-    std::vector<quarantine_entry> begun;
-    for (auto& blamed : blamed_for(last)) {
-        quarantine_entry entry{.suspects = std::move(blamed),
-                               .until = now + options_.quarantine_time};
-        if (quarantine(entry, now)) {
-            begun.push_back(std::move(entry));
-        }
-    }
-    return begun;
+    find_or_add(server, now).suspects.insert(suspects.begin(), suspects.end());
 }
 
 crash_attribution::crash& crash_attribution::find_or_add(const std::string& server,
@@ -76,7 +58,7 @@
         same->servers.insert(server);
         return *same;
     }
-    if (crashes_.size() == options_.max_crashes) {
+    if (crashes_.size() == max_crashes) {
         crashes_.pop_front();
     }
     crashes_.push_back(
@@ -84,49 +66,118 @@
     return crashes_.back();
 }
 
-std::size_t crash_attribution::crashes(const suspect& what) const
+std::vector<quarantine_entry> crash_attribution::evaluate(milliseconds now)
+{
+    std::vector<quarantine_entry> begun;
+    const auto begin = [&](std::vector<suspect> suspects) {
+        quarantine_entry entry{.suspects = std::move(suspects),
+                               .until = now + options_.quarantine_time};
+        if (quarantine(entry, now)) {
+            begun.push_back(std::move(entry));
+        }
+    };
+    revise(explained_crashes(now), now, begun);
+    crash_set explained = explained_crashes(now);
+    while (const auto blamed = most_blamed_parts(explained)) {
+        explained |= blamed->crashes;
+        begin(blamed->suspects);
+    }
+    for (const auto& [what, unexplained] : candidates(explained)) {
+        if (what.kind == suspect_kind::content) {
+            begin({what});
+        }
+    }
+    return begun;
+}
+
+crash_attribution::crash_set
+crash_attribution::crashes_with(std::span<const suspect> suspects) const
 {
-    return static_cast<std::size_t>(
-        std::count_if(crashes_.begin(), crashes_.end(),
-                      [&](const crash& item) { return item.suspects.contains(what); }));
+    crash_set result = 0;
+    for (std::size_t i = 0; i < crashes_.size(); ++i) {
+        const bool has_all_suspects =
+            std::all_of(suspects.begin(), suspects.end(),
+                        [&](const suspect& what) { return crashes_[i].suspects.contains(what); });
+        result |= has_all_suspects ? crash_set{1} << i : 0;
+    }
+    return result;
 }
 
-bool crash_attribution::is_blamed(const suspect& what) const
+crash_attribution::crash_set crash_attribution::explained_crashes(milliseconds now) const
 {
-    const auto first = std::find_if(crashes_.begin(), crashes_.end(), [&](const crash& item) {
-        return item.suspects.contains(what);
+    crash_set result = 0;
+    for (const auto& entry : quarantines_) {
+        if (now < entry.until && entry.suspects.front().kind == suspect_kind::part) {
+            result |= crashes_with(entry.suspects);
+        }
+    }
+    return result;
+}
+
+std::map<suspect, crash_attribution::crash_set>
+crash_attribution::candidates(crash_set explained) const
+{
+    std::map<suspect, crash_set> result;
+    for (std::size_t i = 0; i < crashes_.size(); ++i) {
+        const crash_set bit = crash_set{1} << i;
+        if ((explained & bit) == 0) {
+            for (const auto& what : crashes_[i].suspects) {
+                result[what] |= bit;
+            }
+        }
+    }
+    std::erase_if(result, [this](const auto& item) {
+        const auto& first = crashes_[static_cast<std::size_t>(std::countr_zero(item.second))];
+        // If nothing was answered, the servers are more likely to be at fault than a request.
+        return static_cast<std::size_t>(std::popcount(item.second)) < options_.crash_limit ||
+               first.answers_before == answers_;
     });
-    // If nothing was answered, the servers are more likely to be at fault than a request.
-    return first != crashes_.end() && first->answers_before < answers_ &&
-           crashes(what) >= options_.crash_limit;
+    return result;
 }
 
-std::vector<std::vector<suspect>> crash_attribution::blamed_for(const crash& last) const
+std::optional<crash_attribution::blame>
+crash_attribution::most_blamed_parts(crash_set explained) const
 {
-    std::vector<std::vector<suspect>> result;
-    std::vector<suspect> parts;
-    std::size_t most = 0;
-    for (const auto& what : last.suspects) {
-        if (!is_blamed(what)) {
+    std::optional<blame> result;
+    for (const auto& [what, unexplained] : candidates(explained)) {
+        if (what.kind != suspect_kind::part) {
             continue;
         }
-        if (what.kind == suspect_kind::content) {
-            result.push_back({what});
+        if (!result || std::popcount(unexplained) > std::popcount(result->crashes)) {
+            result = blame{.suspects = {}, .crashes = unexplained};
+        }
+        if (unexplained == result->crashes) {
+            result->suspects.push_back(what);
+        }
+    }
+    return result;
+}
+
+void crash_attribution::revise(crash_set explained, milliseconds now,
+                               std::vector<quarantine_entry>& begun)
+{
+    for (auto& entry : quarantines_) {
+        if (now >= entry.until) {
+            // The first crash after the end of a quarantine renews it.
+            if ((crashes_with(entry.suspects) & ~explained) != 0) {
+                entry.until = now + options_.quarantine_time;
+                begun.push_back(entry);
+            }
             continue;
         }
-        const std::size_t count = crashes(what);
-        if (count > most) {
-            most = count;
-            parts.clear();
+        std::vector<suspect> present;
+        for (std::size_t i = 0; i < crashes_.size() && present.empty(); ++i) {
+            if ((explained & crash_set{1} << i) == 0) {
+                std::copy_if(
+                    entry.suspects.begin(), entry.suspects.end(), std::back_inserter(present),
+                    [&](const suspect& what) { return crashes_[i].suspects.contains(what); });
+            }
         }
-        if (count == most) {
-            parts.push_back(what);
+        if (!present.empty() && present.size() < entry.suspects.size()) {
+            entry.suspects = std::move(present);
+            begun.push_back(entry);
         }
     }
-    if (!parts.empty()) {
-        result.push_back(std::move(parts));
-    }
-    return result;
 }
 
 bool crash_attribution::quarantine(const quarantine_entry& entry, milliseconds now)
@@ -143,10 +194,6 @@
         return has_all(entry.suspects, present.suspects);
     });
     quarantines_.push_back(entry);
-    const auto& first = entry.suspects.front();
-    if (entry.suspects.size() == 1 && first.kind == suspect_kind::part) {
-        std::erase_if(crashes_, [&](const crash& item) { return item.suspects.contains(first); });
-    }
     return true;
 }
 
--- a/src/dotterelport/request/crash_attribution_test.cpp
+++ b/src/dotterelport/request/crash_attribution_test.cpp
@@ -33,7 +33,8 @@
     {
         now += 1s;
         attribution.record_answer({}, now);
-        return attribution.record_crash("s" + std::to_string(++servers), suspects, now);
+        attribution.record_crash("s" + std::to_string(++servers), suspects, now);
+        return attribution.evaluate(now);
     }
 
     std::vector<suspect> answer(const std::vector<suspect>& suspects)
@@ -80,6 +81,7 @@
             run.attribution.record_crash("s" + std::to_string(i), std::vector{part(1)},
                                          milliseconds{10 * i});
         }
+        CHECK(run.attribution.evaluate(1s).empty());
     }
     SECTION("several gateways report one crash")
     {
@@ -87,6 +89,7 @@
         for (int i = 0; i < 4; ++i) {
             run.attribution.record_crash("s", std::vector{part(1)}, milliseconds{400 * i});
         }
+        CHECK(run.attribution.evaluate(2s).empty());
     }
     SECTION("the crashes are far apart")
     {
@@ -101,15 +104,32 @@
             run.attribution.record_crash("s" + std::to_string(i), std::vector{part(1)},
                                          i * 1'000ms);
         }
+        CHECK(run.attribution.evaluate(6s).empty());
     }
     SECTION("another part was at more crashes")
     {
-        run.crash({part(2)});
-        for (int i = 0; i < 2; ++i) {
-            run.crash({part(1), part(2)});
+        run.answer({});
+        for (int i = 0; i < 5; ++i) {
+            const std::vector suspects{part(2), part(i < 4 ? 1 : 3)};
+            run.attribution.record_crash("s" + std::to_string(i), suspects, i * 1'000ms);
         }
+        run.answer({});
+        run.now = 6s;
+        CHECK(run.attribution.evaluate(run.now).size() == 1);
         CHECK(run.refuses({part(2)}));
-        CHECK(run.crash({part(1)}).empty());
+    }
+    SECTION("a report without the part that is to blame arrives first")
+    {
+        for (int i = 0; i < 2; ++i) {
+            run.crash({part(1), part(2 + static_cast<std::uint64_t>(i))});
+            run.crash({part(9)});
+        }
+        run.crash({part(9), part(4)});
+        CHECK(run.refuses({part(9)}));
+        run.attribution.record_crash("last", std::vector{part(1)}, run.now + 1s);
+        run.attribution.record_crash("last", std::vector{part(9)}, run.now + 1'100ms);
+        run.now += 1'200ms;
+        CHECK(run.attribution.evaluate(run.now).empty());
     }
     CHECK_FALSE(run.refuses({part(1)}));
 }
@@ -232,6 +252,7 @@
                 suspects.push_back(part(rare(random)));
             }
             attribution.record_crash("s" + std::to_string(now.count()), suspects, now);
+            attribution.evaluate(now);
         }
     }
 };
