Count a crash also if the answer had neither length nor chunks

Found while reading the change: an engine that ends after the head of an answer with close framing completes its HTTP framing, so the attempt ended as truncated by way of ends_early() and was not reported as lost. Crashes of such requests would not have been counted.

--- a/src/dotterelport/gateway/forwarding.hpp
+++ b/src/dotterelport/gateway/forwarding.hpp
@@ -97,6 +97,8 @@
     void received_data(std::string_view data);
     void received_all();
     void received_failure(net::backend_failure failure);
+    /// @brief Reports an attempt whose server ended the connection before the first event.
+    void report_lost_attempt();
     void write_events(std::string_view events);
     void buffer_body(std::string_view data);
     void clear_attempt();
--- a/src/dotterelport/gateway/forwarding_answer.cpp
+++ b/src/dotterelport/gateway/forwarding_answer.cpp
@@ -195,6 +195,7 @@
         return;
     }
     if (ends_early()) {
+        report_lost_attempt();
         attempt_failed(verdict::may_have_run, attempt_end::truncated);
         return;
     }
@@ -271,12 +272,18 @@
                        attempt_end::not_connected);
         return;
     }
-    const bool had_begun = events_.events() > attempt_->events_before;
+    if (failure != net::backend_failure::malformed) {
+        report_lost_attempt();
+    }
+    attempt_failed(verdict::may_have_run, to_attempt_end(failure));
+}
+
+void forwarding::report_lost_attempt()
+{
     const auto* server = context_.servers.find(attempt_->server);
-    if (failure != net::backend_failure::malformed && !had_begun && server != nullptr) {
+    if (server != nullptr && events_.events() == attempt_->events_before) {
         context_.crashes.attempt_lost(server->id, server->address, suspects_);
     }
-    attempt_failed(verdict::may_have_run, to_attempt_end(failure));
 }
 
 void forwarding::arm_stall_timer()
