--- a/include/dotterelport/gateway/events.hpp
+++ b/include/dotterelport/gateway/events.hpp
@@ -87,6 +87,9 @@
 inline constexpr log_event quarantine_unreadable{
     943, severity::error, "quarantine_unreadable",
     "The stored quarantines could not be read and are not used."};
+inline constexpr log_event suspects_cleared{
+    944, severity::info, "suspects_cleared",
+    "A request with these suspects was answered, so that none of them crashes servers."};
 
 inline constexpr log_event ledger_step{
     934, severity::info, "ledger_step",
--- a/src/dotterelport/ctl/event_catalogue.cpp
+++ b/src/dotterelport/ctl/event_catalogue.cpp
@@ -113,6 +113,7 @@
         gateway::suspects_quarantined,
         gateway::quarantine_not_saved,
         gateway::quarantine_unreadable,
+        gateway::suspects_cleared,
         store::feed_lost,
         store::feed_regained,
         store::feed_history_gone,
--- a/src/dotterelport/gateway/crash_watch.cpp
+++ b/src/dotterelport/gateway/crash_watch.cpp
@@ -164,7 +164,7 @@
                                   {"crashed", refused},
                                   {"accepted", accepted},
                                   {"after_ms", duration.count()},
-                                  {"suspects", report.suspects.size()}});
+                                  {"suspects", names_of(report.suspects)}});
     if (!refused) {
         return;
     }
@@ -205,6 +205,9 @@
 void crash_watch::answered(std::span<const suspect> suspects)
 {
     const auto cleared = attribution_.record_answer(suspects, steady_now());
+    if (!cleared.empty()) {
+        log(events::suspects_cleared, {{"suspects", names_of(cleared)}});
+    }
     cleared_.insert(cleared.begin(), cleared.end());
     if (!cleared_.empty() && cleared_timer_ == 0) {
         cleared_timer_ = loop_.schedule(settings_.cleared_batch_time, [this] { send_cleared(); });
