--- a/src/dotterelport/request/crash_attribution_test.cpp
+++ b/src/dotterelport/request/crash_attribution_test.cpp
@@ -173,6 +173,22 @@
     CHECK_FALSE(run.refuses({part(1), content(7)}));
 }
 
+TEST_CASE("A repeated content that crashes all servers of a service at once is quarantined")
+{
+    const milliseconds interval = GENERATE(0ms, 10ms, 60ms, 110ms, 400ms);
+    CAPTURE(interval);
+    history run;
+    run.answer({content(6)});
+    for (int i = 0; i < 3; ++i) {
+        run.now += interval;
+        run.attribution.record_crash("s" + std::to_string(i), std::vector{content(5)}, run.now);
+        run.answer({content(6)});
+    }
+    run.attribution.evaluate(run.now);
+    CHECK(run.refuses({content(5)}));
+    CHECK_FALSE(run.refuses({content(6)}));
+}
+
 TEST_CASE("A quarantine ends after its time and is renewed by one crash")
 {
     history run;
