Count the crashes of a repeated content by servers, also if they happen at once

Cause: crashes within 150 ms count once, as racks may fail. Callers that repeat at once bring the content to all servers before the first one ends, so that a wave of three crashes counted once or twice and three waves, nine servers and six seconds, passed. Change: contents count by servers. If the crashes are close enough for a common cause the quarantine lasts 10 s, which a server needs to start again; the first crash after its end, which can have no common cause with them, renews it for the whole time. When a quarantine has ended, one attempt at a time is let through at each gateway. Parts of prompts count as before: sound ones are at every crash.

--- a/include/dotterelport/gateway/crash_watch.hpp
+++ b/include/dotterelport/gateway/crash_watch.hpp
@@ -73,6 +73,9 @@
     void attempt_lost(const std::string& server, const net::endpoint& address,
                       std::span<const request::suspect> suspects);
 
+    /// @brief Records that a request is sent to a server.
+    void sent(std::span<const request::suspect> suspects);
+
     /// @brief Records that a request was answered completely.
     void answered(std::span<const request::suspect> suspects);
 
--- a/include/dotterelport/request/crash_attribution.hpp
+++ b/include/dotterelport/request/crash_attribution.hpp
@@ -43,6 +43,8 @@
     std::vector<suspect> suspects;
     /// Steady time at which the quarantine ends.
     milliseconds until{0};
+    /// After the end, time until which the result of the attempt that was let through is awaited.
+    milliseconds trial_until{0};
 };
 
 /// Finds which part of requests crashes the backend servers that run them.
@@ -53,6 +55,13 @@
 /// while others were. The part that explains most crashes is blamed first, and these crashes do not
 /// count against others. Parts that were at the same crashes are quarantined together: only
 /// requests with all of them are refused, until an answer or a further crash tells them apart.
+///
+/// A content is counted by the servers that crashed with it, also at once: callers repeat it, so it
+/// may be at all servers of a service when the first one crashes. As sound content may be there too
+/// when servers crash for a common reason, such a quarantine is short, and the first crash after it
+/// proves the content to be at fault.
+///
+/// When a quarantine has ended, one attempt at a time is let through.
 /// Answers from all routers and crashes seen by all of them may be recorded.
 class crash_attribution {
 public:
@@ -67,6 +76,11 @@
         /// Time after which a crash no longer counts.
         milliseconds crash_memory{60'000};
         milliseconds quarantine_time{600'000};
+        /// Quarantine of a content whose crashes may have a common cause. Longer than a crashed
+        /// server takes to start again.
+        milliseconds short_quarantine_time{10'000};
+        /// Time for which the result of an attempt after the end of a quarantine is awaited.
+        milliseconds trial_time{2'000};
         /// Time for which a cleared suspect is not quarantined because of another router's older
         /// message.
         milliseconds clear_time{5'000};
@@ -77,7 +91,9 @@
 
     /// @brief Records that a server crashed. Several routers may report the same crash.
     /// @param suspects those of requests at the server that had not begun to be answered
-    void record_crash(const std::string& server, std::span<const suspect> suspects,
+    /// @return whether the crash renews a quarantine that has ended, so that evaluate() need not
+    /// wait for further reports
+    bool record_crash(const std::string& server, std::span<const suspect> suspects,
                       milliseconds now);
 
     /// @brief Decides what is to blame for the recorded crashes; to be called once the reports
@@ -90,6 +106,9 @@
     /// @return those that were under suspicion or in quarantine
     std::vector<suspect> record_answer(std::span<const suspect> suspects, milliseconds now);
 
+    /// @brief Records that a request is sent to a server.
+    void record_send(std::span<const suspect> suspects, milliseconds now);
+
     /// @brief Takes over a quarantine of another router.
     /// @return whether it refuses requests that were not refused before
     bool adopt(quarantine_entry entry, milliseconds now);
@@ -104,7 +123,8 @@
     struct crash {
         milliseconds at{0};
         std::set<std::string> servers;
-        std::set<suspect> suspects;
+        /// Servers that each suspect was at.
+        std::map<suspect, std::set<std::string>> suspects;
         /// Answers that were recorded before the crash.
         std::uint64_t answers_before = 0;
     };
@@ -123,6 +143,8 @@
     [[nodiscard]] crash_set explained_crashes(milliseconds now) const;
     /// @brief Unexplained crashes of each suspect that enough of them count against.
     [[nodiscard]] std::map<suspect, crash_set> candidates(crash_set explained) const;
+    /// @brief Number of servers that crashed with a suspect.
+    [[nodiscard]] std::size_t crashed_servers(const suspect& what, crash_set crashes) const;
     /// @brief Parts that explain most of the unexplained crashes.
     [[nodiscard]] std::optional<blame> most_blamed_parts(crash_set explained) const;
     /// @brief Renews quarantines that have ended, and narrows those of several parts.
--- a/src/dotterelport/gateway/crash_watch.cpp
+++ b/src/dotterelport/gateway/crash_watch.cpp
@@ -180,15 +180,16 @@
 
 void crash_watch::record_crash(const crash_report& report)
 {
-    attribution_.record_crash(report.server, report.suspects, steady_now());
-    if (evaluation_timer_ == 0) {
+    if (attribution_.record_crash(report.server, report.suspects, steady_now())) {
+        evaluate();
+    } else if (evaluation_timer_ == 0) {
         evaluation_timer_ = loop_.schedule(settings_.evaluation_delay, [this] { evaluate(); });
     }
 }
 
 void crash_watch::evaluate()
 {
-    evaluation_timer_ = 0;
+    loop_.cancel(std::exchange(evaluation_timer_, 0));
     const auto begun = attribution_.evaluate(steady_now());
     if (begun.empty()) {
         return;
@@ -202,6 +203,11 @@
     check_store();
 }
 
+void crash_watch::sent(std::span<const suspect> suspects)
+{
+    attribution_.record_send(suspects, steady_now());
+}
+
 void crash_watch::answered(std::span<const suspect> suspects)
 {
     const auto cleared = attribution_.record_answer(suspects, steady_now());
--- a/src/dotterelport/gateway/forwarding.cpp
+++ b/src/dotterelport/gateway/forwarding.cpp
@@ -304,6 +304,7 @@
     call.max_idle = route_->may_repeat() ? max_idle_if_repeatable : max_idle_if_not_repeatable;
     context_.placement.sent(server.id, attempt_->id, placement_request(), cache_capacity_, now);
     context_.peers.add_prompt(server.id, request_.parts);
+    context_.crashes.sent(suspects_);
     json fields = log_fields();
     fields["send"] = sends_;
     fields["cost_ms"] = choice.cost_ms;
--- a/src/dotterelport/request/crash_attribution.cpp
+++ b/src/dotterelport/request/crash_attribution.cpp
@@ -38,13 +38,19 @@
     return std::string(name_of(kind_names, value.kind)) + ":" + std::string(digits.data(), end);
 }
 
-void crash_attribution::record_crash(const std::string& server, std::span<const suspect> suspects,
+bool crash_attribution::record_crash(const std::string& server, std::span<const suspect> suspects,
                                      milliseconds now)
 {
     while (!crashes_.empty() && now - crashes_.front().at > options_.crash_memory) {
         crashes_.pop_front();
     }
-    find_or_add(server, now).suspects.insert(suspects.begin(), suspects.end());
+    auto& recorded = find_or_add(server, now);
+    for (const auto& what : suspects) {
+        recorded.suspects[what].insert(server);
+    }
+    return std::any_of(quarantines_.begin(), quarantines_.end(), [&](const auto& entry) {
+        return now >= entry.until && has_all(entry.suspects, suspects);
+    });
 }
 
 crash_attribution::crash& crash_attribution::find_or_add(const std::string& server,
@@ -69,9 +75,8 @@
 std::vector<quarantine_entry> crash_attribution::evaluate(milliseconds now)
 {
     std::vector<quarantine_entry> begun;
-    const auto begin = [&](std::vector<suspect> suspects) {
-        quarantine_entry entry{.suspects = std::move(suspects),
-                               .until = now + options_.quarantine_time};
+    const auto begin = [&](std::vector<suspect> suspects, milliseconds duration) {
+        quarantine_entry entry{.suspects = std::move(suspects), .until = now + duration};
         if (quarantine(entry, now)) {
             begun.push_back(std::move(entry));
         }
@@ -80,16 +85,34 @@
     crash_set explained = explained_crashes(now);
     while (const auto blamed = most_blamed_parts(explained)) {
         explained |= blamed->crashes;
-        begin(blamed->suspects);
+        begin(blamed->suspects, options_.quarantine_time);
     }
     for (const auto& [what, unexplained] : candidates(explained)) {
-        if (what.kind == suspect_kind::content) {
-            begin({what});
+        const std::vector<suspect> suspects{what};
+        const bool is_known =
+            std::any_of(quarantines_.begin(), quarantines_.end(),
+                        [&](const auto& entry) { return entry.suspects == suspects; });
+        if (what.kind == suspect_kind::content && !is_known) {
+            const auto crashes = static_cast<std::size_t>(std::popcount(unexplained));
+            begin(suspects, crashes < options_.crash_limit ? options_.short_quarantine_time
+                                                           : options_.quarantine_time);
         }
     }
     return begun;
 }
 
+std::size_t crash_attribution::crashed_servers(const suspect& what, crash_set crashes) const
+{
+    std::size_t result = 0;
+    for (std::size_t i = 0; i < crashes_.size(); ++i) {
+        const auto found = crashes_[i].suspects.find(what);
+        if ((crashes & crash_set{1} << i) != 0 && found != crashes_[i].suspects.end()) {
+            result += found->second.size();
+        }
+    }
+    return result;
+}
+
 crash_attribution::crash_set
 crash_attribution::crashes_with(std::span<const suspect> suspects) const
 {
@@ -121,7 +144,7 @@
     for (std::size_t i = 0; i < crashes_.size(); ++i) {
         const crash_set bit = crash_set{1} << i;
         if ((explained & bit) == 0) {
-            for (const auto& what : crashes_[i].suspects) {
+            for (const auto& [what, servers] : crashes_[i].suspects) {
                 result[what] |= bit;
             }
         }
@@ -129,8 +152,10 @@
     std::erase_if(result, [this](const auto& item) {
         const auto& first = crashes_[static_cast<std::size_t>(std::countr_zero(item.second))];
         // If nothing was answered, the servers are more likely to be at fault than a request.
-        return static_cast<std::size_t>(std::popcount(item.second)) < options_.crash_limit ||
-               first.answers_before == answers_;
+        const std::size_t count = item.first.kind == suspect_kind::content
+                                      ? crashed_servers(item.first, item.second)
+                                      : static_cast<std::size_t>(std::popcount(item.second));
+        return count < options_.crash_limit || first.answers_before == answers_;
     });
     return result;
 }
@@ -159,7 +184,9 @@
     for (auto& entry : quarantines_) {
         if (now >= entry.until) {
             // The first crash after the end of a quarantine renews it.
-            if ((crashes_with(entry.suspects) & ~explained) != 0) {
+            const crash_set crashes = crashes_with(entry.suspects) & ~explained;
+            const auto last = static_cast<std::size_t>(std::bit_width(crashes));
+            if (crashes != 0 && crashes_[last - 1].at >= entry.until) {
                 entry.until = now + options_.quarantine_time;
                 begun.push_back(entry);
             }
@@ -225,6 +252,15 @@
     return cleared;
 }
 
+void crash_attribution::record_send(std::span<const suspect> suspects, milliseconds now)
+{
+    for (auto& entry : quarantines_) {
+        if (now >= entry.until && has_all(entry.suspects, suspects)) {
+            entry.trial_until = now + options_.trial_time;
+        }
+    }
+}
+
 bool crash_attribution::adopt(quarantine_entry entry, milliseconds now)
 {
     std::erase_if(entry.suspects, [&](const suspect& what) {
@@ -244,8 +280,9 @@
 {
     std::optional<milliseconds> longest;
     for (const auto& entry : quarantines_) {
-        if (now < entry.until && has_all(entry.suspects, suspects)) {
-            longest = std::max(longest.value_or(milliseconds{0}), entry.until - now);
+        const milliseconds end = std::max(entry.until, entry.trial_until);
+        if (now < end && has_all(entry.suspects, suspects)) {
+            longest = std::max(longest.value_or(milliseconds{0}), end - now);
         }
     }
     return longest;
--- a/src/dotterelport/request/crash_attribution_test.cpp
+++ b/src/dotterelport/request/crash_attribution_test.cpp
@@ -189,6 +189,40 @@
     CHECK_FALSE(run.refuses({content(6)}));
 }
 
+TEST_CASE("A content at servers that crashed at once is refused for a short time, then tried once")
+{
+    history run;
+    run.answer({});
+    for (int i = 0; i < 3; ++i) {
+        run.attribution.record_crash("s" + std::to_string(i), std::vector{content(5)}, run.now);
+        run.answer({});
+    }
+    CHECK(run.attribution.evaluate(run.now).size() == 1);
+    CHECK(run.attribution.refused_for(std::vector{content(5)}, run.now) == 10s);
+    run.now += 10s;
+    CHECK_FALSE(run.refuses({content(5)}));
+    CHECK(run.attribution.evaluate(run.now).empty());
+    run.attribution.record_send(std::vector{content(5)}, run.now);
+    CHECK(run.attribution.refused_for(std::vector{content(5)}, run.now) == 2s);
+    SECTION("an answer ends it")
+    {
+        run.answer({content(5)});
+        CHECK_FALSE(run.refuses({content(5)}));
+    }
+    SECTION("a crash renews it for the whole time")
+    {
+        run.now += 50ms;
+        CHECK(run.attribution.record_crash("s1", std::vector{content(5)}, run.now));
+        CHECK(run.attribution.evaluate(run.now).size() == 1);
+        CHECK(run.attribution.refused_for(std::vector{content(5)}, run.now) == 600s);
+    }
+    SECTION("after another failure one more attempt is let through")
+    {
+        run.now += 2s;
+        CHECK_FALSE(run.refuses({content(5)}));
+    }
+}
+
 TEST_CASE("A quarantine ends after its time and is renewed by one crash")
 {
     history run;
