Obey the limits, departures and waits that servers state in their answers

Callers saw nothing yet: the servers took the requests. Cause: nothing read what servers state about themselves. Change: the adapter decodes the statements; routing/server_limits decides, without I/O, when a server may get its next request: gateways use equal parts of a rate without asking each other, so that it holds in cuts and at any size, and a part that is not used within a second is lost; gateway/server_statements applies and announces statements; a server that leaves is closed in the directory. First sends, retries and resumed streams choose among the servers that permit a request; if none does, the request is refused at once with the time until the first permit. A wait holds for the gateway that it was told to, so it is not announced.

--- a/include/dotterelport/gateway/attempt_policy.hpp
+++ b/include/dotterelport/gateway/attempt_policy.hpp
@@ -42,6 +42,8 @@
     caller_gone,
     /// No further server is available.
     no_server,
+    /// All servers that are available limit how many requests they accept.
+    servers_limited,
     /// The request has a part, or a content, that crashes servers.
     quarantined,
 };
--- a/include/dotterelport/gateway/events.hpp
+++ b/include/dotterelport/gateway/events.hpp
@@ -90,6 +90,19 @@
 inline constexpr log_event suspects_cleared{
     944, severity::info, "suspects_cleared",
     "A request with these suspects was answered, so that none of them crashes servers."};
+inline constexpr log_event server_limit_changed{
+    945, severity::info, "server_limit_changed",
+    "A backend server states how many requests per second it accepts from all gateways, or no "
+    "longer does."};
+inline constexpr log_event server_leaving{
+    946, severity::info, "server_leaving",
+    "A backend server states that it leaves; it gets no new requests."};
+inline constexpr log_event server_wait_requested{
+    947, severity::info, "server_wait_requested",
+    "A backend server refused a request and accepts none from this gateway for a time."};
+inline constexpr log_event server_statement_unreadable{
+    948, severity::warning, "server_statement_unreadable",
+    "A backend server's statement about itself cannot be parsed; the previous one stays in force."};
 
 inline constexpr log_event ledger_step{
     934, severity::info, "ledger_step",
--- a/include/dotterelport/gateway/peer_link.hpp
+++ b/include/dotterelport/gateway/peer_link.hpp
@@ -38,6 +38,8 @@
     feed_changes,
     /// Reports crashes of backend servers and what is quarantined because of them.
     crashes,
+    /// Passes on what a backend server states about itself.
+    server_statement,
 };
 
 /// A message between gateways.
--- a/include/dotterelport/gateway/protocol.hpp
+++ b/include/dotterelport/gateway/protocol.hpp
@@ -49,6 +49,18 @@
     std::optional<int> urgency;
 };
 
+/// What a backend server states about itself in an answer.
+struct server_statement {
+    /// Requests per second that it accepts from all gateways together.
+    std::optional<double> max_rate;
+    /// It stops soon and accepts no new requests.
+    bool leaving = false;
+    /// Time for which it accepts no requests from this gateway; only with a refusal.
+    std::optional<milliseconds> retry_after;
+    /// A statement cannot be parsed.
+    bool unreadable = false;
+};
+
 /// Properties of a backend server's answer that are stated in its head.
 struct backend_answer {
     /// Id of the answered request, if the server states it.
@@ -60,6 +72,7 @@
     /// The answer contains the proof that a backend server produced it.
     bool authentic = false;
     std::optional<routing::load_report> load;
+    server_statement statement;
 };
 
 /// Translates between the wire format of callers and backend servers and the fields that the
--- a/include/dotterelport/gateway/server_directory.hpp
+++ b/include/dotterelport/gateway/server_directory.hpp
@@ -66,6 +66,11 @@
     /// gets no more requests, even while its registration still exists.
     void mark_replaced(const std::string& id);
 
+    /// @brief Records that a server has stated that it leaves: it gets no more requests, even while
+    /// its registration does not say so.
+    /// @return whether this was not known
+    bool mark_leaving(const std::string& id);
+
     /// @brief Removes registrations whose grace period has ended.
     void expire(milliseconds now);
 
@@ -87,6 +92,7 @@
 
 private:
     void forget(const std::string& id);
+    [[nodiscard]] bool accepts_requests(const backend_server& server) const;
 
     options options_;
     removal_handler on_removed_;
@@ -97,6 +103,8 @@
     std::map<std::string, milliseconds> missing_;
     /// Servers at whose address a different server answers.
     std::set<std::string> replaced_;
+    /// Servers that have stated that they leave.
+    std::set<std::string> leaving_;
     bool has_list_ = false;
 };
 
--- /dev/null
+++ b/include/dotterelport/gateway/server_statements.hpp
@@ -0,0 +1,64 @@
+#ifndef DOTTERELPORT_GATEWAY_SERVER_STATEMENTS_HPP
+#define DOTTERELPORT_GATEWAY_SERVER_STATEMENTS_HPP
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include "dotterelport/base/json.hpp"
+#include "dotterelport/gateway/peer_link.hpp"
+#include "dotterelport/gateway/protocol.hpp"
+#include "dotterelport/gateway/server_directory.hpp"
+#include "dotterelport/routing/server_limits.hpp"
+
+namespace dotterelport::gateway {
+
+/// What a gateway tells the others about a server.
+struct statement_message {
+    std::string server;
+    /// Start of the server's run, as registered; the statements of one run say nothing about the
+    /// next.
+    std::uint64_t started_ms = 0;
+    /// Requests per second from all gateways together; nothing if the server states no limit.
+    std::optional<double> max_rate;
+    bool leaving = false;
+};
+
+json to_json(const statement_message& message);
+
+/// @throws json::exception if the document does not have the form of a statement message
+statement_message parse_statement_message(const json& document);
+
+/// Applies what servers state about themselves in their answers, and tells the other gateways.
+/// A lost message only means that a gateway learns the same from the next answer that it gets.
+class server_statements {
+public:
+    server_statements(peer_link& link, server_directory& servers);
+
+    /// @brief Applies what an answer states.
+    /// @param started_ms start of the server's run to which the request was sent
+    void received(const std::string& server, std::uint64_t started_ms,
+                  const server_statement& statement);
+
+    /// @brief Time until a request may be sent to a server; 0 if it may be sent now.
+    [[nodiscard]] milliseconds time_until_permitted(const std::string& server) const;
+    void sent(const std::string& server);
+
+    /// @brief Sets the number of gateways that share the servers' limits.
+    void set_gateway_count(std::size_t count) { limits_.set_router_count(count); }
+    void forget(const std::string& server) { limits_.forget(server); }
+    [[nodiscard]] json dump() const;
+
+private:
+    void receive(const peer_message& message);
+    /// @return whether this was not known
+    bool apply(const statement_message& message, const std::string& reported_by);
+
+    peer_link& link_;
+    server_directory& servers_;
+    routing::server_limits limits_;
+};
+
+} // namespace dotterelport::gateway
+
+#endif
--- /dev/null
+++ b/include/dotterelport/routing/server_limits.hpp
@@ -0,0 +1,83 @@
+#ifndef DOTTERELPORT_ROUTING_SERVER_LIMITS_HPP
+#define DOTTERELPORT_ROUTING_SERVER_LIMITS_HPP
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <random>
+#include <string>
+
+#include "dotterelport/base/clock.hpp"
+#include "dotterelport/base/json.hpp"
+
+namespace dotterelport::routing {
+
+/// Keeps the requests to backend servers within the limits that the servers state: a rate that
+/// holds for all routers together, and a time for which a server accepts nothing from this router.
+///
+/// Routers use equal parts of a rate without asking each other, so that the sum is kept while they
+/// cannot reach each other and whatever their number. A part that is not used within a short time
+/// is lost: parts that many routers have saved could arrive at once.
+class server_limits {
+public:
+    struct options {
+        /// Share of a rate that is used; the remainder covers routers that are not known yet.
+        double used_share = 0.8;
+        /// Lower bound of a rate in requests per second. The end of a limit is only seen in the
+        /// answer to a request, so that a server that accepts nothing still gets one at times.
+        double min_rate = 0.1;
+        /// Time for which a request that a rate allows may be sent later.
+        milliseconds permit_lifetime{1'000};
+        /// Longest wait that is accepted from a server.
+        milliseconds max_wait{600'000};
+    };
+
+    server_limits() : server_limits(options{}, std::random_device{}()) {}
+    server_limits(const options& settings, std::uint64_t seed) : settings_(settings), random_(seed)
+    {}
+
+    /// @brief Sets the number of routers that share the rates.
+    void set_router_count(std::size_t count) { routers_ = count == 0 ? 1 : count; }
+
+    /// @brief Sets the rate that a server states, or ends its limit.
+    /// @param rate requests per second from all routers together
+    /// @return whether this differs noticeably from what was known
+    bool set_rate(const std::string& server, std::optional<double> rate, milliseconds now);
+
+    /// @brief Records that a server accepts nothing from this router for a time.
+    void set_wait(const std::string& server, milliseconds wait, milliseconds now);
+
+    /// @brief Time until a request may be sent to a server; 0 if it may be sent now.
+    [[nodiscard]] milliseconds time_until_permitted(const std::string& server,
+                                                    milliseconds now) const;
+
+    /// @brief Records that a request is sent to a server.
+    void sent(const std::string& server, milliseconds now);
+
+    void forget(const std::string& server) { limits_.erase(server); }
+
+    [[nodiscard]] bool is_empty() const { return limits_.empty(); }
+    [[nodiscard]] json dump(milliseconds now) const;
+
+private:
+    struct limit {
+        std::optional<double> rate;
+        /// Steady time in ms at which the next request is permitted by the rate.
+        double next_permit_ms = 0;
+        milliseconds wait_until{0};
+    };
+
+    [[nodiscard]] double ms_per_permit(double rate) const;
+    /// @brief Time of the next permit that has not lapsed, in ms.
+    [[nodiscard]] double next_permit_ms(const limit& item, milliseconds now) const;
+
+    options settings_;
+    std::mt19937_64 random_;
+    std::size_t routers_ = 1;
+    std::map<std::string, limit> limits_;
+};
+
+} // namespace dotterelport::routing
+
+#endif
--- a/src/dotterelport/gateway/forwarding.cpp
+++ b/src/dotterelport/gateway/forwarding.cpp
@@ -128,11 +128,21 @@
     choose_service();
     arm_timers();
     suspects_ = suspects_of(request_, head, exchange_->body());
-    if (!refuse_quarantined()) {
+    if (!refuse_quarantined() && !refuse_limited()) {
         reserve();
     }
 }
 
+bool forwarding::refuse_limited()
+{
+    if (time_until_permitted().value_or(milliseconds{0}) == milliseconds{0}) {
+        return false;
+    }
+    attempt_failed(may_have_run_ ? verdict::may_have_run : verdict::not_run,
+                   attempt_end::servers_limited);
+    return true;
+}
+
 bool forwarding::refuse_quarantined()
 {
     if (!context_.crashes.refused_for(suspects_)) {
@@ -234,24 +244,44 @@
     }
 }
 
-routing::placement_request forwarding::placement_request() const
+routing::placement_request
+forwarding::placement_request(std::span<const std::string> excluded) const
 {
     return {.parts = request_.parts,
             .prompt_tokens = request_.prompt_tokens,
             .failure_domain = context_.failure_domain,
             .pause_limit = catalogue_->pause_limit(),
-            .excluded = tried_servers_};
+            .excluded = excluded};
+}
+
+std::optional<milliseconds> forwarding::time_until_permitted() const
+{
+    std::optional<milliseconds> shortest;
+    for (const auto* server : context_.servers.available(service_)) {
+        if (std::find(tried_servers_.begin(), tried_servers_.end(), server->id) ==
+            tried_servers_.end()) {
+            const milliseconds time = context_.statements.time_until_permitted(server->id);
+            shortest = std::min(shortest.value_or(time), time);
+        }
+    }
+    return shortest;
 }
 
 std::optional<routing::placement_choice> forwarding::choose_server() const
 {
     std::vector<routing::placement_candidate> candidates;
+    std::vector<std::string> excluded = tried_servers_;
     for (const auto* server : context_.servers.available(service_)) {
         candidates.push_back({.server = server->id,
                               .failure_domain = server->failure_domain,
                               .capacity = server->capacity});
+        // Limited servers stay candidates, so that the servers preferred for a prompt do not change
+        // with each permit.
+        if (context_.statements.time_until_permitted(server->id) > milliseconds{0}) {
+            excluded.push_back(server->id);
+        }
     }
-    return context_.placement.choose(placement_request(), candidates, steady_now());
+    return context_.placement.choose(placement_request(excluded), candidates, steady_now());
 }
 
 void forwarding::dispatch()
@@ -266,7 +296,7 @@
         deadline_expired();
         return;
     }
-    if (refuse_quarantined()) {
+    if (refuse_quarantined() || refuse_limited()) {
         return;
     }
     const auto choice = choose_server();
@@ -285,6 +315,7 @@
     attempt_ = attempt{};
     attempt_->id = ++context_.last_attempt;
     attempt_->server = server.id;
+    attempt_->server_started_ms = server.started_ms;
     attempt_->sent = now;
     attempt_->events_before = events_.events();
     tried_servers_.push_back(server.id);
@@ -305,6 +336,7 @@
     context_.placement.sent(server.id, attempt_->id, placement_request(), cache_capacity_, now);
     context_.peers.add_prompt(server.id, request_.parts);
     context_.crashes.sent(suspects_);
+    context_.statements.sent(server.id);
     json fields = log_fields();
     fields["send"] = sends_;
     fields["cost_ms"] = choice.cost_ms;
@@ -432,6 +464,8 @@
     switch (end) {
     case attempt_end::no_server:
         return store_retry_after;
+    case attempt_end::servers_limited:
+        return time_until_permitted().value_or(store_retry_after);
     case attempt_end::quarantined:
         return context_.crashes.refused_for(suspects_).value_or(busy_server_retry_after);
     default:
--- a/src/dotterelport/gateway/forwarding.hpp
+++ b/src/dotterelport/gateway/forwarding.hpp
@@ -7,6 +7,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -18,6 +19,7 @@
 #include "dotterelport/gateway/peer_exchange.hpp"
 #include "dotterelport/gateway/protocol.hpp"
 #include "dotterelport/gateway/server_directory.hpp"
+#include "dotterelport/gateway/server_statements.hpp"
 #include "dotterelport/gateway/service_catalogue.hpp"
 #include "dotterelport/gateway/stop_policy.hpp"
 #include "dotterelport/net/backend_client.hpp"
@@ -40,6 +42,7 @@
     const peer_link& link;
     budget_broker& budgets;
     crash_watch& crashes;
+    server_statements& statements;
     metrics& counters;
     /// Retry budget of each service.
     std::map<std::string, request::retry_budget>& retries;
@@ -68,6 +71,8 @@
     struct attempt {
         std::uint64_t id = 0;
         std::string server;
+        /// Start of the server's run.
+        std::uint64_t server_started_ms = 0;
         net::exchange_id exchange = 0;
         milliseconds sent{0};
         std::optional<net::http1_answer_head> head;
@@ -85,11 +90,17 @@
     /// @brief Ends the request if it would crash the server that runs it.
     /// @return whether the request has ended
     bool refuse_quarantined();
+    /// @brief Ends the request if all servers that could run it limit their requests.
+    /// @return whether the request has ended
+    bool refuse_limited();
     void choose_service();
     void reserve();
     void reserved(reservation_outcome outcome);
     void dispatch();
     [[nodiscard]] std::optional<routing::placement_choice> choose_server() const;
+    /// @brief Time until one of the servers to which the request was not sent before permits it; 0
+    /// if it may be sent now, and nothing if there is no such server.
+    [[nodiscard]] std::optional<milliseconds> time_until_permitted() const;
     void send(const backend_server& server, const routing::placement_choice& choice);
     [[nodiscard]] net::backend_handler make_handler(std::uint64_t attempt_id);
 
@@ -132,7 +143,9 @@
     [[nodiscard]] request::retry_budget& retries() const;
     [[nodiscard]] milliseconds time_left() const;
     [[nodiscard]] tokens delivered_tokens() const;
-    [[nodiscard]] routing::placement_request placement_request() const;
+    /// @param excluded servers that must not be chosen
+    [[nodiscard]] routing::placement_request
+    placement_request(std::span<const std::string> excluded = {}) const;
     [[nodiscard]] json log_fields() const;
     /// @brief Adds how the answer of the attempt was framed and what it lacks.
     void add_answer_fields(json& fields) const;
--- a/src/dotterelport/gateway/forwarding_answer.cpp
+++ b/src/dotterelport/gateway/forwarding_answer.cpp
@@ -87,6 +87,11 @@
                             .value_or(net::body_framing{net::close_framing{}});
     attempt_->answer = answer;
     attempt_->is_streamed = route_->kind == route_kind::streaming && is_success(head.status);
+    // The statements of a server that has replaced the registered one are not about that one.
+    if (!answer.replaced) {
+        context_.statements.received(attempt_->server, attempt_->server_started_ms,
+                                     answer.statement);
+    }
     if (answer.load) {
         context_.placement.record_report(attempt_->server, *answer.load, steady_now());
     }
@@ -181,7 +186,8 @@
         return;
     }
     if (status >= first_server_error && route_->may_repeat() && !exchange_->is_started() &&
-        sends_ < route_->max_attempts && time_left() > milliseconds{0} && retries().try_retry()) {
+        sends_ < route_->max_attempts && time_left() > milliseconds{0} &&
+        time_until_permitted() == milliseconds{0} && retries().try_retry()) {
         close_attempt(attempt_end::server_error);
         may_have_run_ = true;
         clear_attempt();
@@ -323,7 +329,7 @@
 
 void forwarding::stalled()
 {
-    if (context_.servers.available(service_).size() <= tried_servers_.size()) {
+    if (time_until_permitted() != milliseconds{0}) {
         return;
     }
     context_.backends.cancel(attempt_->exchange);
--- a/src/dotterelport/gateway/gateway.cpp
+++ b/src/dotterelport/gateway/gateway.cpp
@@ -57,6 +57,7 @@
     budget_keeper budgets;
     budget_broker broker;
     crash_watch crashes;
+    server_statements statements;
     process::operators_server operators;
     metrics counters;
     std::map<std::string, request::retry_budget> retries;
@@ -80,6 +81,7 @@
           link(loop, describe(configured)), peers(loop, link, placement), feeds(loop, link),
           servers({}, [this](const backend_server& server) { server_removed(server); }),
           budgets(loop, objects, self), broker(loop, link, budgets), crashes(loop, link, objects),
+          statements(link, servers),
           operators(loop, {.address = configured.operators,
                            .not_ready_reason = [this] { return not_ready_reason(); },
                            .dump = std::move(dump)}),
@@ -93,6 +95,7 @@
                                                  .link = link,
                                                  .budgets = broker,
                                                  .crashes = crashes,
+                                                 .statements = statements,
                                                  .counters = counters,
                                                  .retries = retries,
                                                  .retry_options = retry_options,
@@ -114,6 +117,7 @@
         // Each gateway may retry a share of its own requests and uses an equal part of the common
         // reserve.
         const std::size_t known = link.peer_count() + 1;
+        statements.set_gateway_count(known);
         const auto gateways =
             static_cast<double>(known == 1 ? assumed_gateways : std::max(min_gateways, known));
         retry_options.share = current_settings.retry_share * retry_share_used;
@@ -149,6 +153,7 @@
     {
         log(events::server_removed, {{"server", server.id}, {"service", server.service}});
         placement.forget(server.id);
+        statements.forget(server.id);
         backends.drop_idle(server.address);
     }
 
@@ -333,7 +338,8 @@
             {"feeds", state_->feeds.dump()},
             {"reservations", state_->broker.dump()},
             {"budgets", state_->budgets.dump()},
-            {"crashes", state_->crashes.dump()}};
+            {"crashes", state_->crashes.dump()},
+            {"limits", state_->statements.dump()}};
 }
 
 } // namespace dotterelport::gateway
--- a/src/dotterelport/gateway/peer_link.cpp
+++ b/src/dotterelport/gateway/peer_link.cpp
@@ -9,7 +9,7 @@
 namespace dotterelport::gateway {
 namespace {
 
-constexpr int highest_kind = static_cast<int>(peer_message_kind::crashes);
+constexpr int highest_kind = static_cast<int>(peer_message_kind::server_statement);
 
 bool received_within(const std::optional<milliseconds>& last_received, milliseconds limit)
 {
--- a/src/dotterelport/gateway/server_directory.cpp
+++ b/src/dotterelport/gateway/server_directory.cpp
@@ -65,6 +65,7 @@
 {
     missing_.erase(id);
     replaced_.erase(id);
+    leaving_.erase(id);
     const auto found = servers_.find(id);
     if (found == servers_.end()) {
         return;
@@ -88,6 +89,17 @@
     }
 }
 
+bool server_directory::mark_leaving(const std::string& id)
+{
+    const auto* server = find(id);
+    return server != nullptr && !server->draining && leaving_.insert(id).second;
+}
+
+bool server_directory::accepts_requests(const backend_server& server) const
+{
+    return !server.draining && !replaced_.contains(server.id) && !leaving_.contains(server.id);
+}
+
 void server_directory::expire(milliseconds now)
 {
     std::vector<std::string> expired;
@@ -110,7 +122,7 @@
     }
     for (const auto& id : found->second) {
         const auto& server = servers_.at(id);
-        if (!server.draining && !replaced_.contains(id)) {
+        if (accepts_requests(server)) {
             result.push_back(&server);
         }
     }
@@ -138,7 +150,7 @@
 bool server_directory::is_available(const std::string& id) const
 {
     const auto* server = find(id);
-    return server != nullptr && !server->draining && !replaced_.contains(id);
+    return server != nullptr && accepts_requests(*server);
 }
 
 json server_directory::dump() const
@@ -149,6 +161,7 @@
                       {"address", net::to_string(server.address)},
                       {"failure_domain", server.failure_domain},
                       {"draining", server.draining},
+                      {"leaving", leaving_.contains(id)},
                       {"missing_since_outage", missing_.contains(id)}};
     }
     return result;
--- /dev/null
+++ b/src/dotterelport/routing/server_limits.cpp
@@ -0,0 +1,101 @@
+#include "dotterelport/routing/server_limits.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace dotterelport::routing {
+namespace {
+
+constexpr double ms_per_s = 1'000;
+
+/// Relative difference of two rates that is not worth a message to other routers.
+constexpr double noticeable_change = 0.1;
+
+double in_ms(milliseconds time)
+{
+    return static_cast<double>(time.count());
+}
+
+} // namespace
+
+double server_limits::ms_per_permit(double rate) const
+{
+    return ms_per_s * static_cast<double>(routers_) /
+           (std::max(rate, settings_.min_rate) * settings_.used_share);
+}
+
+bool server_limits::set_rate(const std::string& server, std::optional<double> rate,
+                             milliseconds now)
+{
+    const auto found = limits_.find(server);
+    const std::optional<double> before = found == limits_.end() ? std::nullopt : found->second.rate;
+    if (!rate) {
+        if (before) {
+            found->second.rate.reset();
+            if (found->second.wait_until <= now) {
+                limits_.erase(found);
+            }
+        }
+        return before.has_value();
+    }
+    auto& item = limits_[server];
+    item.rate = rate;
+    const double period = ms_per_permit(*rate);
+    if (!before) {
+        // Routers that learn of a limit at the same time must not use it at the same time.
+        item.next_permit_ms =
+            in_ms(now) + std::uniform_real_distribution<double>(0, period)(random_);
+        return true;
+    }
+    item.next_permit_ms = std::min(item.next_permit_ms, in_ms(now) + period);
+    return std::abs(*rate - *before) > noticeable_change * *before;
+}
+
+void server_limits::set_wait(const std::string& server, milliseconds wait, milliseconds now)
+{
+    auto& until = limits_[server].wait_until;
+    until = std::max(until, now + std::min(wait, settings_.max_wait));
+}
+
+double server_limits::next_permit_ms(const limit& item, milliseconds now) const
+{
+    const double period = ms_per_permit(*item.rate);
+    const double lapsed_ms = in_ms(now) - in_ms(settings_.permit_lifetime) - item.next_permit_ms;
+    return item.next_permit_ms + std::max(0.0, std::ceil(lapsed_ms / period)) * period;
+}
+
+milliseconds server_limits::time_until_permitted(const std::string& server, milliseconds now) const
+{
+    const auto found = limits_.find(server);
+    if (found == limits_.end()) {
+        return milliseconds{0};
+    }
+    const auto& item = found->second;
+    milliseconds result = std::max(milliseconds{0}, item.wait_until - now);
+    if (item.rate) {
+        const double remaining_ms = std::ceil(next_permit_ms(item, now) - in_ms(now));
+        result = std::max(result, milliseconds{static_cast<std::int64_t>(remaining_ms)});
+    }
+    return result;
+}
+
+void server_limits::sent(const std::string& server, milliseconds now)
+{
+    const auto found = limits_.find(server);
+    if (found != limits_.end() && found->second.rate) {
+        auto& item = found->second;
+        item.next_permit_ms = next_permit_ms(item, now) + ms_per_permit(*item.rate);
+    }
+}
+
+json server_limits::dump(milliseconds now) const
+{
+    json result = json::object();
+    for (const auto& [server, item] : limits_) {
+        result[server] = {{"rate", item.rate ? json(*item.rate) : json()},
+                          {"permitted_in_ms", time_until_permitted(server, now).count()}};
+    }
+    return result;
+}
+
+} // namespace dotterelport::routing
