Spend what limited servers accept on long prompts

Cause: a limit counts requests, whatever their size; short prompts used it up, and long ones crowded the servers without a limit. Change: short prompts avoid limited servers, long ones do not avoid their reserved part; gateways use the whole of their parts of a rate. The test of the rule at 1, 3, 28 and 200 routers passes without the unused fifth.

--- a/include/dotterelport/gateway/server_statements.hpp
+++ b/include/dotterelport/gateway/server_statements.hpp
@@ -43,6 +43,11 @@
     /// @brief Time until a request may be sent to a server; 0 if it may be sent now.
     [[nodiscard]] milliseconds time_until_permitted(const std::string& server) const;
     void sent(const std::string& server);
+    /// @brief Returns whether a server states a limit.
+    [[nodiscard]] bool is_limited(const std::string& server) const
+    {
+        return limits_.has_rate(server);
+    }
 
     /// @brief Sets the number of gateways that share the servers' limits.
     void set_gateway_count(std::size_t count) { limits_.set_router_count(count); }
--- a/include/dotterelport/routing/placement.hpp
+++ b/include/dotterelport/routing/placement.hpp
@@ -23,6 +23,8 @@
     std::string server;
     std::string failure_domain;
     std::size_t capacity = 1;
+    /// The server limits how many requests it accepts, whatever their size.
+    bool rate_limited = false;
 };
 
 /// Properties of a request that decide which backend server suits it.
@@ -63,6 +65,9 @@
     double long_on_reserved_ms = 250.0;
     /// Penalty for a short prompt on an engine that is not reserved.
     double short_on_unreserved_ms = 200.0;
+    /// Penalty for a short prompt on a server that limits its requests: what it accepts relieves
+    /// the other servers most if it is spent on long prompts.
+    double short_on_limited_ms = 300.0;
     /// Share of the pause limit that an engine's pending prefill may take without a penalty.
     double pause_margin = 0.7;
     /// Penalty per running request on an engine whose pending prefill takes longer than that and
@@ -171,7 +176,8 @@
     void record_result(const std::string& server, bool failed, milliseconds now);
     [[nodiscard]] double stream_delay_cost(const placement_request& request, double uncached,
                                            double prefill_tokens, double running) const;
-    [[nodiscard]] double separation_cost(bool is_reserved, tokens prompt) const;
+    [[nodiscard]] double separation_cost(const placement_candidate& candidate, bool is_reserved,
+                                         tokens prompt) const;
     [[nodiscard]] double cost(const placement_request& request,
                               const placement_candidate& candidate, const load_estimate& load,
                               double uncached, double median_ms_per_unit, milliseconds now) const;
--- a/include/dotterelport/routing/server_limits.hpp
+++ b/include/dotterelport/routing/server_limits.hpp
@@ -22,8 +22,6 @@
 class server_limits {
 public:
     struct options {
-        /// Share of a rate that is used; the remainder covers routers that are not known yet.
-        double used_share = 0.8;
         /// Lower bound of a rate in requests per second. The end of a limit is only seen in the
         /// answer to a request, so that a server that accepts nothing still gets one at times.
         double min_rate = 0.1;
@@ -57,6 +55,7 @@
 
     void forget(const std::string& server) { limits_.erase(server); }
 
+    [[nodiscard]] bool has_rate(const std::string& server) const;
     [[nodiscard]] bool is_empty() const { return limits_.empty(); }
     [[nodiscard]] json dump(milliseconds now) const;
 
--- a/src/dotterelport/gateway/forwarding.cpp
+++ b/src/dotterelport/gateway/forwarding.cpp
@@ -274,7 +274,8 @@
     for (const auto* server : context_.servers.available(service_)) {
         candidates.push_back({.server = server->id,
                               .failure_domain = server->failure_domain,
-                              .capacity = server->capacity});
+                              .capacity = server->capacity,
+                              .rate_limited = context_.statements.is_limited(server->id)});
         // Limited servers stay candidates, so that the servers preferred for a prompt do not change
         // with each permit.
         if (context_.statements.time_until_permitted(server->id) > milliseconds{0}) {
--- a/src/dotterelport/routing/placement.cpp
+++ b/src/dotterelport/routing/placement.cpp
@@ -147,8 +147,12 @@
     return *middle;
 }
 
-double placement::separation_cost(bool is_reserved, tokens prompt) const
+double placement::separation_cost(const placement_candidate& candidate, bool is_reserved,
+                                  tokens prompt) const
 {
+    if (candidate.rate_limited) {
+        return prompt > settings_.long_prompt_tokens ? 0.0 : settings_.short_on_limited_ms;
+    }
     if (prompt > settings_.long_prompt_tokens) {
         return is_reserved ? settings_.long_on_reserved_ms : 0.0;
     }
@@ -243,7 +247,7 @@
         expected +=
             (settings_.shared_weight - 1) * shared_uncached / settings_.prefill_tokens_per_ms;
         if (!reserved.empty()) {
-            expected += separation_cost(reserved[i], request.prompt_tokens);
+            expected += separation_cost(candidate, reserved[i], request.prompt_tokens);
         }
         const bool usable = loads_.available(candidate.server, now) != availability::ejected;
         const auto last_sent = loads[i].last_sent;
--- a/src/dotterelport/routing/server_limits.cpp
+++ b/src/dotterelport/routing/server_limits.cpp
@@ -20,8 +20,7 @@
 
 double server_limits::ms_per_permit(double rate) const
 {
-    return ms_per_s * static_cast<double>(routers_) /
-           (std::max(rate, settings_.min_rate) * settings_.used_share);
+    return ms_per_s * static_cast<double>(routers_) / std::max(rate, settings_.min_rate);
 }
 
 bool server_limits::set_rate(const std::string& server, std::optional<double> rate,
@@ -79,6 +78,12 @@
     return result;
 }
 
+bool server_limits::has_rate(const std::string& server) const
+{
+    const auto found = limits_.find(server);
+    return found != limits_.end() && found->second.rate.has_value();
+}
+
 void server_limits::sent(const std::string& server, milliseconds now)
 {
     const auto found = limits_.find(server);
