Do not take the next server's error for a part or the end of a stream that has begun

Callers saw (report of other operators): a stream that broke off and went on at another server ended as complete, or had the other server's error in it, when that one answered with an error. Cause: the answer to the second send was judged as if it were the first: any final answer ended the stream in the regular way, and any success was read as events. Change: only an answer with the status that the stream began with, and events as content, continues it; any other is a failed attempt, so that the stream is resumed elsewhere or cut.

--- a/src/dotterelport/gateway/forwarding.hpp
+++ b/src/dotterelport/gateway/forwarding.hpp
@@ -113,6 +113,9 @@
     void write_events(std::string_view events);
     void buffer_body(std::string_view data);
     void clear_attempt();
+    /// @brief Returns whether an answer can be passed on as a stream of events: as the first answer
+    /// or as the continuation of the one that the caller has begun to receive.
+    [[nodiscard]] bool is_stream(const net::http1_answer_head& head) const;
     /// @brief Pauses the server while the caller reads more slowly than the server sends.
     void limit_unsent();
     /// @brief Returns whether the answer, whose framing is complete, lacks a part of its events.
@@ -172,6 +175,8 @@
     std::uint32_t failed_connects_ = 0;
     bool may_have_run_ = false;
     event_stream events_;
+    /// Status with which the answer to the caller began.
+    std::optional<int> started_status_;
     std::optional<milliseconds> first_output_;
     milliseconds last_output_{0};
     /// Time of the last progress of the attempt: of its send or its last complete event.
--- a/src/dotterelport/gateway/forwarding_answer.cpp
+++ b/src/dotterelport/gateway/forwarding_answer.cpp
@@ -86,7 +86,7 @@
     attempt_->framing = net::answer_framing(head, exchange_->head().method)
                             .value_or(net::body_framing{net::close_framing{}});
     attempt_->answer = answer;
-    attempt_->is_streamed = route_->kind == route_kind::streaming && is_success(head.status);
+    attempt_->is_streamed = is_stream(head);
     // The statements of a server that has replaced the registered one are not about that one.
     if (!answer.replaced) {
         context_.statements.received(attempt_->server, attempt_->server_started_ms,
@@ -98,6 +98,19 @@
     return true;
 }
 
+bool forwarding::is_stream(const net::http1_answer_head& head) const
+{
+    if (route_->kind != route_kind::streaming || !is_success(head.status)) {
+        return false;
+    }
+    if (!started_status_) {
+        return true;
+    }
+    const auto content_type = net::find_header(head.headers, "content-type");
+    return head.status == *started_status_ &&
+           (!content_type || net::is_event_stream(*content_type));
+}
+
 void forwarding::received_data(std::string_view data)
 {
     context_.placement.answered(attempt_->server, attempt_->id, steady_now());
@@ -161,6 +174,7 @@
     }
     if (!exchange_->is_started()) {
         first_output_ = steady_now();
+        started_status_ = attempt_->head->status;
         exchange_->start(attempt_->head->status, end_to_end_headers(attempt_->head->headers));
     } else {
         const milliseconds pause = steady_now() - last_output_;
@@ -185,6 +199,11 @@
         attempt_failed(verdict::may_have_run, attempt_end::unsigned_answer);
         return;
     }
+    if (started_status_ && !attempt_->is_streamed) {
+        // An error cannot become a part of the stream that the caller receives, nor end it.
+        attempt_failed(verdict::may_have_run, attempt_end::server_error);
+        return;
+    }
     if (status >= first_server_error && route_->may_repeat() && !exchange_->is_started() &&
         sends_ < route_->max_attempts && time_left() > milliseconds{0} &&
         time_until_permitted() == milliseconds{0} && retries().try_retry()) {
