Give a request that asks for a connection of its own one that carried no other

Cause: agents ask engines to close the connection after each run, but took a kept connection of the pool if the engine had kept it open; their answers have no id, so a second copy was the answer to the next run. Change: the processes' HTTP client takes no kept connection for a request with Connection: close. Answers that end inside their head are failures of the client in all cases; that test passed before.

--- a/src/dotterelport/net/http_client.cpp
+++ b/src/dotterelport/net/http_client.cpp
@@ -5,6 +5,7 @@
 
 #include "dotterelport/base/enum_names.hpp"
 #include "dotterelport/net/backend_client.hpp"
+#include "dotterelport/net/http1.hpp"
 
 namespace dotterelport::net {
 namespace {
@@ -13,6 +14,9 @@
 /// keeps requests from being written to a connection that is being closed.
 constexpr milliseconds max_connection_idle{10'000};
 
+/// Excludes every kept connection.
+constexpr milliseconds no_kept_connection{-1};
+
 constexpr enum_names<failure_stage, 3> stage_names{{
     {failure_stage::connect, "connect"},
     {failure_stage::sent, "sent"},
@@ -174,13 +178,15 @@
     item->handler = std::move(handler);
     item->idle_timeout = request.idle_timeout;
     const auto mapped = impl_->overrides.find(request.to);
+    // A server may keep the connection although an earlier request on it asked to close it.
+    const bool needs_own_connection = header_contains_token(request.headers, "connection", "close");
     item->call = impl_->connections.start(
         {.to = mapped == impl_->overrides.end() ? request.to : mapped->second,
          .bytes = serialize(request),
          .method = request.method,
          // The timer of the exchange ends first.
          .connect_timeout = 2 * request.answer_timeout,
-         .max_idle = max_connection_idle},
+         .max_idle = needs_own_connection ? no_kept_connection : max_connection_idle},
         impl_->make_handler(id));
     impl_->exchanges.emplace(id, std::move(item));
     impl_->arm_timer(id, request.answer_timeout);
--- a/src/dotterelport/net/net_test.cpp
+++ b/src/dotterelport/net/net_test.cpp
@@ -178,6 +178,48 @@
                              : received.body == "{\"a\":1}"));
 }
 
+TEST_CASE("An answer that ends inside its head is no answer")
+{
+    const std::string answer =
+        GENERATE("HTTP/1.1 200", "HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n",
+                 "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r");
+    const bool by_reset = GENERATE(false, true);
+    CAPTURE(answer, by_reset);
+    fixture net;
+    const ending_server server(net.loop, answer, by_reset);
+    const auto received = net.fetch({.to = server.listener.address()});
+    CHECK(received.failed());
+    CHECK(received.stage == failure_stage::sent);
+}
+
+TEST_CASE(
+    "A request that asks for a connection of its own gets no second copy of an earlier answer")
+{
+    fixture net;
+    std::vector<std::unique_ptr<tcp_connection>> connections;
+    int answers = 0;
+    const tcp_listener server(net.loop, {"127.0.0.1", 0}, [&](auto connection) {
+        auto* raw = connection.get();
+        connections.push_back(std::move(connection));
+        raw->start({.on_input =
+                        [&, raw, copy = std::string()]() mutable {
+                            raw->consume(raw->input().size());
+                            const std::string own =
+                                "HTTP/1.1 503 Busy\r\nContent-Length: 1\r\n\r\n" +
+                                std::to_string(++answers);
+                            raw->write(copy + own);
+                            copy = own;
+                        },
+                    .on_end = [](stream_end /*end*/) {}});
+    });
+    for (const std::string expected : {"1", "2"}) {
+        const auto received =
+            net.fetch({.to = server.address(), .headers = {{"connection", "close"}}});
+        CHECK(received.body == expected);
+    }
+    CHECK(connections.size() == 2);
+}
+
 // Guards against a loop that waits for sockets while a write of an exchange is pending. The server
 // has its own loop, as its events would otherwise wake up the client's.
 TEST_CASE("Exchanges on a kept-alive connection do not wait for the loop's next timer")
