--- a/include/dotterelport/gateway/protocol.hpp
+++ b/include/dotterelport/gateway/protocol.hpp
@@ -52,11 +52,11 @@
 /// What a backend server states about itself in an answer.
 struct server_statement {
     /// Requests per second that it accepts from all gateways together.
-    std::optional<double> max_rate;
+    std::optional<double> max_rate = std::nullopt;
     /// It stops soon and accepts no new requests.
     bool leaving = false;
     /// Time for which it accepts no requests from this gateway; only with a refusal.
-    std::optional<milliseconds> retry_after;
+    std::optional<milliseconds> retry_after = std::nullopt;
     /// A statement cannot be parsed.
     bool unreadable = false;
 };
--- a/src/dotterelport/gateway/server_statements.cpp
+++ b/src/dotterelport/gateway/server_statements.cpp
@@ -60,6 +60,10 @@
 void server_statements::received(const std::string& server, std::uint64_t started_ms,
                                  const server_statement& statement)
 {
+    const auto* registered = servers_.find(server);
+    if (registered == nullptr || registered->started_ms != started_ms) {
+        return;
+    }
     if (statement.unreadable) {
         log(events::server_statement_unreadable, {{"server", server}});
         return;
@@ -71,7 +75,7 @@
     if (apply(message, link_.node())) {
         link_.announce(peer_message_kind::server_statement, to_json(message));
     }
-    if (statement.retry_after && servers_.find(server) != nullptr) {
+    if (statement.retry_after) {
         limits_.set_wait(server, *statement.retry_after, steady_now());
         log(events::server_wait_requested,
             {{"server", server}, {"wait_ms", statement.retry_after->count()}});
