Send short prompts to limited servers only if there are no others

Change: the penalty is longer than a crowded server delays a request. A short prompt still goes to a limited server if no other is left.

--- a/include/dotterelport/routing/placement.hpp
+++ b/include/dotterelport/routing/placement.hpp
@@ -67,7 +67,7 @@
     double short_on_unreserved_ms = 200.0;
     /// Penalty for a short prompt on a server that limits its requests: what it accepts relieves
     /// the other servers most if it is spent on long prompts.
-    double short_on_limited_ms = 300.0;
+    double short_on_limited_ms = 10'000.0;
     /// Share of the pause limit that an engine's pending prefill may take without a penalty.
     double pause_margin = 0.7;
     /// Penalty per running request on an engine whose pending prefill takes longer than that and
