Add a failing test: every gateway tries a quarantined content at once

What is left is of the fix: each gateway lets one attempt through after 10 s. Measured: the test fails with 5 and 12 gateways (5 and 12 sends; 3 are allowed). The quarantine's options can be set for it; no logic is changed.

--- a/include/dotterelport/gateway/crash_watch.hpp
+++ b/include/dotterelport/gateway/crash_watch.hpp
@@ -55,6 +55,7 @@
     milliseconds repeat_interval{500};
     /// Interval at which a failed call to the store is repeated.
     milliseconds store_retry{1'000};
+    request::crash_attribution::options attribution;
 };
 
 /// Watches for crashes of backend servers, shares them with the other gateways, and tells which
--- a/src/dotterelport/gateway/crash_watch.cpp
+++ b/src/dotterelport/gateway/crash_watch.cpp
@@ -97,11 +97,11 @@
                          object_store::conditional_objects& objects,
                          const crash_watch_settings& settings)
     : loop_(loop), link_(link), objects_(objects), settings_(settings),
-      checks_(loop, check_interval,
-              [this] {
-                  repeat_quarantines();
-                  check_store();
-              }),
+      attribution_(settings.attribution), checks_(loop, check_interval,
+                                                  [this] {
+                                                      repeat_quarantines();
+                                                      check_store();
+                                                  }),
       self_(std::make_shared<crash_watch*>(this))
 {
     link_.on_message(peer_message_kind::crashes,
--- a/src/dotterelport/gateway/crash_watch_test.cpp
+++ b/src/dotterelport/gateway/crash_watch_test.cpp
@@ -49,13 +49,15 @@
     peer_link link;
     crash_watch watch;
 
-    node(net::event_loop& loop, const std::string& name, memory_objects& objects)
+    node(net::event_loop& loop, const std::string& name, memory_objects& objects,
+         const request::crash_attribution::options& attribution)
         : link(loop, {.node = name, .address = {"127.0.0.1", 0}, .failure_domain = "a"}),
           watch(loop, link, objects,
                 {.collect_time = 5ms,
                  .batch_time = 10ms,
                  .evaluation_delay = 50ms,
-                 .repeat_interval = 100ms})
+                 .repeat_interval = 100ms,
+                 .attribution = attribution})
     {}
 };
 
@@ -64,8 +66,10 @@
     memory_objects objects{loop};
     std::vector<std::unique_ptr<node>> nodes;
     net::endpoint refusing;
+    request::crash_attribution::options attribution;
 
-    explicit fleet(std::size_t size)
+    explicit fleet(std::size_t size, const request::crash_attribution::options& options = {})
+        : attribution(options)
     {
         // Nothing listens at an address that was bound only for a moment.
         refusing = net::tcp_listener(loop, {"127.0.0.1", 0}, [](auto) {}).address();
@@ -76,8 +80,8 @@
 
     void add()
     {
-        nodes.push_back(
-            std::make_unique<node>(loop, "edge-" + std::to_string(nodes.size()), objects));
+        nodes.push_back(std::make_unique<node>(loop, "edge-" + std::to_string(nodes.size()),
+                                               objects, attribution));
         for (const auto& one : nodes) {
             for (const auto& other : nodes) {
                 one->link.set_peer({.node = other->link.node(),
@@ -111,6 +115,11 @@
     return {.kind = request::suspect_kind::part, .id = id};
 }
 
+suspect content(std::uint64_t id)
+{
+    return {.kind = request::suspect_kind::content, .id = id};
+}
+
 TEST_CASE("Crashes that different gateways see add up, and all of them refuse the part")
 {
     fleet run(3);
@@ -163,6 +172,45 @@
     CHECK(run.refusing_nodes({part(1)}) == 1);
 }
 
+/// Callers that send one content again and again at all gateways; each server that runs it crashes.
+struct repeating_callers {
+    fleet& run;
+    std::vector<suspect> suspects;
+    int sends = 0;
+
+    void play(milliseconds duration)
+    {
+        const milliseconds end = steady_now() + duration;
+        while (steady_now() < end) {
+            for (const auto& item : run.nodes) {
+                item->watch.answered({});
+                if (!item->watch.refused_for(suspects)) {
+                    item->watch.sent(suspects);
+                    const std::string server = "repeated-" + std::to_string(++sends);
+                    item->watch.attempt_lost(server, run.refusing, suspects);
+                }
+            }
+            constexpr milliseconds pause{20};
+            run.loop.run_for(pause);
+        }
+    }
+};
+
+TEST_CASE("After a quarantine of content, few of its requests reach servers in a fleet of any size")
+{
+    const std::size_t size = GENERATE(1U, 3U, 5U, 12U);
+    CAPTURE(size);
+    fleet run(size, {.short_quarantine_time = 400ms});
+    repeating_callers callers{.run = run, .suspects = {content(5)}};
+    callers.play(300ms);
+    REQUIRE(run.refusing_nodes({content(5)}) == size);
+    const int before = callers.sends;
+    callers.play(3s);
+    constexpr int max_retries = 3;
+    CHECK(callers.sends - before <= max_retries);
+    CHECK(run.refusing_nodes({content(5)}) == size);
+}
+
 TEST_CASE("A server that accepts a connection, or does not answer, has not crashed")
 {
     fleet run(1);
