Let one attempt in the whole fleet through after a quarantine

Cause: each gateway let one attempt through on its own when a quarantine had ended, so that a fleet lost a server for each gateway. The class: a limit for the fleet that each router applies alone. Change: the gateways take turns in an order that all compute; the one that lets an attempt through announces it, and the others await its result. Ended quarantines stay in the store and in the messages between gateways until an attempt clears them, so that a gateway that starts waits for its turn too. Event 949 suspects_tried tells which request was let through. Ruled out: waiting once for a time that grows with a gateway's place. If no request comes until the waits of several gateways have passed, they send at once; the test of restarted gateways showed 4 sends.

--- a/include/dotterelport/gateway/crash_watch.hpp
+++ b/include/dotterelport/gateway/crash_watch.hpp
@@ -30,6 +30,8 @@
     /// Suspects of requests that were answered.
     std::vector<request::suspect> cleared;
     std::vector<request::quarantine_entry> quarantined;
+    /// Suspects of ended quarantines with which the sender lets a request through.
+    std::vector<std::vector<request::suspect>> trials;
 };
 
 /// @param now steady time of the sender; ends of quarantines are sent as remaining times
@@ -105,6 +107,7 @@
     void evaluate();
     void receive(const peer_message& message);
     void schedule_send();
+    void announce(const crash_message& message);
     void send_news();
     void send_cleared();
     void repeat_quarantines();
@@ -112,7 +115,8 @@
     void load();
     void loaded(const object_store::read_result& found);
     void saved(const stored_quarantines& content, const object_store::write_result& result);
-    [[nodiscard]] stored_quarantines quarantined_suspects() const;
+    [[nodiscard]] stored_quarantines remembered_suspects() const;
+    [[nodiscard]] request::trial_turn trial_turn(std::span<const request::suspect> suspects) const;
 
     net::event_loop& loop_;
     peer_link& link_;
--- a/include/dotterelport/gateway/events.hpp
+++ b/include/dotterelport/gateway/events.hpp
@@ -103,6 +103,9 @@
 inline constexpr log_event server_statement_unreadable{
     948, severity::warning, "server_statement_unreadable",
     "A backend server's statement about itself cannot be parsed; the previous one stays in force."};
+inline constexpr log_event suspects_tried{
+    949, severity::info, "suspects_tried",
+    "A quarantine has ended, and this gateway lets a request with its suspects through."};
 
 inline constexpr log_event ledger_step{
     934, severity::info, "ledger_step",
--- a/include/dotterelport/gateway/owner_ranking.hpp
+++ b/include/dotterelport/gateway/owner_ranking.hpp
@@ -25,6 +25,9 @@
     owner(std::uint32_t shard, std::size_t max_considered,
           const std::function<bool(const std::string&)>& is_available) const;
 
+    /// @return place of a gateway in the ranking of a shard, 0 for the first
+    [[nodiscard]] std::size_t position(const std::string& node, std::uint32_t shard) const;
+
 private:
     [[nodiscard]] const std::vector<std::string>& ranking(std::uint32_t shard) const;
 
--- a/include/dotterelport/gateway/peer_link.hpp
+++ b/include/dotterelport/gateway/peer_link.hpp
@@ -128,6 +128,13 @@
     /// @brief Gateway that currently owns a shard of the ledger; this one if no other is available.
     [[nodiscard]] std::string owner(std::uint32_t shard) const;
 
+    /// @brief Place of this gateway in the ranking of a shard among all gateways, reachable or not;
+    /// 0 for the first. Gateways that know the same fleet have different places.
+    [[nodiscard]] std::size_t position(std::uint32_t shard) const
+    {
+        return ranking_.position(self_.node, shard);
+    }
+
     /// @brief Records that a gateway did not answer in time.
     void mark_silent(const std::string& node);
 
--- a/include/dotterelport/request/crash_attribution.hpp
+++ b/include/dotterelport/request/crash_attribution.hpp
@@ -5,11 +5,13 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
 #include <span>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "dotterelport/base/clock.hpp"
@@ -47,6 +49,13 @@
     milliseconds trial_until{0};
 };
 
+/// Place of a router in the order in which the routers of a fleet may let a request through after a
+/// quarantine.
+struct trial_turn {
+    std::size_t position = 0;
+    std::size_t routers = 1;
+};
+
 /// Finds which part of requests crashes the backend servers that run them.
 ///
 /// A server that crashes fails all of its requests, and sound ones share the workspace and other
@@ -61,7 +70,8 @@
 /// when servers crash for a common reason, such a quarantine is short, and the first crash after it
 /// proves the content to be at fault.
 ///
-/// When a quarantine has ended, one attempt at a time is let through.
+/// When a quarantine has ended, one attempt at a time is let through until one is answered or
+/// crashes a server. Routers take turns, so that a fleet does not let one through at each of them.
 /// Answers from all routers and crashes seen by all of them may be recorded.
 class crash_attribution {
 public:
@@ -81,13 +91,27 @@
         milliseconds short_quarantine_time{10'000};
         /// Time for which the result of an attempt after the end of a quarantine is awaited.
         milliseconds trial_time{2'000};
+        /// Time for which it is one router's turn to let an attempt through; longer than a message
+        /// takes to all others.
+        milliseconds trial_slot{250};
+        /// Time after the end of a quarantine for which its suspects are remembered, unless an
+        /// attempt shows whether they are at fault.
+        milliseconds trial_memory{600'000};
+        /// An active quarantine is only replaced by another router's if that ends later by more
+        /// than this; messages take a while, so that ends differ slightly.
+        milliseconds end_tolerance{1'000};
         /// Time for which a cleared suspect is not quarantined because of another router's older
         /// message.
         milliseconds clear_time{5'000};
     };
 
+    /// This router's turn after a quarantine of these suspects.
+    using trial_order = std::function<trial_turn(std::span<const suspect> suspects)>;
+
     crash_attribution() = default;
-    explicit crash_attribution(const options& settings) : options_(settings) {}
+    explicit crash_attribution(const options& settings, trial_order order = {})
+        : options_(settings), trial_order_(std::move(order))
+    {}
 
     /// @brief Records that a server crashed. Several routers may report the same crash.
     /// @param suspects those of requests at the server that had not begun to be answered
@@ -106,10 +130,13 @@
     /// @return those that were under suspicion or in quarantine
     std::vector<suspect> record_answer(std::span<const suspect> suspects, milliseconds now);
 
-    /// @brief Records that a request is sent to a server.
-    void record_send(std::span<const suspect> suspects, milliseconds now);
+    /// @brief Records that this or another router sends a request to a server.
+    /// @return suspects of the ended quarantines that include the request, which other routers
+    /// should know so that they do not let another one through
+    std::vector<std::vector<suspect>> record_send(std::span<const suspect> suspects,
+                                                  milliseconds now);
 
-    /// @brief Takes over a quarantine of another router.
+    /// @brief Takes over a quarantine of another router, which may have ended.
     /// @return whether it refuses requests that were not refused before
     bool adopt(quarantine_entry entry, milliseconds now);
 
@@ -117,8 +144,13 @@
     [[nodiscard]] std::optional<milliseconds> refused_for(std::span<const suspect> suspects,
                                                           milliseconds now) const;
 
+    /// @brief Quarantines that refuse requests.
     [[nodiscard]] std::vector<quarantine_entry> quarantined(milliseconds now) const;
 
+    /// @brief Quarantines, also ended ones whose suspects no attempt has cleared yet. A router that
+    /// starts needs them to wait for its turn.
+    [[nodiscard]] std::vector<quarantine_entry> remembered(milliseconds now) const;
+
 private:
     struct crash {
         milliseconds at{0};
@@ -149,10 +181,13 @@
     [[nodiscard]] std::optional<blame> most_blamed_parts(crash_set explained) const;
     /// @brief Renews quarantines that have ended, and narrows those of several parts.
     void revise(crash_set explained, milliseconds now, std::vector<quarantine_entry>& begun);
+    [[nodiscard]] milliseconds time_until_trial(const quarantine_entry& entry,
+                                                milliseconds now) const;
     /// @return whether the quarantine did not exist
     bool quarantine(const quarantine_entry& entry, milliseconds now);
 
     options options_;
+    trial_order trial_order_;
     /// Ordered by time.
     std::deque<crash> crashes_;
     /// Also those that have ended: the first crash after the end renews a quarantine.
--- a/src/dotterelport/gateway/crash_watch.cpp
+++ b/src/dotterelport/gateway/crash_watch.cpp
@@ -75,7 +75,12 @@
     for (const auto& entry : message.quarantined) {
         quarantined.push_back({to_json(entry.suspects), (entry.until - now).count()});
     }
-    return json::array({std::move(crashes), to_json(message.cleared), std::move(quarantined)});
+    json trials = json::array();
+    for (const auto& suspects : message.trials) {
+        trials.push_back(to_json(suspects));
+    }
+    return json::array(
+        {std::move(crashes), to_json(message.cleared), std::move(quarantined), std::move(trials)});
 }
 
 crash_message parse_crash_message(const json& document, milliseconds now)
@@ -90,6 +95,13 @@
         result.quarantined.push_back({.suspects = parse_suspects(item.at(0)),
                                       .until = now + milliseconds{item.at(1).get<std::int64_t>()}});
     }
+    // Absent in messages of gateways of an earlier version.
+    constexpr std::size_t trials_index = 3;
+    if (document.size() > trials_index) {
+        const auto& trials = document.at(trials_index);
+        std::transform(trials.begin(), trials.end(), std::back_inserter(result.trials),
+                       parse_suspects);
+    }
     return result;
 }
 
@@ -97,11 +109,13 @@
                          object_store::conditional_objects& objects,
                          const crash_watch_settings& settings)
     : loop_(loop), link_(link), objects_(objects), settings_(settings),
-      attribution_(settings.attribution), checks_(loop, check_interval,
-                                                  [this] {
-                                                      repeat_quarantines();
-                                                      check_store();
-                                                  }),
+      attribution_(settings.attribution,
+                   [this](std::span<const suspect> suspects) { return trial_turn(suspects); }),
+      checks_(loop, check_interval,
+              [this] {
+                  repeat_quarantines();
+                  check_store();
+              }),
       self_(std::make_shared<crash_watch*>(this))
 {
     link_.on_message(peer_message_kind::crashes,
@@ -205,7 +219,32 @@
 
 void crash_watch::sent(std::span<const suspect> suspects)
 {
-    attribution_.record_send(suspects, steady_now());
+    const milliseconds now = steady_now();
+    crash_message message;
+    message.trials = attribution_.record_send(suspects, now);
+    if (message.trials.empty()) {
+        return;
+    }
+    for (const auto& trial : message.trials) {
+        log(events::suspects_tried, {{"suspects", names_of(trial)}});
+    }
+    // Not collected with other news: the next gateway's turn comes soon.
+    announce(message);
+}
+
+void crash_watch::announce(const crash_message& message)
+{
+    const json content = to_json(message, steady_now());
+    for (int i = 0; i < copies_of_news; ++i) {
+        link_.announce(peer_message_kind::crashes, content);
+    }
+}
+
+request::trial_turn crash_watch::trial_turn(std::span<const suspect> suspects) const
+{
+    constexpr std::uint64_t rankings = 64;
+    const auto ranking = static_cast<std::uint32_t>(suspects.front().id % rankings);
+    return {.position = link_.position(ranking), .routers = link_.peer_count() + 1};
 }
 
 void crash_watch::answered(std::span<const suspect> suspects)
@@ -224,10 +263,11 @@
 {
     cleared_timer_ = 0;
     const auto cleared = std::exchange(cleared_, {});
-    link_.announce(
-        peer_message_kind::crashes,
-        to_json({.crashes = {}, .cleared = {cleared.begin(), cleared.end()}, .quarantined = {}},
-                steady_now()));
+    link_.announce(peer_message_kind::crashes, to_json({.crashes = {},
+                                                        .cleared = {cleared.begin(), cleared.end()},
+                                                        .quarantined = {},
+                                                        .trials = {}},
+                                                       steady_now()));
 }
 
 std::optional<milliseconds> crash_watch::refused_for(std::span<const suspect> suspects) const
@@ -248,6 +288,9 @@
     for (const auto& report : news.crashes) {
         record_crash(report);
     }
+    for (const auto& trial : news.trials) {
+        attribution_.record_send(trial, now);
+    }
     for (const auto& entry : news.quarantined) {
         if (attribution_.adopt(entry, now)) {
             log(events::suspects_quarantined,
@@ -266,7 +309,6 @@
 void crash_watch::send_news()
 {
     send_timer_ = 0;
-    const milliseconds now = steady_now();
     std::vector<crash_message> messages(1);
     std::size_t size = 0;
     for (auto& report : news_.crashes) {
@@ -280,10 +322,7 @@
     messages.back().quarantined = std::move(news_.quarantined);
     news_ = {};
     for (const auto& message : messages) {
-        const json content = to_json(message, now);
-        for (int i = 0; i < copies_of_news; ++i) {
-            link_.announce(peer_message_kind::crashes, content);
-        }
+        announce(message);
     }
 }
 
@@ -297,16 +336,16 @@
     }
     last_repeat_ = now;
     const crash_message message{
-        .crashes = {}, .cleared = {}, .quarantined = attribution_.quarantined(now)};
+        .crashes = {}, .cleared = {}, .quarantined = attribution_.remembered(now), .trials = {}};
     if (!message.quarantined.empty()) {
         link_.broadcast(peer_message_kind::crashes, to_json(message, now));
     }
 }
 
-crash_watch::stored_quarantines crash_watch::quarantined_suspects() const
+crash_watch::stored_quarantines crash_watch::remembered_suspects() const
 {
     stored_quarantines result;
-    for (const auto& entry : attribution_.quarantined(steady_now())) {
+    for (const auto& entry : attribution_.remembered(steady_now())) {
         result.insert(entry.suspects);
     }
     return result;
@@ -321,13 +360,13 @@
         load();
         return;
     }
-    const auto content = quarantined_suspects();
+    const auto content = remembered_suspects();
     if (content == *stored_ || link_.owner(writer_shard) != link_.node()) {
         return;
     }
     json entries = json::array();
     const milliseconds to_wall = wall_clock_now() - steady_now();
-    for (const auto& entry : attribution_.quarantined(steady_now())) {
+    for (const auto& entry : attribution_.remembered(steady_now())) {
         entries.push_back({to_json(entry.suspects), (entry.until + to_wall).count()});
     }
     store_busy_ = true;
@@ -402,11 +441,17 @@
 {
     const milliseconds now = steady_now();
     json quarantined = json::object();
-    for (const auto& entry : attribution_.quarantined(now)) {
-        quarantined[names_of(entry.suspects).dump()] = (entry.until - now).count();
+    json awaiting_trial = json::array();
+    for (const auto& entry : attribution_.remembered(now)) {
+        if (now < entry.until) {
+            quarantined[names_of(entry.suspects).dump()] = (entry.until - now).count();
+        } else {
+            awaiting_trial.push_back(names_of(entry.suspects));
+        }
     }
     return {{"quarantined_ms", std::move(quarantined)},
-            {"is_stored", stored_ == quarantined_suspects()}};
+            {"awaiting_trial", std::move(awaiting_trial)},
+            {"is_stored", stored_ == remembered_suspects()}};
 }
 
 } // namespace dotterelport::gateway
--- a/src/dotterelport/gateway/crash_watch_test.cpp
+++ b/src/dotterelport/gateway/crash_watch_test.cpp
@@ -211,6 +211,44 @@
     CHECK(run.refusing_nodes({content(5)}) == size);
 }
 
+TEST_CASE("A gateway that starts after a quarantine of content has ended waits for its turn")
+{
+    fleet run(3, {.short_quarantine_time = 300ms, .trial_time = 400ms});
+    repeating_callers callers{.run = run, .suspects = {content(5)}};
+    callers.play(250ms);
+    REQUIRE(run.refusing_nodes({content(5)}) == 3);
+    const int before = callers.sends;
+    run.loop.run_for(400ms);
+    run.nodes.erase(run.nodes.begin() + 1, run.nodes.end());
+    for (int i = 0; i < 4; ++i) {
+        run.add();
+    }
+    run.loop.run_for(settle_time);
+    callers.play(2s);
+    constexpr int max_retries = 3;
+    CHECK(callers.sends - before <= max_retries);
+    CHECK(run.refusing_nodes({content(5)}) == run.nodes.size());
+}
+
+TEST_CASE("A content that is answered after its quarantine is refused nowhere any more")
+{
+    fleet run(5, {.short_quarantine_time = 300ms});
+    repeating_callers callers{.run = run, .suspects = {content(5)}};
+    callers.play(250ms);
+    REQUIRE(run.refusing_nodes({content(5)}) == 5);
+    const auto wait = run.nodes[3]->watch.refused_for(std::vector{content(5)});
+    REQUIRE(wait);
+    run.loop.run_for(*wait + 50ms);
+    CHECK(run.refusing_nodes({content(5)}) == 4);
+    CHECK_FALSE(run.nodes[3]->watch.refused_for(std::vector{content(5)}));
+    run.nodes[3]->watch.sent(std::vector{content(5)});
+    run.loop.run_for(settle_time);
+    CHECK(run.refusing_nodes({content(5)}) == 5);
+    run.nodes[3]->watch.answered(std::vector{content(5)});
+    run.loop.run_for(settle_time);
+    CHECK(run.refusing_nodes({content(5)}) == 0);
+}
+
 TEST_CASE("A server that accepts a connection, or does not answer, has not crashed")
 {
     fleet run(1);
@@ -229,7 +267,8 @@
     const crash_message message{
         .crashes = {{.server = "s1", .suspects = {part(1), part(0xffff'ffff'ffff'ffff)}}},
         .cleared = {part(2)},
-        .quarantined = {{.suspects = {part(3), part(4)}, .until = 90s}}};
+        .quarantined = {{.suspects = {part(3), part(4)}, .until = 90s}},
+        .trials = {{content(6)}, {part(3), part(4)}}};
     const auto decoded = parse_crash_message(to_json(message, 30s), 1'000s);
     REQUIRE(decoded.crashes.size() == 1);
     CHECK(decoded.crashes[0].server == "s1");
@@ -238,6 +277,10 @@
     REQUIRE(decoded.quarantined.size() == 1);
     CHECK(decoded.quarantined[0].suspects == message.quarantined[0].suspects);
     CHECK(decoded.quarantined[0].until == 1'060s);
+    CHECK(decoded.trials == message.trials);
+    json of_earlier_version = to_json(message, 30s);
+    of_earlier_version.erase(3);
+    CHECK(parse_crash_message(of_earlier_version, 1'000s).trials.empty());
     const json malformed =
         GENERATE(json(), json::array(), json::array({1, 2, 3}),
                  json::array({json::array({json::array({"s1"})}), json::array(), json::array()}));
--- a/src/dotterelport/gateway/owner_ranking.cpp
+++ b/src/dotterelport/gateway/owner_ranking.cpp
@@ -59,4 +59,11 @@
     return found == end ? std::string() : *found;
 }
 
+std::size_t owner_ranking::position(const std::string& node, std::uint32_t shard) const
+{
+    const auto& ranked = ranking(shard);
+    return static_cast<std::size_t>(
+        std::distance(ranked.begin(), std::find(ranked.begin(), ranked.end(), node)));
+}
+
 } // namespace dotterelport::gateway
--- a/src/dotterelport/request/crash_attribution.cpp
+++ b/src/dotterelport/request/crash_attribution.cpp
@@ -44,6 +44,9 @@
     while (!crashes_.empty() && now - crashes_.front().at > options_.crash_memory) {
         crashes_.pop_front();
     }
+    std::erase_if(quarantines_, [&](const quarantine_entry& entry) {
+        return now >= entry.until + options_.trial_memory;
+    });
     auto& recorded = find_or_add(server, now);
     for (const auto& what : suspects) {
         recorded.suspects[what].insert(server);
@@ -252,13 +255,17 @@
     return cleared;
 }
 
-void crash_attribution::record_send(std::span<const suspect> suspects, milliseconds now)
+std::vector<std::vector<suspect>> crash_attribution::record_send(std::span<const suspect> suspects,
+                                                                 milliseconds now)
 {
+    std::vector<std::vector<suspect>> trials;
     for (auto& entry : quarantines_) {
         if (now >= entry.until && has_all(entry.suspects, suspects)) {
             entry.trial_until = now + options_.trial_time;
+            trials.push_back(entry.suspects);
         }
     }
+    return trials;
 }
 
 bool crash_attribution::adopt(quarantine_entry entry, milliseconds now)
@@ -267,12 +274,23 @@
         const auto cleared = cleared_at_.find(what);
         return cleared != cleared_at_.end() && now - cleared->second <= options_.clear_time;
     });
-    if (entry.until <= now || entry.suspects.empty()) {
+    if (now >= entry.until + options_.trial_memory || entry.suspects.empty()) {
         return false;
     }
     entry.until = std::min(entry.until, now + options_.quarantine_time);
     std::sort(entry.suspects.begin(), entry.suspects.end());
-    return quarantine(entry, now);
+    const auto known =
+        std::find_if(quarantines_.begin(), quarantines_.end(),
+                     [&](const quarantine_entry& item) { return item.suspects == entry.suspects; });
+    if (known == quarantines_.end()) {
+        return quarantine(entry, now) && now < entry.until;
+    }
+    const bool was_active = now < known->until;
+    const milliseconds tolerance = was_active ? options_.end_tolerance : milliseconds{0};
+    if (entry.until > known->until + tolerance) {
+        known->until = entry.until;
+    }
+    return !was_active && now < known->until;
 }
 
 std::optional<milliseconds> crash_attribution::refused_for(std::span<const suspect> suspects,
@@ -280,14 +298,33 @@
 {
     std::optional<milliseconds> longest;
     for (const auto& entry : quarantines_) {
-        const milliseconds end = std::max(entry.until, entry.trial_until);
-        if (now < end && has_all(entry.suspects, suspects)) {
-            longest = std::max(longest.value_or(milliseconds{0}), end - now);
+        const milliseconds wait =
+            has_all(entry.suspects, suspects) ? time_until_trial(entry, now) : milliseconds{0};
+        if (wait > milliseconds{0}) {
+            longest = std::max(longest.value_or(wait), wait);
         }
     }
     return longest;
 }
 
+milliseconds crash_attribution::time_until_trial(const quarantine_entry& entry,
+                                                 milliseconds now) const
+{
+    const trial_turn turn = trial_order_ ? trial_order_(entry.suspects) : trial_turn{};
+    const milliseconds end = std::max(entry.until, entry.trial_until);
+    const milliseconds own_slot = options_.trial_slot * static_cast<int>(turn.position);
+    if (now < end) {
+        return end - now + own_slot;
+    }
+    // The turns come round again, so that a request is tried although it reaches some routers only.
+    const milliseconds cycle = options_.trial_slot * static_cast<int>(turn.routers);
+    const milliseconds time_in_cycle = (now - end) % cycle;
+    if (time_in_cycle >= own_slot && time_in_cycle < own_slot + options_.trial_slot) {
+        return milliseconds{0};
+    }
+    return (own_slot - time_in_cycle + cycle) % cycle;
+}
+
 std::vector<quarantine_entry> crash_attribution::quarantined(milliseconds now) const
 {
     std::vector<quarantine_entry> result;
@@ -296,4 +333,13 @@
     return result;
 }
 
+std::vector<quarantine_entry> crash_attribution::remembered(milliseconds now) const
+{
+    std::vector<quarantine_entry> result;
+    std::copy_if(
+        quarantines_.begin(), quarantines_.end(), std::back_inserter(result),
+        [&](const quarantine_entry& entry) { return now < entry.until + options_.trial_memory; });
+    return result;
+}
+
 } // namespace dotterelport::request
--- a/src/dotterelport/request/crash_attribution_test.cpp
+++ b/src/dotterelport/request/crash_attribution_test.cpp
@@ -252,6 +252,52 @@
     CHECK_FALSE(run.attribution.adopt(entry, run.now));
 }
 
+TEST_CASE("After the end of a quarantine a router waits for its turn to let an attempt through")
+{
+    const auto third_of_four = [](std::span<const suspect> /*suspects*/) {
+        return trial_turn{.position = 2, .routers = 4};
+    };
+    crash_attribution attribution({}, third_of_four);
+    const std::vector suspects{content(5)};
+    attribution.adopt({.suspects = suspects, .until = 10s}, 1s);
+    CHECK(attribution.refused_for(suspects, 10s) == 500ms);
+    CHECK_FALSE(attribution.refused_for(suspects, 10'500ms));
+    CHECK_FALSE(attribution.refused_for(suspects, 10'749ms));
+    CHECK(attribution.refused_for(suspects, 10'750ms) == 750ms);
+    CHECK_FALSE(attribution.refused_for(suspects, 11'500ms));
+    CHECK_FALSE(attribution.refused_for(std::vector{content(6)}, 10s));
+    SECTION("and another router's attempt is awaited")
+    {
+        const std::vector<std::vector<suspect>> trials{suspects};
+        CHECK(attribution.record_send(suspects, 10'100ms) == trials);
+        CHECK(attribution.refused_for(suspects, 10'500ms) == 2'100ms);
+    }
+    SECTION("also if it has started after the end")
+    {
+        crash_attribution later({}, third_of_four);
+        const auto remembered = attribution.remembered(10'100ms);
+        REQUIRE(remembered.size() == 1);
+        CHECK_FALSE(later.adopt(remembered[0], 10'100ms));
+        CHECK(later.refused_for(suspects, 10'100ms) == 400ms);
+    }
+    SECTION("until the quarantine is forgotten")
+    {
+        CHECK(attribution.remembered(609s).size() == 1);
+        CHECK(attribution.remembered(610s).empty());
+        CHECK_FALSE(attribution.adopt({.suspects = suspects, .until = 10s}, 610s));
+    }
+}
+
+TEST_CASE("A quarantine is prolonged by a renewal, and not by the delay of messages")
+{
+    history run;
+    run.attribution.adopt({.suspects = {content(5)}, .until = 10s}, 1s);
+    CHECK_FALSE(run.attribution.adopt({.suspects = {content(5)}, .until = 10'200ms}, 1s));
+    CHECK(run.attribution.refused_for(std::vector{content(5)}, 1s) == 9s);
+    CHECK_FALSE(run.attribution.adopt({.suspects = {content(5)}, .until = 500s}, 1s));
+    CHECK(run.attribution.refused_for(std::vector{content(5)}, 1s) == 499s);
+}
+
 /// Requests on a pool of engines, of which some have the deadly part. Each gateway knows the
 /// crashes of the others after a delay.
 struct poisoned_day {
