Remember the crashes of a content as long as its quarantine lasts

Callers could see: a request that crashes servers and is repeated every minute or two is never quarantined. Cause: crashes counted for 60 s, a time chosen for parts of prompts, which may be at unrelated crashes. Change: crashes count against a content for 10 min, against parts for 60 s as before. Conclusion: the next request of the same content is refused, whatever the pause of its caller.

--- a/include/dotterelport/request/crash_attribution.hpp
+++ b/include/dotterelport/request/crash_attribution.hpp
@@ -83,8 +83,12 @@
         milliseconds common_cause_window{150};
         /// Reports about one server within this time are about one crash.
         milliseconds same_crash_window{2'000};
-        /// Time after which a crash no longer counts.
-        milliseconds crash_memory{60'000};
+        /// Time after which a crash no longer counts against a part, which may be at unrelated
+        /// ones.
+        milliseconds part_memory{60'000};
+        /// Time after which a crash no longer counts against a content, whose caller may be slow to
+        /// repeat it.
+        milliseconds content_memory{600'000};
         milliseconds quarantine_time{600'000};
         /// Quarantine of a content whose crashes may have a common cause. Longer than a crashed
         /// server takes to start again.
@@ -169,6 +173,7 @@
         crash_set crashes = 0;
     };
 
+    void forget_old(milliseconds now);
     crash& find_or_add(const std::string& server, milliseconds now);
     [[nodiscard]] crash_set crashes_with(std::span<const suspect> suspects) const;
     /// @brief Crashes at which quarantined parts were.
--- a/src/dotterelport/request/crash_attribution.cpp
+++ b/src/dotterelport/request/crash_attribution.cpp
@@ -41,12 +41,7 @@
 bool crash_attribution::record_crash(const std::string& server, std::span<const suspect> suspects,
                                      milliseconds now)
 {
-    while (!crashes_.empty() && now - crashes_.front().at > options_.crash_memory) {
-        crashes_.pop_front();
-    }
-    std::erase_if(quarantines_, [&](const quarantine_entry& entry) {
-        return now >= entry.until + options_.trial_memory;
-    });
+    forget_old(now);
     auto& recorded = find_or_add(server, now);
     for (const auto& what : suspects) {
         recorded.suspects[what].insert(server);
@@ -56,6 +51,23 @@
     });
 }
 
+void crash_attribution::forget_old(milliseconds now)
+{
+    while (!crashes_.empty() && now - crashes_.front().at > options_.content_memory) {
+        crashes_.pop_front();
+    }
+    for (auto& item : crashes_) {
+        if (now - item.at > options_.part_memory) {
+            std::erase_if(item.suspects, [](const auto& suspected) {
+                return suspected.first.kind == suspect_kind::part;
+            });
+        }
+    }
+    std::erase_if(quarantines_, [&](const quarantine_entry& entry) {
+        return now >= entry.until + options_.trial_memory;
+    });
+}
+
 crash_attribution::crash& crash_attribution::find_or_add(const std::string& server,
                                                          milliseconds now)
 {
--- a/src/dotterelport/request/crash_attribution_test.cpp
+++ b/src/dotterelport/request/crash_attribution_test.cpp
@@ -173,6 +173,17 @@
     CHECK_FALSE(run.refuses({part(1), content(7)}));
 }
 
+TEST_CASE("Content that crashes a server every few minutes is quarantined, and its parts are not")
+{
+    history run;
+    for (int i = 0; i < 3; ++i) {
+        run.now += 150s;
+        run.crash({part(1), content(5)});
+    }
+    CHECK(run.refuses({content(5)}));
+    CHECK_FALSE(run.refuses({part(1), content(6)}));
+}
+
 TEST_CASE("A repeated content that crashes all servers of a service at once is quarantined")
 {
     const milliseconds interval = GENERATE(0ms, 10ms, 60ms, 110ms, 400ms);
