Apply what else an answer states if one statement in it cannot be parsed

Cause: an answer with one unreadable statement was ignored as a whole, also a departure or a wait that it states. Change: only the limit known before stays in force; departures and waits are applied.

--- a/include/dotterelport/gateway/server_statements.hpp
+++ b/include/dotterelport/gateway/server_statements.hpp
@@ -46,7 +46,7 @@
     /// @brief Returns whether a server states a limit.
     [[nodiscard]] bool is_limited(const std::string& server) const
     {
-        return limits_.has_rate(server);
+        return limits_.rate(server).has_value();
     }
 
     /// @brief Sets the number of gateways that share the servers' limits.
--- a/include/dotterelport/routing/server_limits.hpp
+++ b/include/dotterelport/routing/server_limits.hpp
@@ -55,7 +55,8 @@
 
     void forget(const std::string& server) { limits_.erase(server); }
 
-    [[nodiscard]] bool has_rate(const std::string& server) const;
+    /// @return requests per second that a server accepts from all routers; nothing if unlimited
+    [[nodiscard]] std::optional<double> rate(const std::string& server) const;
     [[nodiscard]] bool is_empty() const { return limits_.empty(); }
     [[nodiscard]] json dump(milliseconds now) const;
 
--- a/src/dotterelport/gateway/server_statements.cpp
+++ b/src/dotterelport/gateway/server_statements.cpp
@@ -66,11 +66,11 @@
     }
     if (statement.unreadable) {
         log(events::server_statement_unreadable, {{"server", server}});
-        return;
     }
     const statement_message message{.server = server,
                                     .started_ms = started_ms,
-                                    .max_rate = statement.max_rate,
+                                    .max_rate = statement.unreadable ? limits_.rate(server)
+                                                                     : statement.max_rate,
                                     .leaving = statement.leaving};
     if (apply(message, link_.node())) {
         link_.announce(peer_message_kind::server_statement, to_json(message));
--- a/src/dotterelport/gateway/server_statements_test.cpp
+++ b/src/dotterelport/gateway/server_statements_test.cpp
@@ -120,6 +120,18 @@
     run.state({.max_rate = 0.1});
     run.state({.unreadable = true});
     CHECK(run.first.statements.is_limited("s1"));
+    SECTION("and what else the answer states is applied: a departure")
+    {
+        run.state({.leaving = true, .unreadable = true});
+        CHECK_FALSE(run.first.servers.is_available("s1"));
+        CHECK_FALSE(run.second.servers.is_available("s1"));
+    }
+    SECTION("and what else the answer states is applied: a wait")
+    {
+        run.state({.retry_after = 100s, .unreadable = true});
+        CHECK(run.first.statements.time_until_permitted("s1") > 50s);
+    }
+    CHECK(run.second.statements.is_limited("s1"));
 }
 
 TEST_CASE("Statements about unknown servers are ignored")
--- a/src/dotterelport/routing/server_limits.cpp
+++ b/src/dotterelport/routing/server_limits.cpp
@@ -27,7 +27,7 @@
                              milliseconds now)
 {
     const auto found = limits_.find(server);
-    const std::optional<double> before = found == limits_.end() ? std::nullopt : found->second.rate;
+    const std::optional<double> before = this->rate(server);
     if (!rate) {
         if (before) {
             found->second.rate.reset();
@@ -78,10 +78,10 @@
     return result;
 }
 
-bool server_limits::has_rate(const std::string& server) const
+std::optional<double> server_limits::rate(const std::string& server) const
 {
     const auto found = limits_.find(server);
-    return found != limits_.end() && found->second.rate.has_value();
+    return found == limits_.end() ? std::nullopt : found->second.rate;
 }
 
 void server_limits::sent(const std::string& server, milliseconds now)
