Quarantine a content also if nothing was answered since its first crash, for a time that grows

Callers could see: a caller who is alone, as at night, and repeats a request that crashes servers, crashes one a second without end. Cause: if nothing was answered since the first crash, the servers are taken to be at fault and nothing is quarantined. Change: a content is then refused for 10 s, and after each further crash for twice as long, up to 10 min; the first answer ends it, so that a faulty release of the servers does not leave contents refused. Parts are not affected.

--- a/include/dotterelport/request/crash_attribution.hpp
+++ b/include/dotterelport/request/crash_attribution.hpp
@@ -47,6 +47,8 @@
     milliseconds until{0};
     /// After the end, time until which the result of the attempt that was let through is awaited.
     milliseconds trial_until{0};
+    /// Time for which this router imposed it last; 0 if it was taken over from another one.
+    milliseconds duration{0};
 };
 
 /// Place of a router in the order in which the routers of a fleet may let a request through after a
@@ -68,7 +70,8 @@
 /// A content is counted by the servers that crashed with it, also at once: callers repeat it, so it
 /// may be at all servers of a service when the first one crashes. As sound content may be there too
 /// when servers crash for a common reason, such a quarantine is short, and the first crash after it
-/// proves the content to be at fault.
+/// proves the content to be at fault. It is short as well if nothing was answered since the first
+/// crash, as the servers may crash whatever they run, and then lasts longer with each crash.
 ///
 /// When a quarantine has ended, one attempt at a time is let through until one is answered or
 /// crashes a server. Routers take turns, so that a fleet does not let one through at each of them.
@@ -180,6 +183,9 @@
     [[nodiscard]] crash_set explained_crashes(milliseconds now) const;
     /// @brief Unexplained crashes of each suspect that enough of them count against.
     [[nodiscard]] std::map<suspect, crash_set> candidates(crash_set explained) const;
+    /// @brief Whether anything was answered since the first of these crashes. If not, the servers
+    /// are more likely to be at fault than a request.
+    [[nodiscard]] bool is_answered_since(crash_set crashes) const;
     /// @brief Number of servers that crashed with a suspect.
     [[nodiscard]] std::size_t crashed_servers(const suspect& what, crash_set crashes) const;
     /// @brief Parts that explain most of the unexplained crashes.
--- a/src/dotterelport/request/crash_attribution.cpp
+++ b/src/dotterelport/request/crash_attribution.cpp
@@ -91,7 +91,8 @@
 {
     std::vector<quarantine_entry> begun;
     const auto begin = [&](std::vector<suspect> suspects, milliseconds duration) {
-        quarantine_entry entry{.suspects = std::move(suspects), .until = now + duration};
+        quarantine_entry entry{
+            .suspects = std::move(suspects), .until = now + duration, .duration = duration};
         if (quarantine(entry, now)) {
             begun.push_back(std::move(entry));
         }
@@ -109,13 +110,20 @@
                         [&](const auto& entry) { return entry.suspects == suspects; });
         if (what.kind == suspect_kind::content && !is_known) {
             const auto crashes = static_cast<std::size_t>(std::popcount(unexplained));
-            begin(suspects, crashes < options_.crash_limit ? options_.short_quarantine_time
-                                                           : options_.quarantine_time);
+            const bool is_proved =
+                crashes >= options_.crash_limit && is_answered_since(unexplained);
+            begin(suspects, is_proved ? options_.quarantine_time : options_.short_quarantine_time);
         }
     }
     return begun;
 }
 
+bool crash_attribution::is_answered_since(crash_set crashes) const
+{
+    const auto first = static_cast<std::size_t>(std::countr_zero(crashes));
+    return crashes_[first].answers_before != answers_;
+}
+
 std::size_t crash_attribution::crashed_servers(const suspect& what, crash_set crashes) const
 {
     std::size_t result = 0;
@@ -165,12 +173,11 @@
         }
     }
     std::erase_if(result, [this](const auto& item) {
-        const auto& first = crashes_[static_cast<std::size_t>(std::countr_zero(item.second))];
-        // If nothing was answered, the servers are more likely to be at fault than a request.
-        const std::size_t count = item.first.kind == suspect_kind::content
-                                      ? crashed_servers(item.first, item.second)
-                                      : static_cast<std::size_t>(std::popcount(item.second));
-        return count < options_.crash_limit || first.answers_before == answers_;
+        if (item.first.kind == suspect_kind::content) {
+            return crashed_servers(item.first, item.second) < options_.crash_limit;
+        }
+        return static_cast<std::size_t>(std::popcount(item.second)) < options_.crash_limit ||
+               !is_answered_since(item.second);
     });
     return result;
 }
@@ -202,7 +209,12 @@
             const crash_set crashes = crashes_with(entry.suspects) & ~explained;
             const auto last = static_cast<std::size_t>(std::bit_width(crashes));
             if (crashes != 0 && crashes_[last - 1].at >= entry.until) {
-                entry.until = now + options_.quarantine_time;
+                const milliseconds doubled =
+                    std::max(entry.duration, options_.short_quarantine_time) * 2;
+                entry.duration = is_answered_since(crashes)
+                                     ? options_.quarantine_time
+                                     : std::min(doubled, options_.quarantine_time);
+                entry.until = now + entry.duration;
                 begun.push_back(entry);
             }
             continue;
--- a/src/dotterelport/request/crash_attribution_test.cpp
+++ b/src/dotterelport/request/crash_attribution_test.cpp
@@ -309,6 +309,40 @@
     CHECK(run.attribution.refused_for(std::vector{content(5)}, 1s) == 499s);
 }
 
+TEST_CASE("A content that crashes servers while nothing is answered is tried less and less often")
+{
+    crash_attribution attribution;
+    const std::vector suspects{content(5)};
+    int crashes = 0;
+    for (milliseconds now{0}; now < 1h; now += 1s) {
+        if (!attribution.refused_for(suspects, now)) {
+            attribution.record_send(suspects, now);
+            attribution.record_crash("s" + std::to_string(++crashes), suspects, now);
+            attribution.evaluate(now);
+        }
+    }
+    constexpr int max_crashes_in_an_hour = 20;
+    CHECK(crashes <= max_crashes_in_an_hour);
+    SECTION("and an answer ends that, as after a faulty release of the servers")
+    {
+        attribution.record_answer(suspects, 1h);
+        CHECK_FALSE(attribution.refused_for(suspects, 1h));
+    }
+}
+
+TEST_CASE("Contents at servers that crash whatever they run are not refused for long at first")
+{
+    crash_attribution attribution;
+    for (int i = 0; i < 3; ++i) {
+        attribution.record_crash("s" + std::to_string(i), std::vector{content(5)}, i * 1'000ms);
+    }
+    attribution.evaluate(2s);
+    CHECK(attribution.refused_for(std::vector{content(5)}, 2s) == 10s);
+    attribution.record_crash("s4", std::vector{content(5)}, 12s);
+    attribution.evaluate(12s);
+    CHECK(attribution.refused_for(std::vector{content(5)}, 12s) == 20s);
+}
+
 /// Requests on a pool of engines, of which some have the deadly part. Each gateway knows the
 /// crashes of the others after a delay.
 struct poisoned_day {
