Do not let two datagram sockets share an address

Cause: SO_REUSEADDR was set on datagram sockets too. There Linux lets two sockets have the same address, also one that it chooses, and only one of them receives. Ruled out: late datagrams (a wait of 1.5 s instead of 50 ms failed as well, 2 of 30) and full receive buffers (RcvbufErrors 0). Change: the option is set for connections only; a second process on a used address now fails to start with an error. Measured: the new test failed before (1 of 2 assertions). Conclusion: tests that run side by side no longer take each other's datagrams.

--- a/src/dotterelport/net/net_test.cpp
+++ b/src/dotterelport/net/net_test.cpp
@@ -7,6 +7,8 @@
 #include <thread>
 #include <vector>
 
+#include "dotterelport/base/error.hpp"
+#include "dotterelport/net/datagram_socket.hpp"
 #include "dotterelport/net/http_client.hpp"
 #include "dotterelport/net/http_server.hpp"
 #include "dotterelport/net/line_splitter.hpp"
@@ -178,6 +180,21 @@
                              : received.body == "{\"a\":1}"));
 }
 
+TEST_CASE("Two sockets never share an address, for datagrams or for connections")
+{
+    event_loop loop;
+    SECTION("datagrams")
+    {
+        const datagram_socket first(loop, {"127.0.0.1", 0}, [](auto) {});
+        CHECK_THROWS_AS(datagram_socket(loop, first.address(), [](auto) {}), error);
+    }
+    SECTION("connections")
+    {
+        const tcp_listener first(loop, {"127.0.0.1", 0}, [](auto) {});
+        CHECK_THROWS_AS(tcp_listener(loop, first.address(), [](auto) {}), error);
+    }
+}
+
 TEST_CASE("An answer that ends inside its head is no answer")
 {
     const std::string answer =
--- a/src/dotterelport/net/socket_address.cpp
+++ b/src/dotterelport/net/socket_address.cpp
@@ -26,8 +26,12 @@
 {
     sockaddr_in bound = to_socket_address(address, "cannot listen on");
     const int descriptor = ::socket(AF_INET, type | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
-    const int enabled = 1;
-    ::setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &enabled, sizeof(enabled));
+    if (type == SOCK_STREAM) {
+        // Ignores the closed connections of a previous process. For datagrams the option would let
+        // two sockets share the address, of which one receives nothing.
+        const int enabled = 1;
+        ::setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &enabled, sizeof(enabled));
+    }
     socklen_t length = sizeof(bound);
     auto* generic = reinterpret_cast<sockaddr*>(&bound);
     if (::bind(descriptor, generic, length) != 0 ||
