Let an ended quarantine of another gateway replace no active one

Cause: since ended quarantines are remembered, they are taken over from other gateways in the same way as active ones, which replaces the quarantines that the new one includes: an ended one of a part removed an active one of this part together with another. Change: an ended one is only added. Measured: the new test failed before.

--- a/src/dotterelport/request/crash_attribution.cpp
+++ b/src/dotterelport/request/crash_attribution.cpp
@@ -307,7 +307,11 @@
         std::find_if(quarantines_.begin(), quarantines_.end(),
                      [&](const quarantine_entry& item) { return item.suspects == entry.suspects; });
     if (known == quarantines_.end()) {
-        return quarantine(entry, now) && now < entry.until;
+        if (now < entry.until) {
+            return quarantine(entry, now);
+        }
+        quarantines_.push_back(std::move(entry));
+        return false;
     }
     const bool was_active = now < known->until;
     const milliseconds tolerance = was_active ? options_.end_tolerance : milliseconds{0};
--- a/src/dotterelport/request/crash_attribution_test.cpp
+++ b/src/dotterelport/request/crash_attribution_test.cpp
@@ -299,6 +299,16 @@
     }
 }
 
+TEST_CASE("An ended quarantine that is taken over replaces no active one")
+{
+    history run;
+    run.attribution.adopt({.suspects = {part(1), part(2)}, .until = 500s}, 20s);
+    CHECK_FALSE(run.attribution.adopt({.suspects = {part(1)}, .until = 10s}, 20s));
+    run.now = 20s;
+    CHECK(run.attribution.refused_for(std::vector{part(1), part(2)}, run.now) == 480s);
+    CHECK(run.attribution.quarantined(run.now).size() == 1);
+}
+
 TEST_CASE("A quarantine is prolonged by a renewal, and not by the delay of messages")
 {
     history run;
