review: case 4, requests that were refused as not run are charged in full

A reservation that waits at the owner of a ledger shard outlives the edge that gave it up, and is charged after 30 s. Tenants with most of their tokens left then get 402.

--- a/review/standins/kit.py
+++ b/review/standins/kit.py
@@ -69,8 +69,10 @@
         self.revision = 100
         self.changes = []
         self.changed = asyncio.Condition()
-        # "up", or "silent": calls are read and never answered.
+        # "up"; "busy": calls are answered 503; "silent": calls are read and never answered.
         self.mode = "up"
+        # Time that each answer takes, in addition to the wait of a watch.
+        self.delay = 0
         self.writers = set()
         self.port = None
 
@@ -109,7 +111,11 @@
                 if self.mode == "silent":
                     await reader.read()
                     return
-                status, answer = await self.answer(method, target, body)
+                status, answer = (503, {}) if self.mode == "busy" else await self.answer(method, target, body)
+                if self.delay > 0:
+                    await asyncio.sleep(self.delay)
+                if self.mode == "busy":
+                    status, answer = 503, {}
                 if self.mode == "silent":
                     await reader.read()
                     return
