--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,100 +1,82 @@
 import asyncio
 import os
-import signal
 import sys
-import time
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(os.path.dirname(FOLDER), "standins"))
 import kit
 
 KEY = "n2ctnfzs989anu6wsjnb"
-STREAMS = 16
-EVENTS = 6
-SILENCE_S = 2.6
-TIMEOUT_MS = 4_000
-GRACE_S = 8
+PROMPT, OUTPUT = 400, 40
+SMALL, LARGE = 4_000, 400_000
+PROPAGATION_S = 2.0
 
 
-async def case(record, directory, with_trouble):
-    at_work = {}  # id -> number of engines that still work on the request
-    ended_by_edge = set()
+async def stream(engine, request, writer):
+    """Ten events of four tokens each."""
+    lines = ["HTTP/1.1 200 OK", f"X-Attempt-Id: {request['id']}", "Content-Type: text/event-stream",
+             f"X-Response-Signature: signed.{engine.name}", "Transfer-Encoding: chunked"]
+    writer.write(("\r\n".join(lines) + "\r\n\r\n").encode())
+    for number in range(1, 11):
+        event = f"id: {number}\ndata: {request['id']}\n\n".encode()
+        writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
+        await writer.drain()
+        await asyncio.sleep(0.005)
+    writer.write(b"0\r\n\r\n")
+    await writer.drain()
+
+
+def settings_of(version, reserved):
+    model = kit.service("model", engine_id={"capacity": 128, "kv_capacity": 287072, "interval": 4,
+                                            "model_ids": [{"name": "m"}]})
+    return kit.configuration(
+        version, [kit.route("r-chat", "/chat/", "streaming", "model", target_itl_ms=500)], [model],
+        [{"name": "t1", "api_keys": [KEY], "priority": 1, "reserved": reserved}])
 
-    async def stream(engine, request, writer):
-        """Six events, 100 ms apart; a run that does not resume another one is silent after the third."""
-        identity = request["id"]
-        last = int(request["headers"].get("last-event-id", 0))
-        at_work[identity] = at_work.get(identity, 0) + 1
-        try:
-            lines = ["HTTP/1.1 200 OK", f"X-Attempt-Id: {identity}", "Content-Type: text/event-stream",
-                     f"X-Response-Signature: signed.{engine.name}", "Transfer-Encoding: chunked"]
-            writer.write(("\r\n".join(lines) + "\r\n\r\n").encode())
-            for number in range(last + 1, EVENTS + 1):
-                if number == 4 and last == 0 and with_trouble:
-                    await asyncio.sleep(SILENCE_S)
-                event = f"id: {number}\ndata: {identity}\n\n".encode()
-                writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
-                await writer.drain()
-                await asyncio.sleep(0.1)
-            writer.write(b"0\r\n\r\n")
-            await writer.drain()
-            record("engine", engine.name, "has sent all of", identity)
-        except ConnectionError:
-            ended_by_edge.add(identity)
-            record("engine", engine.name, "finds the connection of", identity, "closed")
-            raise
-        finally:
-            at_work[identity] -= 1
 
+async def case(record, directory, with_trouble):
     store = kit.Store()
     await store.start()
-    engines = [kit.Engine(record, f"i-{i}", "model", capacity=96, on_request=stream) for i in (1, 2, 3)]
+    engines = [kit.Engine(record, f"i-{i}", "model", capacity=128, on_request=stream) for i in (1, 2)]
     for engine in engines:
         await engine.start()
         await store.put("servers", engine.name, engine.registration())
-    model = kit.service("model", engine_id={"capacity": 96, "kv_capacity": 195428, "interval": 4,
-                                            "model_ids": [{"name": "m"}]})
-    letter = kit.route("r-letter", "/letter/", "streaming", "model", resumable=True, max_attempts=2,
-                       timeout_ms=TIMEOUT_MS, target_latency_ms=800, target_itl_ms=500)
-    await store.put("config", "main", kit.configuration(
-        7, [letter], [model], [{"name": "t1", "api_keys": [KEY], "priority": 1, "reserved": 10_000_000}]))
-    edges = [kit.Edge(record, directory, f"edge-{i}", store.port, grace_s=GRACE_S, retry_reserve=52)
-             for i in (1, 2, 3)]
-    for edge in edges:
-        edge.start()
+    await store.put("config", "main", settings_of(7, SMALL if with_trouble else LARGE))
+    edge = kit.Edge(record, directory, "edge-1", store.port)
+    edge.start()
     sent = 0
-    cut = []
 
-    async def send(edge):
+    async def send():
         nonlocal sent
         sent += 1
         identity = f"{sent:016x}"
-        began = time.monotonic()
-        record("client sends", identity, "to", edge.name)
-        answer = await kit.ask(edge.port, "POST", "/letter/x",
-                               {"X-Attempt-Id": identity, "X-Model-Id": "m", "X-Token-Usage": "400,40",
-                                "X-Prefix-Hash": f"{sent:x}:400", "X-Deadline-Ms": str(TIMEOUT_MS),
-                                "Authorization": "Token " + KEY}, b"{}", limit=6.0)
-        age = time.monotonic() - began
-        record("client gets", identity, answer["status"], f"after {age:.2f} s")
-        if answer["status"] == 0 and age < TIMEOUT_MS / 1000:
-            cut.append(identity)
+        record("client sends", identity)
+        answer = await kit.ask(edge.port, "POST", "/chat/x",
+                               {"X-Attempt-Id": identity, "X-Model-Id": "m",
+                                "X-Token-Usage": f"{PROMPT},{OUTPUT}", "X-Prefix-Hash": f"{sent:x}:{PROMPT}",
+                                "X-Deadline-Ms": "3000", "Authorization": "Token " + KEY}, b"{}")
+        record("client gets", identity, answer["status"], answer["body"][:60])
         return answer["status"]
 
     try:
-        for edge in edges:
-            await edge.wait_ready()
-        await asyncio.sleep(3)
-        pending = [asyncio.create_task(send(edges[0])) for _ in range(STREAMS)]
-        await asyncio.sleep(0.5)
-        edges[0].signal(signal.SIGTERM)
-        statuses = await asyncio.gather(*pending)
+        await edge.wait_ready()
+        # The workspace uses up its budget, one request after the other.
+        for _ in range(25):
+            status = await send()
+            if status == 402:
+                break
+            await asyncio.sleep(0.3 if status != 200 else 0.05)
+        await asyncio.sleep(12)
+        if with_trouble:
+            await store.put("config", "main", settings_of(8, LARGE))
+            record("store acknowledges version 8, reserved", LARGE)
+        await asyncio.sleep(PROPAGATION_S + 1)
+        statuses = await asyncio.gather(*[send() for _ in range(30)])
     finally:
-        for edge in edges:
-            edge.stop()
-    record("answers:", {status: statuses.count(status) for status in set(statuses)},
-           "cut before the deadline and the route's timeout:", len(cut))
-    return len(cut) > 0
+        edge.stop()
+    denied = statuses.count(402)
+    record("after the change:", {status: statuses.count(status) for status in set(statuses)})
+    return denied > 5 + sent / 500
 
 
 kit.run_case(case, FOLDER)
--- a/review/standins/kit.py
+++ b/review/standins/kit.py
@@ -9,6 +9,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 from urllib.parse import parse_qs, unquote, urlsplit
@@ -319,6 +320,8 @@
 
 def run_case(case, folder):
     """Runs `case(record, directory, with_trouble)` and exits with its result."""
+    # Lets the case end its processes if it is ended itself.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     record = Record(os.path.join(folder, "record.txt"))
     with_trouble = os.environ.get("TROUBLE", "1") != "0"
     record("trouble", with_trouble)
