--- a/review/4/case.py
+++ b/review/4/case.py
@@ -79,9 +79,11 @@
     try:
         for edge in edges:
             await edge.wait_ready()
-        await asyncio.sleep(1)
-        for i, name in enumerate(names):
-            await send(name, edges[i % len(edges)])
+        # The edges learn of each other.
+        await asyncio.sleep(5)
+        for name in names:
+            await send(name, edges[0])
+        # The tenants pause, so that their grants are returned.
         await asyncio.sleep(10)
         if with_trouble:
             store.delay = SLOW_ANSWER_S
@@ -90,7 +92,7 @@
         groups = []
         for name in names:
             groups.append(asyncio.create_task(arrive_together(name)))
-            await asyncio.sleep(0.5)
+            await asyncio.sleep(0.45)
         await asyncio.sleep(max(0.0, end - time.monotonic()))
         store.delay = USUAL_ANSWER_S
         record("the store answers in", USUAL_ANSWER_S, "s again")
--- a/review/standins/kit.py
+++ b/review/standins/kit.py
@@ -96,8 +96,9 @@
             await self.note(kind, item, True)
 
     async def note(self, kind, item, deleted):
+        # Recorded before anything else can run, so that no answer has a revision without its change.
+        self.changes.append((self.revision, kind, {"object": item, "deleted": deleted}))
         async with self.changed:
-            self.changes.append((self.revision, kind, {"object": item, "deleted": deleted}))
             self.changed.notify_all()
 
     def events(self, kind, since):
