Log settlements that match no lent reservation, with the state of the reservation

Change: event 938, settlement_unmatched, with the reservation's state, and a record of the reservations that wait at the owner for other gateways.

--- a/include/dotterelport/gateway/budget_broker.hpp
+++ b/include/dotterelport/gateway/budget_broker.hpp
@@ -106,6 +106,11 @@
         milliseconds lent_at{0};
     };
 
+    /// Reservation of another gateway that waits here for a larger grant.
+    struct waiting_reservation {
+        std::string workspace;
+    };
+
     [[nodiscard]] std::string owner_of(const std::string& workspace) const;
     [[nodiscard]] std::string key_of(const std::string& node, std::uint64_t number) const;
     /// @brief Asks the current owner, or reserves here if that is this gateway.
@@ -135,6 +140,7 @@
     std::map<std::uint64_t, own_reservation> reservations_;
     std::map<settlement_key, settlement> settlements_;
     std::map<std::string, lent_reservation> lent_;
+    std::map<std::string, waiting_reservation> waiting_here_;
     milliseconds copies_sent_at_{0};
 };
 
--- a/include/dotterelport/gateway/events.hpp
+++ b/include/dotterelport/gateway/events.hpp
@@ -84,6 +84,11 @@
 inline constexpr log_event ledger_copy_unreadable{
     937, severity::warning, "ledger_copy_unreadable",
     "Another gateway sent a copy of a ledger shard that does not have the required form."};
+inline constexpr log_event settlement_unmatched{
+    938, severity::info, "settlement_unmatched",
+    "Another gateway settles a reservation that this one has not lent; the field state says "
+    "whether "
+    "it waits here for a larger grant, has ended, or is unknown."};
 inline constexpr log_event server_examined{940, severity::info, "server_examined",
                                            "A backend server ended connections of requests that it "
                                            "had not begun to answer; it has crashed "
--- a/src/dotterelport/ctl/event_catalogue.cpp
+++ b/src/dotterelport/ctl/event_catalogue.cpp
@@ -115,6 +115,7 @@
         gateway::owner_silent,
         gateway::feed_role_changed,
         gateway::reservation_left_behind,
+        gateway::settlement_unmatched,
         gateway::ledger_step,
         gateway::ledger_copy_unreadable,
         gateway::server_examined,
--- a/src/dotterelport/gateway/budget_broker.cpp
+++ b/src/dotterelport/gateway/budget_broker.cpp
@@ -276,22 +276,21 @@
         link_.send(message.node, peer_message_kind::leaving, json::array());
         return;
     }
-    const auto answered = std::make_shared<bool>(false);
     // A repeated message replaces the reservation that still waits for the first one.
     keeper_.abandon(workspace, key);
-    keeper_.reserve(
-        workspace, key, upper_tokens,
-        [this, workspace, key, upper_tokens, answer, answered](reservation_outcome outcome) {
-            *answered = true;
-            if (outcome == reservation_outcome::reserved) {
-                lent_.emplace(key, lent_reservation{.workspace = workspace,
-                                                    .key = key,
-                                                    .upper_tokens = upper_tokens,
-                                                    .lent_at = steady_now()});
-            }
-            answer(outcome);
-        });
-    if (!*answered) {
+    waiting_here_.insert_or_assign(key, waiting_reservation{.workspace = workspace});
+    keeper_.reserve(workspace, key, upper_tokens,
+                    [this, workspace, key, upper_tokens, answer](reservation_outcome outcome) {
+                        waiting_here_.erase(key);
+                        if (outcome == reservation_outcome::reserved) {
+                            lent_.emplace(key, lent_reservation{.workspace = workspace,
+                                                                .key = key,
+                                                                .upper_tokens = upper_tokens,
+                                                                .lent_at = steady_now()});
+                        }
+                        answer(outcome);
+                    });
+    if (waiting_here_.contains(key)) {
         // Otherwise the asking gateways would consider this one dead and all open grants of their
         // own.
         link_.send(message.node, peer_message_kind::reserved,
@@ -339,11 +338,17 @@
     const auto ran = parse_verdict(message.content.at(1).get<std::string>());
     const auto prompt_tokens = message.content.at(2).get<tokens>();
     const auto output_tokens = message.content.at(3).get<tokens>();
-    const auto found = lent_.find(key_of(message.node, number));
+    const std::string key = key_of(message.node, number);
+    const auto found = lent_.find(key);
     if (found != lent_.end()) {
         keeper_.settle(found->second.workspace, found->second.key,
                        ran.value_or(verdict::may_have_run), prompt_tokens, output_tokens);
         lent_.erase(found);
+    } else {
+        log(events::settlement_unmatched,
+            {{"key", key},
+             {"state", waiting_here_.contains(key) ? "waiting" : "unknown"},
+             {"verdict", message.content.at(1)}});
     }
     link_.send(message.node, peer_message_kind::settled, json::array({number}));
 }
