Release reservations of other gateways whose request has ended

Cause: the owner of a ledger shard knew a reservation of another gateway only once its tokens were reserved. A settlement that arrived while it waited for a larger grant was confirmed and ignored; the grant then made the reservation for nobody, and 30 s later it was charged in full.

Change: the owner cancels a waiting reservation when it is settled, remembers ended ones, so that a delayed or repeated message reserves nothing, and releases tokens whose asker has stopped asking. The asker releases tokens that are reserved for a request that has ended, sends settlements as long as the owner waits for them, and releases its own tokens if a request ends while another one is told. Why it works: each reservation now has one of four states at the owner (waiting, lent, ended, unknown), and a settlement ends it in each of them.

--- a/include/dotterelport/gateway/budget_broker.hpp
+++ b/include/dotterelport/gateway/budget_broker.hpp
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -21,12 +22,15 @@
     milliseconds waiting_owner_timeout{450};
     /// Interval at which an unconfirmed settlement is sent again.
     milliseconds settle_resend_interval{200};
-    /// Time after which an unconfirmed settlement is dropped; the owner then charges the upper
-    /// bound.
-    milliseconds settle_timeout{20'000};
     /// Time after which a reservation that another gateway has not settled is charged in full; no
-    /// request that holds one can still run by then.
+    /// request that holds one can still run by then. Settlements are sent until then.
     milliseconds lent_timeout{30'000};
+    /// Time without a repeated reserve message after which the request of another gateway counts
+    /// as gone while it waits here; some messages may be lost.
+    milliseconds asker_timeout{150};
+    /// Time for which ended reservations of other gateways are remembered, as messages about them
+    /// may be delayed.
+    milliseconds ended_memory{10'000};
     /// Number of gateways that get a copy of each ledger shard: those that own it next. Fewer
     /// deaths than that at the moment when the store comes back from an older copy lose nothing.
     std::size_t copies = 3;
@@ -101,7 +105,6 @@
     /// Tokens reserved here for a request of another gateway.
     struct lent_reservation {
         std::string workspace;
-        std::string key;
         tokens upper_tokens = 0;
         milliseconds lent_at{0};
     };
@@ -109,6 +112,15 @@
     /// Reservation of another gateway that waits here for a larger grant.
     struct waiting_reservation {
         std::string workspace;
+        /// When the last reserve message for it was received.
+        milliseconds asked_at{0};
+    };
+
+    /// Reservation of another gateway that ended here.
+    struct ended_reservation {
+        milliseconds ended_at{0};
+        /// Why no tokens were reserved; empty if the reservation was settled or cancelled.
+        std::optional<reservation_outcome> refusal;
     };
 
     [[nodiscard]] std::string owner_of(const std::string& workspace) const;
@@ -127,6 +139,19 @@
 
     void receive_copy(const peer_message& message);
     void receive_reserve(const peer_message& message);
+    /// @brief Ends the wait of a reservation of another gateway, and releases tokens that no
+    /// request waits for any more.
+    /// @return whether to answer the other gateway
+    bool lend(const std::string& workspace, const std::string& key, tokens upper_tokens,
+              reservation_outcome outcome);
+    /// @brief Releases tokens that another gateway reserved for a request that no longer needs
+    /// them.
+    void release_unclaimed(const std::string& node, std::uint64_t number, int outcome);
+    /// @brief Returns whether the number of a reservation was chosen by this run of the gateway.
+    [[nodiscard]] bool is_own_number(std::uint64_t number) const
+    {
+        return number > first_number_ && number <= last_number_;
+    }
     void receive_reserved(const peer_message& message);
     void receive_settle(const peer_message& message);
     /// @brief Uses another owner for the reservations that wait for a stopping one.
@@ -136,11 +161,14 @@
     peer_link& link_;
     budget_keeper& keeper_;
     budget_broker_settings settings_;
+    /// Reservations of this run have higher numbers.
+    std::uint64_t first_number_;
     std::uint64_t last_number_;
     std::map<std::uint64_t, own_reservation> reservations_;
     std::map<settlement_key, settlement> settlements_;
     std::map<std::string, lent_reservation> lent_;
     std::map<std::string, waiting_reservation> waiting_here_;
+    std::map<std::string, ended_reservation> ended_here_;
     milliseconds copies_sent_at_{0};
 };
 
--- a/include/dotterelport/gateway/events.hpp
+++ b/include/dotterelport/gateway/events.hpp
@@ -89,6 +89,9 @@
     "Another gateway settles a reservation that this one has not lent; the field state says "
     "whether "
     "it waits here for a larger grant, has ended, or is unknown."};
+inline constexpr log_event reservation_unclaimed{
+    939, severity::info, "reservation_unclaimed",
+    "Tokens were reserved for a request that no longer waits for them; they are released."};
 inline constexpr log_event server_examined{940, severity::info, "server_examined",
                                            "A backend server ended connections of requests that it "
                                            "had not begun to answer; it has crashed "
--- a/src/dotterelport/gateway/budget_broker.cpp
+++ b/src/dotterelport/gateway/budget_broker.cpp
@@ -1,6 +1,5 @@
 #include "dotterelport/gateway/budget_broker.hpp"
 
-#include <memory>
 #include <utility>
 #include <vector>
 
@@ -20,7 +19,8 @@
     : loop_(loop), link_(link), keeper_(keeper), settings_(settings),
       // A new run must not reuse numbers of the previous run, as other gateways may still hold
       // reservations under them.
-      last_number_(static_cast<std::uint64_t>(wall_clock_now().count()) << 20U)
+      first_number_(static_cast<std::uint64_t>(wall_clock_now().count()) << 20U),
+      last_number_(first_number_)
 {
     link_.on_message(peer_message_kind::reserve,
                      [this](const peer_message& message) { receive_reserve(message); });
@@ -134,7 +134,8 @@
 {
     auto& item = reservations_.at(number);
     const std::string owner = owner_of(item.workspace);
-    if (owner == link_.node()) {
+    // An unconfirmed settlement would also end a second reservation of this number there.
+    if (owner == link_.node() || settlements_.contains({owner, number})) {
         item.owner.clear();
         reserve_locally(number);
         return;
@@ -175,7 +176,16 @@
 {
     const auto& item = reservations_.at(number);
     keeper_.reserve(item.workspace, key_of(link_.node(), number), item.upper_tokens,
-                    [this, number](reservation_outcome outcome) { finish(number, outcome); });
+                    [this, number, workspace = item.workspace](reservation_outcome outcome) {
+                        if (reservations_.contains(number)) {
+                            finish(number, outcome);
+                        } else if (outcome == reservation_outcome::reserved) {
+                            // The request ended after its tokens were reserved and before it was
+                            // told.
+                            keeper_.settle(workspace, key_of(link_.node(), number),
+                                           verdict::not_run, 0, 0);
+                        }
+                    });
 }
 
 void budget_broker::finish(std::uint64_t number, reservation_outcome outcome)
@@ -230,11 +240,11 @@
 void budget_broker::start_settlement(const std::string& owner, std::uint64_t number, verdict ran,
                                      tokens prompt_tokens, tokens output_tokens)
 {
-    settlements_.insert_or_assign(
-        settlement_key(owner, number),
-        settlement{.content = json::array(
-                       {number, dotterelport::to_string(ran), prompt_tokens, output_tokens}),
-                   .started_at = steady_now()});
+    auto& item = settlements_[settlement_key(owner, number)];
+    loop_.cancel(item.timer);
+    item = settlement{.content = json::array(
+                          {number, dotterelport::to_string(ran), prompt_tokens, output_tokens}),
+                      .started_at = steady_now()};
     send_settlement({owner, number});
 }
 
@@ -246,7 +256,7 @@
     }
     auto& item = found->second;
     const auto& [owner, number] = key;
-    if (steady_now() - item.started_at > settings_.settle_timeout) {
+    if (steady_now() - item.started_at > settings_.lent_timeout) {
         log(events::settlement_lost, {{"owner", owner}, {"reservation", number}});
         settlements_.erase(found);
         return;
@@ -270,6 +280,14 @@
         answer(reservation_outcome::reserved);
         return;
     }
+    const auto ended = ended_here_.find(key);
+    if (ended != ended_here_.end()) {
+        // A delayed copy of a message: tokens reserved for it would never be settled.
+        if (ended->second.refusal) {
+            answer(*ended->second.refusal);
+        }
+        return;
+    }
     if (link_.is_leaving()) {
         // A reservation made now could outlive this process. A gateway outside the group may not
         // know yet that this one is stopping.
@@ -278,17 +296,13 @@
     }
     // A repeated message replaces the reservation that still waits for the first one.
     keeper_.abandon(workspace, key);
-    waiting_here_.insert_or_assign(key, waiting_reservation{.workspace = workspace});
+    waiting_here_.insert_or_assign(
+        key, waiting_reservation{.workspace = workspace, .asked_at = steady_now()});
     keeper_.reserve(workspace, key, upper_tokens,
                     [this, workspace, key, upper_tokens, answer](reservation_outcome outcome) {
-                        waiting_here_.erase(key);
-                        if (outcome == reservation_outcome::reserved) {
-                            lent_.emplace(key, lent_reservation{.workspace = workspace,
-                                                                .key = key,
-                                                                .upper_tokens = upper_tokens,
-                                                                .lent_at = steady_now()});
+                        if (lend(workspace, key, upper_tokens, outcome)) {
+                            answer(outcome);
                         }
-                        answer(outcome);
                     });
     if (waiting_here_.contains(key)) {
         // Otherwise the asking gateways would consider this one dead and all open grants of their
@@ -298,6 +312,35 @@
     }
 }
 
+bool budget_broker::lend(const std::string& workspace, const std::string& key, tokens upper_tokens,
+                         reservation_outcome outcome)
+{
+    const auto found = waiting_here_.find(key);
+    const bool is_cancelled = found == waiting_here_.end();
+    const bool is_awaited =
+        !is_cancelled && steady_now() - found->second.asked_at <= settings_.asker_timeout;
+    if (!is_cancelled) {
+        waiting_here_.erase(found);
+    }
+    if (outcome != reservation_outcome::reserved) {
+        if (!is_cancelled) {
+            ended_here_.insert_or_assign(
+                key, ended_reservation{.ended_at = steady_now(), .refusal = outcome});
+        }
+        return !is_cancelled;
+    }
+    if (!is_awaited) {
+        log(events::reservation_unclaimed,
+            {{"workspace", workspace}, {"key", key}, {"cancelled", is_cancelled}});
+        keeper_.settle(workspace, key, verdict::not_run, 0, 0);
+        return false;
+    }
+    lent_.emplace(key, lent_reservation{.workspace = workspace,
+                                        .upper_tokens = upper_tokens,
+                                        .lent_at = steady_now()});
+    return true;
+}
+
 void budget_broker::receive_leaving(const peer_message& message)
 {
     std::vector<std::uint64_t> waiting;
@@ -321,8 +364,12 @@
     const auto number = message.content.at(0).get<std::uint64_t>();
     const int outcome = message.content.at(1).get<int>();
     const auto found = reservations_.find(number);
-    if (found == reservations_.end() || !found->second.waiting ||
-        found->second.owner != message.node) {
+    const bool is_from_owner = found != reservations_.end() && found->second.owner == message.node;
+    if (!is_from_owner) {
+        release_unclaimed(message.node, number, outcome);
+        return;
+    }
+    if (!found->second.waiting) {
         return;
     }
     found->second.owner_waits = outcome == waiting_for_grant;
@@ -332,6 +379,16 @@
     finish(number, static_cast<reservation_outcome>(outcome));
 }
 
+void budget_broker::release_unclaimed(const std::string& node, std::uint64_t number, int outcome)
+{
+    const bool is_reserved = outcome == static_cast<int>(reservation_outcome::reserved);
+    // A previous run of this gateway may have sent the request before it ended.
+    if (is_reserved && is_own_number(number) && !settlements_.contains({node, number})) {
+        log(events::reservation_unclaimed, {{"owner", node}, {"reservation", number}});
+        start_settlement(node, number, verdict::not_run, 0, 0);
+    }
+}
+
 void budget_broker::receive_settle(const peer_message& message)
 {
     const auto number = message.content.at(0).get<std::uint64_t>();
@@ -339,17 +396,25 @@
     const auto prompt_tokens = message.content.at(2).get<tokens>();
     const auto output_tokens = message.content.at(3).get<tokens>();
     const std::string key = key_of(message.node, number);
-    const auto found = lent_.find(key);
-    if (found != lent_.end()) {
-        keeper_.settle(found->second.workspace, found->second.key,
-                       ran.value_or(verdict::may_have_run), prompt_tokens, output_tokens);
-        lent_.erase(found);
+    const auto lent = lent_.find(key);
+    const auto waiting = waiting_here_.find(key);
+    if (lent != lent_.end()) {
+        keeper_.settle(lent->second.workspace, key, ran.value_or(verdict::may_have_run),
+                       prompt_tokens, output_tokens);
+        lent_.erase(lent);
     } else {
-        log(events::settlement_unmatched,
-            {{"key", key},
-             {"state", waiting_here_.contains(key) ? "waiting" : "unknown"},
-             {"verdict", message.content.at(1)}});
+        log(events::settlement_unmatched, {{"key", key},
+                                           {"state", waiting != waiting_here_.end() ? "waiting"
+                                                     : ended_here_.contains(key)    ? "ended"
+                                                                                    : "unknown"},
+                                           {"verdict", message.content.at(1)}});
     }
+    if (waiting != waiting_here_.end()) {
+        keeper_.abandon(waiting->second.workspace, key);
+        waiting_here_.erase(waiting);
+    }
+    // Also for an unknown reservation: the message that asks for it may arrive later.
+    ended_here_.insert_or_assign(key, ended_reservation{.ended_at = steady_now(), .refusal = {}});
     link_.send(message.node, peer_message_kind::settled, json::array({number}));
 }
 
@@ -364,6 +429,9 @@
             }
         }
     }
+    std::erase_if(ended_here_, [&](const auto& item) {
+        return now - item.second.ended_at > settings_.ended_memory;
+    });
     std::vector<std::string> unsettled;
     for (const auto& [key, item] : lent_) {
         if (now - item.lent_at > settings_.lent_timeout) {
@@ -374,7 +442,8 @@
         const auto& item = lent_.at(key);
         log(events::reservation_left_behind,
             {{"workspace", item.workspace}, {"key", key}, {"tokens", item.upper_tokens}});
-        keeper_.settle(item.workspace, item.key, verdict::may_have_run, item.upper_tokens, 0);
+        keeper_.settle(item.workspace, key, verdict::may_have_run, item.upper_tokens, 0);
+        ended_here_.insert_or_assign(key, ended_reservation{.ended_at = now, .refusal = {}});
         lent_.erase(key);
     }
 }
@@ -383,7 +452,9 @@
 {
     return {{"reservations", reservations_.size()},
             {"unconfirmed_settlements", settlements_.size()},
-            {"lent", lent_.size()}};
+            {"lent", lent_.size()},
+            {"waiting_for_others", waiting_here_.size()},
+            {"ended_for_others", ended_here_.size()}};
 }
 
 } // namespace dotterelport::gateway
--- a/src/dotterelport/router/budget_events.hpp
+++ b/src/dotterelport/router/budget_events.hpp
@@ -41,6 +41,13 @@
     "an agent refused a request whose reservation had no outcome for a long time"};
 inline constexpr log_event object_unreadable{412, severity::error, "object_unreadable",
                                              "a ledger or bill object cannot be parsed"};
+inline constexpr log_event reservation_unclaimed{
+    413, severity::info, "router_reservation_unclaimed",
+    "tokens were reserved for a router that no longer waits for them; they are released"};
+inline constexpr log_event cancellation_lost{
+    414, severity::warning, "cancellation_lost",
+    "a router did not confirm that a call to reserve tokens is cancelled; its tokens stay reserved "
+    "until the agent refuses the request"};
 
 } // namespace dotterelport::router::events
 
