Cancel calls to another router that reserve tokens when their answer does not arrive

Cause: a router that gets no answer from the owner of a budget shard within 4 s, or from a lender within 0.5 s, reserves from another grant, but the first router reserves too when its store answers. The reservation stays until the agent is asked 60 s later; if the request has finished under the other grant by then, it is charged in full a second time.

Change: each call to reserve has a name, and the caller cancels it by that name, up to ten times, if it gets no answer. The called router ends the call whether the cancellation arrives before it, while it waits or after its answer, but keeps a reservation that another call for the same request holds.

--- a/src/dotterelport/router/budget_messages.cpp
+++ b/src/dotterelport/router/budget_messages.cpp
@@ -60,6 +60,7 @@
                    {"router", message.router},
                    {"digest", message.request.digest},
                    {"lend", message.lend},
+                   {"call", message.call},
                    {"caller_key", message.request.has_caller_key}});
     return result;
 }
@@ -77,6 +78,7 @@
         result.request.has_caller_key = parameters.value("caller_key", false);
         result.router = parameters.at("router");
         result.lend = parameters.value("lend", false);
+        result.call = parameters.value("call", "");
         return result;
     });
 }
@@ -97,6 +99,21 @@
     });
 }
 
+json to_json(const cancel_message& message)
+{
+    json result = to_json(message.reservation);
+    result["call"] = message.call;
+    return result;
+}
+
+cancel_message parse_cancel_message(const json& parameters)
+{
+    return read_fields("cancel_reserve", [&] {
+        return cancel_message{.call = parameters.at("call").get<std::string>(),
+                              .reservation = parse_release_request(parameters)};
+    });
+}
+
 json to_json(const reserve_result& result)
 {
     return {{"result", name_of(status_names, result.status)},
--- a/src/dotterelport/router/budget_messages.hpp
+++ b/src/dotterelport/router/budget_messages.hpp
@@ -16,8 +16,22 @@
     std::string router;
     /// The receiver lends: it reserves from its own grant only.
     bool lend = false;
+    /// Unique name of the call, by which it can be cancelled; empty if it cannot.
+    std::string call;
 };
 
+/// Parameters of the RPC cancel_reserve: the caller no longer waits for the answer.
+struct cancel_message {
+    std::string call;
+    /// Reservation that the call may have made.
+    release_request reservation;
+};
+
+json to_json(const cancel_message& message);
+
+/// @throws format_error if a field is missing or has the wrong type
+cancel_message parse_cancel_message(const json& parameters);
+
 json to_json(const reserve_message& message);
 
 /// @throws format_error if a field is missing or has the wrong type
--- a/src/dotterelport/router/budget_service.cpp
+++ b/src/dotterelport/router/budget_service.cpp
@@ -21,6 +21,9 @@
 
 constexpr milliseconds drain_poll_interval{100};
 
+/// Time for which calls that reserve tokens are remembered; longer than they can be cancelled.
+constexpr milliseconds call_memory{60'000};
+
 /// @brief Polls the shard owners until each is closed or has no reservation, grant or unwritten
 /// bill line left.
 void continue_drain(const std::shared_ptr<budget_service::impl>& service,
@@ -157,6 +160,7 @@
         call(router, "status", json::object(), probe_timeout, [](const net::rpc_result&) {});
     }
     check_stale_reservations();
+    calls.forget_before(steady_now() - call_memory);
     for (const auto& target : environment.nodes.routers_to_close()) {
         auto& closer = closers[target];
         if (closer == nullptr) {
--- a/src/dotterelport/router/budget_service_impl.hpp
+++ b/src/dotterelport/router/budget_service_impl.hpp
@@ -15,6 +15,7 @@
 #include "dotterelport/net/event_loop.hpp"
 #include "dotterelport/request/messages.hpp"
 #include "dotterelport/router/budget_service.hpp"
+#include "reserve_calls.hpp"
 #include "shard_owner.hpp"
 
 namespace dotterelport::router {
@@ -57,6 +58,16 @@
     /// @brief Reserves from this router's grants in the shard.
     void reserve_here(const reserve_message& message,
                       std::function<void(const reserve_result&)> done);
+    /// @brief Sends a reserve message to another router and cancels it there if no answer arrives.
+    void call_reserve(const membership::node_record& to, reserve_message message,
+                      milliseconds timeout, std::function<void(const net::rpc_result&)> done);
+    void cancel_reserve(const membership::node_record& to, const cancel_message& message,
+                        int attempts);
+    /// @brief Serves a reserve message of another router.
+    void serve_reserve(const reserve_message& message,
+                       std::function<void(const reserve_result&)> done);
+    /// @brief Ends the call of a router that no longer waits for the answer.
+    void serve_cancel(const cancel_message& message);
     void release_at_owner(const release_request& request);
     bool release_here(const release_request& request);
     [[nodiscard]] json lookup_here(const request_key& key) const;
@@ -82,6 +93,8 @@
     std::map<incarnation, std::shared_ptr<holder_closer>> closers;
     std::map<std::uint32_t, std::shared_ptr<shard_auditor>> auditors;
     std::vector<outcome_report> waiting_reports;
+    reserve_calls calls;
+    std::uint64_t last_call = 0;
     std::mt19937_64 random;
     std::unique_ptr<net::periodic_timer> flush_timer;
     std::unique_ptr<net::periodic_timer> maintenance_timer;
--- a/src/dotterelport/router/budget_service_reserve.cpp
+++ b/src/dotterelport/router/budget_service_reserve.cpp
@@ -13,6 +13,15 @@
 constexpr milliseconds reserve_timeout{4'000};
 constexpr milliseconds release_timeout{1'000};
 
+/// Number of times that an unanswered cancellation is sent, and the interval between them.
+constexpr int cancel_attempts = 10;
+constexpr milliseconds cancel_interval{1'000};
+
+std::string name_of(const release_request& reservation)
+{
+    return to_json(reservation).dump();
+}
+
 } // namespace
 
 reserve_result budget_service::impl::own_result(reserve_status status, const incarnation& holder,
@@ -74,20 +83,109 @@
         reserve_here(message, std::move(done));
         return;
     }
-    call(*record, "reserve", to_json(message), reserve_timeout,
-         [self = shared_from_this(), message, node = record->id.node,
+    call_reserve(*record, message, reserve_timeout,
+                 [self = shared_from_this(), message, node = record->id.node,
+                  done = std::move(done)](const net::rpc_result& result) {
+                     if (result.ok()) {
+                         done(read_reserve_answer(result.value));
+                         return;
+                     }
+                     // Any router may hold grants, so this router reserves the tokens itself if
+                     // the owner does not answer.
+                     log(events::owner_unreachable, {{"owner", node}, {"message", result.message}});
+                     self->reserve_here(message, done);
+                 });
+}
+
+void budget_service::impl::call_reserve(const membership::node_record& to, reserve_message message,
+                                        milliseconds timeout,
+                                        std::function<void(const net::rpc_result&)> done)
+{
+    message.call = message.router + "/" + std::to_string(++last_call);
+    const cancel_message cancellation{.call = message.call,
+                                      .reservation = {.key = message.request.key,
+                                                      .agent = message.request.agent,
+                                                      .attempt = message.request.attempt}};
+    call(to, "reserve", to_json(message), timeout,
+         [self = shared_from_this(), to, cancellation,
           done = std::move(done)](const net::rpc_result& result) {
-             if (result.ok()) {
-                 done(read_reserve_answer(result.value));
+             if (!result.ok()) {
+                 self->cancel_reserve(to, cancellation, cancel_attempts);
+             }
+             done(result);
+         });
+}
+
+void budget_service::impl::cancel_reserve(const membership::node_record& to,
+                                          const cancel_message& message, int attempts)
+{
+    call(to, "cancel_reserve", to_json(message), release_timeout,
+         [self = shared_from_this(), to, message, attempts](const net::rpc_result& result) {
+             const bool answered =
+                 result.ok() || result.outcome == net::rpc_result::status::refused;
+             if (answered) {
                  return;
              }
-             // Any router may hold grants, so this router reserves the tokens itself if the
-             // owner does not answer.
-             log(events::owner_unreachable, {{"owner", node}, {"message", result.message}});
-             self->reserve_here(message, done);
+             if (attempts <= 1) {
+                 log(events::cancellation_lost,
+                     {{"call", message.call}, {"owner", to_string(to.id)}});
+                 return;
+             }
+             self->environment.loop.schedule(
+                 cancel_interval, [weak = self->weak_from_this(), to, message, attempts] {
+                     if (const auto service = weak.lock()) {
+                         service->cancel_reserve(to, message, attempts - 1);
+                     }
+                 });
          });
 }
 
+void budget_service::impl::serve_reserve(const reserve_message& message,
+                                         std::function<void(const reserve_result&)> done)
+{
+    if (message.call.empty()) {
+        reserve_here(message, std::move(done));
+        return;
+    }
+    calls.begin(message.call, steady_now());
+    if (calls.is_cancelled(message.call)) {
+        done(own_result(reserve_status::unavailable, current_incarnation, {}));
+        return;
+    }
+    reserve_here(message, [self = shared_from_this(), message,
+                           done = std::move(done)](const reserve_result& result) {
+        const release_request reservation{.key = message.request.key,
+                                          .agent = message.request.agent,
+                                          .attempt = message.request.attempt};
+        const bool is_reserved = result.status == reserve_status::reserved;
+        if (is_reserved && self->calls.is_cancelled(message.call)) {
+            // A reservation that covers another call for the same request too, as a loan may, is
+            // kept until the agent is asked about it.
+            const bool released = result.holder == self->current_incarnation &&
+                                  !self->calls.is_held(name_of(reservation)) &&
+                                  self->release_here(reservation);
+            log(events::reservation_unclaimed, {{"call", message.call}, {"released", released}});
+            done(self->own_result(reserve_status::unavailable, self->current_incarnation, {}));
+            return;
+        }
+        if (is_reserved) {
+            self->calls.reserved(message.call, name_of(reservation), steady_now());
+        } else {
+            self->calls.refused(message.call, steady_now());
+        }
+        done(result);
+    });
+}
+
+void budget_service::impl::serve_cancel(const cancel_message& message)
+{
+    // A call that is in progress releases its reservation when it ends.
+    if (calls.cancel(message.call, steady_now()) == reserve_calls::state::reserved) {
+        log(events::reservation_unclaimed,
+            {{"call", message.call}, {"released", release_here(message.reservation)}});
+    }
+}
+
 void budget_service::impl::reserve_here(const reserve_message& message,
                                         std::function<void(const reserve_result&)> done)
 {
--- a/src/dotterelport/router/budget_service_rpc.cpp
+++ b/src/dotterelport/router/budget_service_rpc.cpp
@@ -71,9 +71,13 @@
     server.add_deferred(
         "reserve",
         reject_malformed([this](const json& parameters, const net::rpc_server::reply& reply) {
-            reserve_here(parse_reserve_message(parameters),
-                         [reply](const reserve_result& result) { reply(to_json(result)); });
+            serve_reserve(parse_reserve_message(parameters),
+                          [reply](const reserve_result& result) { reply(to_json(result)); });
         }));
+    server.add("cancel_reserve", reject_malformed([this](const json& parameters) {
+                   serve_cancel(parse_cancel_message(parameters));
+                   return json::object();
+               }));
     server.add("release", reject_malformed([this](const json& parameters) {
                    return json{{"released", release_here(parse_release_request(parameters))}};
                }));
--- a/src/dotterelport/router/budget_service_test.cpp
+++ b/src/dotterelport/router/budget_service_test.cpp
@@ -124,6 +124,26 @@
     std::vector<request::outcome> outcomes;
 };
 
+/// Router that receives reserve messages and never answers them.
+class silent_router : public node {
+public:
+    silent_router(net::event_loop& loop, const net::endpoint& platform, const std::string& name)
+        : node(loop, platform, name, "lota", membership::node_role::router)
+    {
+        rpc_server_.add_deferred("reserve",
+                                 [this](const json& parameters, const net::rpc_server::reply&) {
+                                     calls.push_back(parse_reserve_message(parameters).call);
+                                 });
+        rpc_server_.add("cancel_reserve", [this](const json& parameters) {
+            cancelled.push_back(parse_cancel_message(parameters).call);
+            return json::object();
+        });
+    }
+
+    std::vector<std::string> calls;
+    std::vector<std::string> cancelled;
+};
+
 /// Two routers, an agent and the platform.
 class fleet {
 public:
@@ -196,6 +216,26 @@
         return result->ok() && result->value.at("durable").size() == list.size();
     }
 
+    /// @brief Calls a router's RPC method, without waiting for the answer.
+    void send(budget_router& to, const std::string& method, const json& parameters)
+    {
+        agent->rpc.call(to.directory.self().peer_address, method, parameters, milliseconds{5'000},
+                        [](const net::rpc_result&) {});
+    }
+
+    /// @brief Tokens that requests have reserved at a router.
+    static tokens reserved_at(const budget_router& router)
+    {
+        tokens result = 0;
+        const json dump = router.service.dump();
+        for (const auto& shard : dump.at("shards")) {
+            for (const auto& account : shard.at("budgets")) {
+                result += account.at("reserved").get<tokens>();
+            }
+        }
+        return result;
+    }
+
     budget::ledger_entry ledger()
     {
         const auto object = platform.objects().read("budget/0");
@@ -241,6 +281,87 @@
     CHECK(world.ledger().unproved == 0);
 }
 
+/// When a router learns that the router that asked for tokens has given up.
+enum class cancellation {
+    none,
+    before_the_call,
+    while_it_waits,
+    after_the_answer,
+};
+
+// Guards against tokens that stay reserved for a router that stopped waiting for the answer.
+TEST_CASE("A cancelled call leaves no tokens reserved at another router")
+{
+    const auto moment = GENERATE(cancellation::none, cancellation::before_the_call,
+                                 cancellation::while_it_waits, cancellation::after_the_answer);
+    CAPTURE(static_cast<int>(moment));
+    fleet world("lota");
+    reserve_message message;
+    message.request = {.key = {"depot", "k1"},
+                       .budget = "depot-main",
+                       .upper_tokens = 200,
+                       .agent = world.agent->directory.self().id,
+                       .digest = "d"};
+    message.router = "router-x#1";
+    message.call = "router-x#1/1";
+    const cancel_message cancellation_of{
+        .call = message.call,
+        .reservation = {.key = message.request.key, .agent = message.request.agent}};
+    const auto cancel = [&] {
+        world.send(*world.first, "cancel_reserve", to_json(cancellation_of));
+        world.loop.run_for(milliseconds{100});
+    };
+    if (moment == cancellation::before_the_call) {
+        cancel();
+    }
+    world.platform.set_faults({.call_delay = milliseconds{60}});
+    world.send(*world.first, "reserve", to_json(message));
+    if (moment == cancellation::while_it_waits) {
+        world.loop.run_for(milliseconds{30});
+        cancel();
+    }
+    world.loop.run_for(milliseconds{1'500});
+    const bool is_reserved =
+        moment == cancellation::none || moment == cancellation::after_the_answer;
+    CHECK(fleet::reserved_at(*world.first) == (is_reserved ? 200 : 0));
+    if (moment == cancellation::after_the_answer) {
+        cancel();
+        CHECK(fleet::reserved_at(*world.first) == 0);
+    }
+}
+
+// Guards against tokens that an owner reserves after the asking router has used its own grant.
+TEST_CASE("A router that gets no answer cancels its call")
+{
+    fleet world("lota");
+    // At least one of them owns the shard.
+    std::vector<std::unique_ptr<silent_router>> silent;
+    for (const char* name : {"router-c", "router-d", "router-e", "router-f", "router-g"}) {
+        world.platform.vms().set(name, object_store::vm_state::live, steady_now());
+        silent.push_back(
+            std::make_unique<silent_router>(world.loop, world.platform.address(), name));
+    }
+    REQUIRE(world.run_until([&] {
+        return world.first->directory.live_nodes(membership::node_role::router).size() ==
+               silent.size() + 2;
+    }));
+    std::optional<reserve_result> result;
+    world.first->service.reserve({.key = {"depot", "k1"},
+                                  .budget = "depot-main",
+                                  .upper_tokens = 200,
+                                  .agent = world.agent->directory.self().id,
+                                  .digest = "d"},
+                                 [&](const reserve_result& answer) { result = answer; });
+    CHECK(world.run_until([&] { return result.has_value(); }));
+    world.loop.run_for(milliseconds{500});
+    std::vector<std::string> calls;
+    for (const auto& router : silent) {
+        calls.insert(calls.end(), router->calls.begin(), router->calls.end());
+        CHECK(router->cancelled == router->calls);
+    }
+    CHECK(calls.size() == 1);
+}
+
 TEST_CASE("Tokens held in the other failure domain are used before a request is refused")
 {
     fleet world;
--- a/src/dotterelport/router/reservation_flow.cpp
+++ b/src/dotterelport/router/reservation_flow.cpp
@@ -153,19 +153,19 @@
     reserve_message message = message_;
     message.lend = true;
     const auto& peer = peers_[next_peer];
-    service_->call(peer, "reserve", to_json(message), borrow_timeout,
-                   [self = shared_from_this(), next_peer](const net::rpc_result& result) {
-                       reserve_result answer;
-                       if (result.ok()) {
-                           answer = read_reserve_answer(result.value);
-                       }
-                       if (answer.status == reserve_status::reserved ||
-                           answer.status == reserve_status::key_in_use) {
-                           self->finish(answer);
-                       } else {
-                           self->borrow(next_peer + 1);
-                       }
-                   });
+    service_->call_reserve(peer, std::move(message), borrow_timeout,
+                           [self = shared_from_this(), next_peer](const net::rpc_result& result) {
+                               reserve_result answer;
+                               if (result.ok()) {
+                                   answer = read_reserve_answer(result.value);
+                               }
+                               if (answer.status == reserve_status::reserved ||
+                                   answer.status == reserve_status::key_in_use) {
+                                   self->finish(answer);
+                               } else {
+                                   self->borrow(next_peer + 1);
+                               }
+                           });
 }
 
 void reservation_flow::recall()
