Answer that a budget cannot be told rather than exhausted by an older configuration

Cause: an owner judged by the totals that its session knew, which it passes on only at its next flush; an owner without the new configuration called a new budget exhausted; tokens of runs without an outcome counted as spent in the verdict.

Change: a reservation first passes the totals in force to the session. A message states the configuration by which the asking router checked the request, and an owner with an older one answers unavailable instead of exhausted. The verdict counts proved usage and reservations only; no such token is reserved again.

Tests: three cases of budget_service_test failed with these three changes taken out ("exhausted == reserved", "exhausted == unavailable" twice); test-router passes (384 assertions in 43 test cases).

--- a/src/dotterelport/router/budget_messages.cpp
+++ b/src/dotterelport/router/budget_messages.cpp
@@ -61,6 +61,7 @@
                    {"digest", message.request.digest},
                    {"lend", message.lend},
                    {"call", message.call},
+                   {"generation", message.generation},
                    {"caller_key", message.request.has_caller_key}});
     return result;
 }
@@ -79,6 +80,7 @@
         result.router = parameters.at("router");
         result.lend = parameters.value("lend", false);
         result.call = parameters.value("call", "");
+        result.generation = parameters.value("generation", std::uint64_t{0});
         return result;
     });
 }
--- a/src/dotterelport/router/budget_messages.hpp
+++ b/src/dotterelport/router/budget_messages.hpp
@@ -1,6 +1,7 @@
 #ifndef DOTTERELPORT_ROUTER_BUDGET_MESSAGES_HPP
 #define DOTTERELPORT_ROUTER_BUDGET_MESSAGES_HPP
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -16,6 +17,8 @@
     std::string router;
     /// The receiver lends: it reserves from its own grant only.
     bool lend = false;
+    /// Generation of the configuration by which the router checked the request.
+    std::uint64_t generation = 0;
     /// Unique name of the call, by which it can be cancelled; empty if it cannot.
     std::string call;
 };
--- a/src/dotterelport/router/budget_service_impl.hpp
+++ b/src/dotterelport/router/budget_service_impl.hpp
@@ -66,6 +66,10 @@
     /// @brief Serves a reserve message of another router.
     void serve_reserve(const reserve_message& message,
                        std::function<void(const reserve_result&)> done);
+    /// @brief Replaces the verdict that a budget is exhausted if the asking router has a newer
+    /// configuration, which may declare more tokens.
+    [[nodiscard]] reserve_result judged_by_newest(const reserve_message& message,
+                                                  const reserve_result& result) const;
     /// @brief Ends the call of a router that no longer waits for the answer.
     void serve_cancel(const cancel_message& message);
     void release_at_owner(const release_request& request);
--- a/src/dotterelport/router/budget_service_reserve.cpp
+++ b/src/dotterelport/router/budget_service_reserve.cpp
@@ -102,6 +102,8 @@
                                         std::function<void(const net::rpc_result&)> done)
 {
     message.call = message.router + "/" + std::to_string(++last_call);
+    const auto snapshot = environment.configuration.current();
+    message.generation = snapshot == nullptr ? 0 : snapshot->generation();
     const cancel_message cancellation{.call = message.call,
                                       .reservation = {.key = message.request.key,
                                                       .agent = message.request.agent,
@@ -144,7 +146,10 @@
                                          std::function<void(const reserve_result&)> done)
 {
     if (message.call.empty()) {
-        reserve_here(message, std::move(done));
+        reserve_here(message, [self = shared_from_this(), message,
+                               done = std::move(done)](const reserve_result& result) {
+            done(self->judged_by_newest(message, result));
+        });
         return;
     }
     calls.begin(message.call, steady_now());
@@ -173,10 +178,24 @@
         } else {
             self->calls.refused(message.call, steady_now());
         }
-        done(result);
+        done(self->judged_by_newest(message, result));
     });
 }
 
+reserve_result budget_service::impl::judged_by_newest(const reserve_message& message,
+                                                      const reserve_result& result) const
+{
+    const auto snapshot = environment.configuration.current();
+    const std::uint64_t generation = snapshot == nullptr ? 0 : snapshot->generation();
+    if (result.status != reserve_status::exhausted || generation >= message.generation) {
+        return result;
+    }
+    log(events::verdict_outdated, {{"budget", message.request.budget},
+                                   {"generation", generation},
+                                   {"in_force", message.generation}});
+    return own_result(reserve_status::unavailable, current_incarnation, {});
+}
+
 void budget_service::impl::serve_cancel(const cancel_message& message)
 {
     // A call that is in progress releases its reservation when it ends.
@@ -199,6 +218,9 @@
                         current_incarnation, {}));
         return;
     }
+    if (owner->generation() < snapshot->generation()) {
+        owner->configure(declaration_of(*snapshot, shard_of(message.request.key.workspace)));
+    }
     std::make_shared<reservation_flow>(*this, owner, message, std::move(done))->start();
 }
 
--- a/src/dotterelport/router/budget_service_test.cpp
+++ b/src/dotterelport/router/budget_service_test.cpp
@@ -79,6 +79,8 @@
         service.serve(rpc_server_);
     }
 
+    [[nodiscard]] std::uint64_t generation() const { return follower_.current()->generation(); }
+
     [[nodiscard]] bool is_ready() const
     {
         return directory.is_registered() && follower_.current() != nullptr;
@@ -150,18 +152,7 @@
     explicit fleet(const std::string& second_domain = "arauco")
     {
         const std::size_t domains = second_domain == "lota" ? 1 : 2;
-        config::document document;
-        document.workspaces = {{.name = "depot",
-                                .services = {},
-                                .key_hashes = {},
-                                .budgets = {{"depot-main", {"*"}, prepaid}}}};
-        document.settings = {.budget_shards = 1, .flush_interval = milliseconds{100}};
-        const auto parts = config::split(document, "test");
-        for (const auto& [hash, content] : parts.contents) {
-            platform.objects().write(config::part_key(hash), content, std::nullopt);
-        }
-        const config::manifest manifest{.generation = 1, .parts = parts.parts, .history = {}};
-        platform.objects().write(config::manifest_key, to_json(manifest).dump(), std::nullopt);
+        publish(1, prepaid);
         for (const char* vm : {"router-a", "router-b", "agent-1"}) {
             platform.vms().set(vm, object_store::vm_state::live, steady_now());
         }
@@ -176,6 +167,24 @@
         }));
     }
 
+    /// @brief Writes a configuration.
+    void publish(std::uint64_t generation, tokens total)
+    {
+        config::document document;
+        document.workspaces = {{.name = "depot",
+                                .services = {},
+                                .key_hashes = {},
+                                .budgets = {{"depot-main", {"*"}, total}}}};
+        document.settings = {.budget_shards = 1, .flush_interval = milliseconds{100}};
+        const auto parts = config::split(document, "test");
+        for (const auto& [hash, content] : parts.contents) {
+            platform.objects().write(config::part_key(hash), content, std::nullopt);
+        }
+        const config::manifest manifest{
+            .generation = generation, .parts = parts.parts, .history = {}};
+        platform.objects().write(config::manifest_key, to_json(manifest).dump(), std::nullopt);
+    }
+
     bool run_until(const std::function<bool()>& condition)
     {
         const auto limit = steady_now() + test_timeout;
@@ -281,6 +290,61 @@
     CHECK(world.ledger().unproved == 0);
 }
 
+// Guards against "exhausted" as the verdict on a total that the configuration has raised.
+TEST_CASE("A budget is exhausted only by the newest configuration that a router knows of")
+{
+    fleet world("lota");
+    REQUIRE(world.reserve(*world.first, "k1", prepaid).status == reserve_status::reserved);
+    REQUIRE(world.reserve(*world.first, "k2", 100).status == reserve_status::exhausted);
+    world.publish(2, 2 * prepaid);
+    const auto knows_change = [&] { return world.first->generation() == 2; };
+    for (int i = 0; i < 2'000 && !knows_change(); ++i) {
+        world.loop.run_for(milliseconds{1});
+    }
+    REQUIRE(knows_change());
+    CHECK(world.reserve(*world.first, "k3", 100).status == reserve_status::reserved);
+}
+
+TEST_CASE("A router does not call a budget exhausted by an older configuration than the asker's")
+{
+    const auto [generation, expected] =
+        GENERATE(table<std::uint64_t, std::string>({{1, "exhausted"}, {2, "unavailable"}}));
+    CAPTURE(generation);
+    fleet world("lota");
+    reserve_message message;
+    message.request = {.key = {"depot", "k1"},
+                       .budget = "budget-of-next-generation",
+                       .upper_tokens = 200,
+                       .agent = world.agent->directory.self().id,
+                       .digest = "d"};
+    message.router = "router-x#1";
+    message.generation = generation;
+    std::string answer;
+    world.agent->rpc.call(world.first->directory.self().peer_address, "reserve", to_json(message),
+                          milliseconds{2'000}, [&](const net::rpc_result& result) {
+                              answer = result.value.value("result", "");
+                          });
+    CHECK(world.run_until([&] { return !answer.empty(); }));
+    CHECK(answer == expected);
+}
+
+TEST_CASE("Tokens of runs without an outcome do not prove that a budget is exhausted")
+{
+    fleet world("lota");
+    REQUIRE(world.reserve(*world.first, "k1", 10).status == reserve_status::reserved);
+    auto& objects = world.platform.objects();
+    const auto stored = objects.read("budget/0");
+    json ledger = json::parse(stored.value.value);
+    auto& entry = ledger.at("budgets").at("depot-main");
+    entry["unproved"] = prepaid / 2;
+    for (auto& holder_grant : entry.at("grants")) {
+        holder_grant["amount"] = 10;
+    }
+    objects.write("budget/0", ledger.dump(), stored.value.object_version);
+    CHECK(world.reserve(*world.first, "k2", prepaid * 3 / 4).status == reserve_status::unavailable);
+    CHECK(world.reserve(*world.first, "k3", 2 * prepaid).status == reserve_status::exhausted);
+}
+
 /// When a router learns that the router that asked for tokens has given up.
 enum class cancellation {
     none,
--- a/src/dotterelport/router/reservation_flow.cpp
+++ b/src/dotterelport/router/reservation_flow.cpp
@@ -199,7 +199,11 @@
     bool proved = ledger_reached_;
     const auto* ledger = owner_->session().ledger();
     const auto* entry = ledger == nullptr ? nullptr : ledger->find(message_.request.budget);
-    if (entry == nullptr) {
+    const auto* account = owner_->session().holder().find_account(message_.request.budget);
+    const tokens available = account == nullptr ? 0 : std::max<tokens>(0, account->available());
+    // Tokens of runs without an outcome may not have been used.
+    if (entry == nullptr ||
+        entry->grantable() + available + entry->unproved >= message_.request.upper_tokens) {
         proved = false;
     } else if (budget::allows_lending(service_->environment.sizing)) {
         proved = proved &&
--- a/src/dotterelport/router/shard_owner.cpp
+++ b/src/dotterelport/router/shard_owner.cpp
@@ -40,6 +40,7 @@
 
 void shard_owner::configure(std::shared_ptr<const budget::declaration> declaration)
 {
+    generation_ = declaration->generation;
     session_.set_declaration(std::move(declaration));
     run_round([](budget::round_outcome) {});
 }
--- a/src/dotterelport/router/shard_owner.hpp
+++ b/src/dotterelport/router/shard_owner.hpp
@@ -39,6 +39,9 @@
     /// writes them to the ledger.
     void configure(std::shared_ptr<const budget::declaration> declaration);
 
+    /// @brief Generation of the configuration that declared the budgets; 0 if there was none.
+    [[nodiscard]] std::uint64_t generation() const { return generation_; }
+
     /// @brief Reserves from this holder's grant only.
     owner_answer try_reserve(const reserve_message& message);
 
@@ -73,6 +76,7 @@
 
     budget_service::context context_;
     budget::shard_session session_;
+    std::uint64_t generation_ = 0;
     bool running_ = false;
     /// Called at the end of the running round and of the next one.
     std::vector<round_callback> current_callbacks_;
