Require keys as soon as a configuration has tenants, and close what cannot be read

Cause: "keys are needed" was derived from the number of tenants that were decoded, so that an empty or unreadable list was taken for a configuration without tenants. Evidence: catalogue_in_force has version 8 with workspaces 0, and the unknown key, refused with 401 under version 7, runs under it.

Change: the presence of the field decides.

--- a/include/dotterelport/gateway/service_catalogue.hpp
+++ b/include/dotterelport/gateway/service_catalogue.hpp
@@ -42,6 +42,7 @@
     /// Begins and ends with a slash.
     std::string path_prefix;
     route_kind kind = route_kind::non_idempotent;
+    /// If empty, the route is closed: its requests match no other route and are refused.
     std::vector<weighted_service> services;
     /// Time limit for the complete answer to a request; 0 if the route has none.
     milliseconds timeout{0};
@@ -76,6 +77,9 @@
     std::size_t batch_size = 0;
     /// Model engines only: tokens in one event of a stream.
     tokens tokens_per_event = 1;
+    /// The configuration defines the service in a way that cannot be read; its requests are
+    /// refused.
+    bool is_closed = false;
 };
 
 /// A workspace with its keys and its prepaid tokens.
@@ -103,7 +107,7 @@
 
     [[nodiscard]] std::uint64_t version() const { return version_; }
 
-    /// @brief Finds the route with the longest prefix of a path.
+    /// @brief Finds the route with the longest prefix of a path; nothing if that route is closed.
     [[nodiscard]] const route* find_route(std::string_view host, std::string_view path) const;
 
     [[nodiscard]] const service_definition* find_service(std::string_view name) const;
@@ -117,8 +121,8 @@
     /// @brief Finds the workspace that holds a key.
     [[nodiscard]] const workspace* find_workspace(std::string_view key) const;
 
-    /// @brief Returns whether the configuration has workspaces; without them, callers need no keys.
-    [[nodiscard]] bool has_workspaces() const { return !workspaces_.empty(); }
+    /// @brief Returns whether requests need the key of a workspace, except on anonymous routes.
+    [[nodiscard]] bool requires_keys() const { return requires_keys_; }
 
     [[nodiscard]] const std::vector<workspace>& workspaces() const { return workspaces_; }
     [[nodiscard]] const caller_limits& limits() const { return limits_; }
@@ -127,6 +131,7 @@
 private:
     std::uint64_t version_ = 0;
     std::size_t route_count_ = 0;
+    bool requires_keys_ = false;
     milliseconds pause_limit_{0};
     /// Routes by host and path prefix.
     std::unordered_map<std::string, std::unordered_map<std::string, route>> routes_;
@@ -143,7 +148,10 @@
 
     builder& add(route value);
     builder& add(service_definition value);
+    /// @brief Adds a workspace, which implies require_keys().
     builder& add(workspace value);
+    /// @brief Makes requests need a key, also if no workspace is added.
+    builder& require_keys();
     builder& set(const caller_limits& value);
 
     [[nodiscard]] service_catalogue build() { return std::move(catalogue_); }
--- a/include/dotterelport/object_store/events.hpp
+++ b/include/dotterelport/object_store/events.hpp
@@ -24,6 +24,12 @@
 inline constexpr log_event object_ignored{
     883, severity::warning, "object_ignored",
     "An object does not have the required form and is ignored; the error names the field."};
+inline constexpr log_event item_closed{
+    890, severity::error, "configuration_item_closed",
+    "A route, service or tenant of the configuration cannot be read; its requests are refused."};
+inline constexpr log_event configuration_missing{
+    891, severity::error, "configuration_missing",
+    "The store no longer has the configuration; the one in force stays in force."};
 inline constexpr log_event era_changed{
     887, severity::warning, "store_era_changed",
     "The store came back from an older copy: what it acknowledged shortly before may be gone."};
--- a/src/dotterelport/ctl/event_catalogue.cpp
+++ b/src/dotterelport/ctl/event_catalogue.cpp
@@ -140,6 +140,8 @@
         store::relay_started,
         store::relay_stopped,
         store::object_ignored,
+        store::item_closed,
+        store::configuration_missing,
         store::era_changed,
         store::answer_of_earlier_era,
         store::feed_era_gone,
--- a/src/dotterelport/gateway/forwarding.cpp
+++ b/src/dotterelport/gateway/forwarding.cpp
@@ -129,6 +129,11 @@
         }
     }
     choose_service();
+    const auto* definition = catalogue_->find_service(service_);
+    if (definition != nullptr && definition->is_closed) {
+        refuse(unavailable, "service_closed", store_retry_after);
+        return;
+    }
     arm_timers();
     suspects_ = suspects_of(request_, head, exchange_->body());
     if (!refuse_quarantined() && !refuse_limited()) {
@@ -161,7 +166,7 @@
     if (request_.key) {
         workspace_ = catalogue_->find_workspace(*request_.key);
     }
-    return workspace_ != nullptr || route_->anonymous || !catalogue_->has_workspaces();
+    return workspace_ != nullptr || route_->anonymous || !catalogue_->requires_keys();
 }
 
 void forwarding::choose_service()
--- a/src/dotterelport/gateway/service_catalogue.cpp
+++ b/src/dotterelport/gateway/service_catalogue.cpp
@@ -41,7 +41,7 @@
          end = end == 0 ? std::string_view::npos : path.rfind('/', end - 1)) {
         const auto found = host_routes->second.find(std::string(path.substr(0, end + 1)));
         if (found != host_routes->second.end()) {
-            return &found->second;
+            return found->second.services.empty() ? nullptr : &found->second;
         }
     }
     return nullptr;
@@ -95,6 +95,12 @@
         catalogue_.workspace_of_key_.insert_or_assign(key, catalogue_.workspaces_.size());
     }
     catalogue_.workspaces_.push_back(std::move(value));
+    return require_keys();
+}
+
+service_catalogue::builder& service_catalogue::builder::require_keys()
+{
+    catalogue_.requires_keys_ = true;
     return *this;
 }
 
