Bound the memory that an answer without end can use, in each process

Reported by other operators: an engine sent bytes without end; the machine that had called it ran out of memory, and the requests of other clients ended with it.

Cause: h2o reads until a read does not fill its buffer, which doubles, and the kernel's buffer grows at loopback speed; the chunk decoder kept a copy of the largest read for the whole call. The HTTP client that collects answers, the line and event parsers and the relay had no limit.

Change: a small kernel buffer for each connection, decoding in place, a budget of all answers of a process in which an answer may hold at most half of what is left, backpressure in the relay, limits of lines and events, and an end of attempts that go on after their deadline or with frames that continue nothing. Why it works: what a peer sends is either consumed, not read, or counted in a budget before it is kept; small answers are always allowed.

--- a/include/dotterelport/net/http_client.hpp
+++ b/include/dotterelport/net/http_client.hpp
@@ -7,6 +7,7 @@
 #include <string>
 #include <string_view>
 
+#include "dotterelport/net/buffer_budget.hpp"
 #include "dotterelport/net/endpoint.hpp"
 #include "dotterelport/net/event_loop.hpp"
 #include "dotterelport/net/http.hpp"
@@ -23,6 +24,9 @@
     answering,
 };
 
+/// Message of a failure that is due to the size of the answer.
+inline constexpr std::string_view too_large_message = "the answer is too large";
+
 /// Message of a failure that is due to a time limit.
 inline constexpr std::string_view timeout_message = "timeout";
 
@@ -71,7 +75,8 @@
 /// so that an answer is complete under the same conditions everywhere.
 class http_client {
 public:
-    explicit http_client(event_loop& loop, address_overrides overrides = {});
+    explicit http_client(event_loop& loop, address_overrides overrides = {},
+                         const buffer_limits& limits = {});
     ~http_client();
     http_client(const http_client&) = delete;
     http_client& operator=(const http_client&) = delete;
@@ -80,7 +85,8 @@
     /// called before start() returns.
     exchange_id start(const client_request& request, answer_handler handler);
 
-    /// @brief Starts an exchange and collects the answer.
+    /// @brief Starts an exchange and collects the answer. It fails if the answer is larger than the
+    /// budget allows.
     exchange_id fetch(const client_request& request,
                       std::function<void(const client_answer&)> done);
 
@@ -90,6 +96,9 @@
     /// @brief Number of exchanges in progress.
     [[nodiscard]] std::size_t exchanges_in_progress() const;
 
+    /// @brief Budget of the answers that are collected, also by handlers of start().
+    [[nodiscard]] buffer_budget& buffers();
+
 private:
     struct impl;
 
--- a/include/dotterelport/net/line_splitter.hpp
+++ b/include/dotterelport/net/line_splitter.hpp
@@ -1,6 +1,7 @@
 #ifndef DOTTERELPORT_NET_LINE_SPLITTER_HPP
 #define DOTTERELPORT_NET_LINE_SPLITTER_HPP
 
+#include <cstddef>
 #include <functional>
 #include <string>
 #include <string_view>
@@ -13,31 +14,56 @@
 class line_splitter {
 public:
     /// @param on_line receives each line without its line end
-    explicit line_splitter(std::function<void(std::string_view)> on_line);
+    /// @param max_line_bytes limit of a line
+    explicit line_splitter(std::function<void(std::string_view)> on_line,
+                           std::size_t max_line_bytes = std::size_t{8} << 20U);
 
-    /// @brief Processes the next bytes of the stream.
+    /// @brief Processes the next bytes of the stream. After a line that is too long, all further
+    /// bytes are ignored.
     void feed(std::string_view data);
 
+    /// @brief Returns whether a line was too long.
+    [[nodiscard]] bool is_overlong() const { return overlong_; }
+
+    /// @brief Number of bytes of the incomplete last line.
+    [[nodiscard]] std::size_t incomplete_bytes() const { return incomplete_line_.size(); }
+
 private:
     std::function<void(std::string_view)> on_line_;
+    std::size_t max_line_bytes_;
     std::string incomplete_line_;
+    bool overlong_ = false;
 };
 
 /// Extracts the data of server-sent events.
 class sse_parser {
 public:
     /// @param on_event receives the data of each event, lines joined by a newline
-    explicit sse_parser(std::function<void(std::string_view)> on_event);
+    /// @param max_event_bytes limit of the data of an event
+    explicit sse_parser(std::function<void(std::string_view)> on_event,
+                        std::size_t max_event_bytes = std::size_t{1} << 20U);
 
-    /// @brief Processes the next bytes of the stream.
+    /// @brief Processes the next bytes of the stream. After an event that is too long, all further
+    /// bytes are ignored.
     void feed(std::string_view data) { splitter_.feed(data); }
 
+    /// @brief Returns whether an event was too long.
+    [[nodiscard]] bool is_overlong() const { return overlong_ || splitter_.is_overlong(); }
+
+    /// @brief Number of bytes of the incomplete last event.
+    [[nodiscard]] std::size_t incomplete_bytes() const
+    {
+        return data_.size() + splitter_.incomplete_bytes();
+    }
+
 private:
     void handle_line(std::string_view line);
 
     std::function<void(std::string_view)> on_event_;
+    std::size_t max_event_bytes_;
     std::string data_;
     bool has_data_ = false;
+    bool overlong_ = false;
     line_splitter splitter_;
 };
 
--- a/include/dotterelport/object_store/store_relay.hpp
+++ b/include/dotterelport/object_store/store_relay.hpp
@@ -41,6 +41,8 @@
     void accept(std::unique_ptr<net::tcp_connection> connection);
     void connected(std::uint64_t id, std::unique_ptr<net::tcp_connection> connection);
     void forward(std::uint64_t id, bool to_store);
+    /// @brief Reads again from one side, as the other has sent everything.
+    void resume(std::uint64_t id, bool to_store);
     /// @brief Closes the router's connection normally if the store has, and all its bytes are sent.
     void finish_if_sent(std::uint64_t id);
     void close(std::uint64_t id);
--- a/src/dotterelport/agent/answer_reader.hpp
+++ b/src/dotterelport/agent/answer_reader.hpp
@@ -54,6 +54,11 @@
     /// @return nothing if the answer is incomplete
     std::optional<backend_result> complete();
 
+    /// @brief Returns whether an event is longer than any engine sends.
+    [[nodiscard]] bool is_too_large() const { return events_.is_overlong(); }
+    /// @brief Number of bytes that are kept.
+    [[nodiscard]] std::size_t held_bytes() const { return events_.incomplete_bytes(); }
+
 private:
     void handle_event(std::string_view event);
 
@@ -77,6 +82,10 @@
     void receive_data(std::string_view data);
     std::optional<backend_result> complete();
 
+    [[nodiscard]] bool is_too_large() const { return is_too_large_; }
+    /// @brief Number of bytes that are kept.
+    [[nodiscard]] std::size_t held_bytes() const { return body_.size(); }
+
 private:
     chunk_function on_chunk_;
     std::string method_;
--- a/src/dotterelport/agent/backend.cpp
+++ b/src/dotterelport/agent/backend.cpp
@@ -13,8 +13,8 @@
 } // namespace
 
 backend::run_entry::run_entry(request::request_kind kind, const std::string& method,
-                              handler run_callbacks)
-    : callbacks(std::move(run_callbacks))
+                              handler run_callbacks, net::buffer_budget& buffers)
+    : callbacks(std::move(run_callbacks)), held(buffers)
 {
     if (kind == request::request_kind::chat) {
         reader.emplace(std::in_place_type<chat_answer>, callbacks.on_chunk);
@@ -31,13 +31,22 @@
                                handler callbacks)
 {
     const run_id run = ++last_run_id_;
-    auto entry = std::make_shared<run_entry>(kind, request.method, std::move(callbacks));
+    auto entry =
+        std::make_shared<run_entry>(kind, request.method, std::move(callbacks), client_.buffers());
     net::answer_handler answer;
     answer.on_head = [entry](int status, const net::header_list& headers) {
         std::visit([&](auto& reader) { reader.receive_head(status, headers); }, *entry->reader);
     };
-    answer.on_data = [entry](std::string_view data) {
-        std::visit([&](auto& reader) { reader.receive_data(data); }, *entry->reader);
+    answer.on_data = [this, entry, run](std::string_view data) {
+        const bool fits = std::visit(
+            [&](auto& reader) {
+                reader.receive_data(data);
+                return !reader.is_too_large() && entry->held.resize(reader.held_bytes());
+            },
+            *entry->reader);
+        if (!fits) {
+            end_as_too_large(run);
+        }
     };
     answer.on_complete = [this, entry, run] {
         const auto result =
@@ -89,6 +98,18 @@
     end(run, {verdict::may_have_run, request::failure_reason::backend_crashed, message, {}});
 }
 
+void backend::end_as_too_large(run_id run)
+{
+    const auto found = runs_.find(run);
+    if (found == runs_.end()) {
+        return;
+    }
+    const std::string message(net::too_large_message);
+    log(events::backend_failed, {{"message", message}});
+    client_.cancel(found->second->exchange);
+    end(run, {verdict::may_have_run, request::failure_reason::backend_error, message, {}});
+}
+
 void backend::end_after_timeout(run_id run, const std::string& message)
 {
     if (!runs_.contains(run)) {
--- a/src/dotterelport/agent/backend.hpp
+++ b/src/dotterelport/agent/backend.hpp
@@ -39,15 +39,19 @@
 
 private:
     struct run_entry {
-        run_entry(request::request_kind kind, const std::string& method, handler run_callbacks);
+        run_entry(request::request_kind kind, const std::string& method, handler run_callbacks,
+                  net::buffer_budget& buffers);
 
         handler callbacks;
+        net::buffer_share held;
         std::optional<answer_reader> reader;
         net::exchange_id exchange = 0;
     };
 
     void end(run_id run, const backend_result& result);
     void end_as_crashed(run_id run, const std::string& message);
+    /// Ends a run whose answer is larger than this agent can keep.
+    void end_as_too_large(run_id run);
     /// Ends a run that timed out. A probe finds out whether the backend server crashed: it did if
     /// it accepts no connections.
     void end_after_timeout(run_id run, const std::string& message);
--- a/src/dotterelport/gateway/forwarding.cpp
+++ b/src/dotterelport/gateway/forwarding.cpp
@@ -332,6 +332,8 @@
     attempt_->server_started_ms = server.started_ms;
     attempt_->sent = now;
     attempt_->events_before = events_.events();
+    attempt_->held = std::make_unique<net::buffer_share>(context_.buffers);
+    attempt_->unsent = std::make_unique<net::buffer_share>(context_.buffers);
     tried_servers_.push_back(server.id);
     ++sends_;
 
--- a/src/dotterelport/gateway/forwarding.hpp
+++ b/src/dotterelport/gateway/forwarding.hpp
@@ -23,6 +23,7 @@
 #include "dotterelport/gateway/service_catalogue.hpp"
 #include "dotterelport/gateway/stop_policy.hpp"
 #include "dotterelport/net/backend_client.hpp"
+#include "dotterelport/net/buffer_budget.hpp"
 #include "dotterelport/net/stream_server.hpp"
 #include "dotterelport/request/retry_budget.hpp"
 #include "dotterelport/routing/placement.hpp"
@@ -30,6 +31,11 @@
 
 namespace dotterelport::gateway {
 
+/// Memory for answers that wait for their end or for their callers. A buffer that grows may have
+/// twice the size of its content, and the smallest VMs have 88 MB for the process.
+inline constexpr net::buffer_limits answer_limits{.per_answer = std::size_t{8} << 20U,
+                                                  .total = std::size_t{20} << 20U};
+
 /// State shared by all requests of a gateway.
 struct forwarding_context {
     net::event_loop& loop;
@@ -52,8 +58,7 @@
     std::uint64_t& last_attempt;
     /// Set when the process receives a stop order.
     const std::optional<stop_order>& stopping;
-    /// Bytes of answers that are buffered for all requests.
-    std::size_t buffered_bytes = 0;
+    net::buffer_budget buffers{answer_limits};
 };
 
 /// Forwards one request: finds its route, checks its key, reserves its budget, chooses a server,
@@ -88,6 +93,10 @@
         backend_answer answer;
         /// Body of an answer that is buffered until it is complete.
         std::string body;
+        /// Memory of the body, or of the incomplete event of a stream.
+        std::unique_ptr<net::buffer_share> held;
+        /// Memory of events that the caller has not read yet.
+        std::unique_ptr<net::buffer_share> unsent;
         bool is_streamed = false;
         std::uint64_t events_before = 0;
     };
--- a/src/dotterelport/gateway/forwarding_answer.cpp
+++ b/src/dotterelport/gateway/forwarding_answer.cpp
@@ -21,11 +21,6 @@
 /// Shortest pause between two checks for a stalled server.
 constexpr milliseconds min_stall_check{50};
 
-/// Maximum size of an answer that is buffered because it is not streamed, and of all of them
-/// together; the smallest VMs have 88 MB for the process.
-constexpr std::size_t max_answer_bytes = 8U << 20U;
-constexpr std::size_t max_buffered_bytes = 32U << 20U;
-
 /// The server of a stream is paused while more bytes than this wait for the caller.
 constexpr std::size_t max_unsent_bytes = 256U << 10U;
 
@@ -118,7 +113,7 @@
     if (events_.events() > events_before) {
         last_progress_ = steady_now();
     }
-    if (events_.is_overlong()) {
+    if (events_.is_overlong() || !attempt_->held->resize(events_.incomplete_bytes())) {
         context_.backends.cancel(attempt_->exchange);
         attempt_failed(verdict::may_have_run, attempt_end::malformed);
         return;
@@ -128,9 +123,9 @@
 
 void forwarding::buffer_body(std::string_view data)
 {
-    attempt_->body.append(data);
-    context_.buffered_bytes += data.size();
-    if (attempt_->body.size() > max_answer_bytes || context_.buffered_bytes > max_buffered_bytes) {
+    if (attempt_->held->resize(attempt_->body.size() + data.size())) {
+        attempt_->body.append(data);
+    } else {
         context_.backends.cancel(attempt_->exchange);
         attempt_failed(verdict::may_have_run, attempt_end::too_large);
     }
@@ -138,15 +133,14 @@
 
 void forwarding::clear_attempt()
 {
-    if (attempt_) {
-        context_.buffered_bytes -= attempt_->body.size();
-        attempt_.reset();
-    }
+    attempt_.reset();
 }
 
 void forwarding::limit_unsent()
 {
-    if (server_paused_ || exchange_->unsent() <= max_unsent_bytes) {
+    const std::size_t unsent = exchange_->unsent();
+    const bool fits = attempt_->unsent->resize(unsent);
+    if (server_paused_ || unsent == 0 || (unsent <= max_unsent_bytes && fits)) {
         return;
     }
     server_paused_ = true;
@@ -155,6 +149,7 @@
         if (!std::exchange(self->server_paused_, false) || !self->attempt_) {
             return;
         }
+        self->attempt_->unsent->resize(0);
         // The pause was the caller's.
         self->last_progress_ = steady_now();
         self->context_.backends.set_paused(self->attempt_->exchange, false);
--- a/src/dotterelport/net/http1.cpp
+++ b/src/dotterelport/net/http1.cpp
@@ -239,7 +239,6 @@
 
 struct body_decoder::chunk_state {
     phr_chunked_decoder native{};
-    std::string buffer;
 };
 
 body_decoder::body_decoder(const body_framing& framing) : framing_(framing)
@@ -281,15 +280,17 @@
 
 std::size_t body_decoder::feed_chunked(std::string_view bytes, std::string& content)
 {
-    std::string& buffer = chunks_->buffer;
-    buffer.assign(bytes);
-    std::size_t size = buffer.size();
-    const ssize_t undecoded = phr_decode_chunked(&chunks_->native, buffer.data(), &size);
+    // Decoded in place, at the end of the content.
+    const std::size_t begin = content.size();
+    content.append(bytes);
+    std::size_t size = bytes.size();
+    const ssize_t undecoded = phr_decode_chunked(&chunks_->native, content.data() + begin, &size);
     if (undecoded == parser_malformed) {
+        content.resize(begin);
         state_ = state::malformed;
         return 0;
     }
-    content.append(buffer.data(), size);
+    content.resize(begin + size);
     if (undecoded == parser_incomplete) {
         return bytes.size();
     }
--- a/src/dotterelport/net/http_client.cpp
+++ b/src/dotterelport/net/http_client.cpp
@@ -56,11 +56,13 @@
     event_loop& loop;
     address_overrides overrides;
     backend_client connections;
+    buffer_budget buffers;
     std::unordered_map<exchange_id, std::shared_ptr<exchange>> exchanges;
     exchange_id last_id = 0;
 
-    impl(event_loop& event_loop, address_overrides address_map)
-        : loop(event_loop), overrides(std::move(address_map)), connections(event_loop)
+    impl(event_loop& event_loop, address_overrides address_map, const buffer_limits& limits)
+        : loop(event_loop), overrides(std::move(address_map)), connections(event_loop),
+          buffers(limits)
     {}
 
     std::shared_ptr<exchange> find(exchange_id id) const
@@ -160,8 +162,8 @@
     }
 };
 
-http_client::http_client(event_loop& loop, address_overrides overrides)
-    : impl_(std::make_unique<impl>(loop, std::move(overrides)))
+http_client::http_client(event_loop& loop, address_overrides overrides, const buffer_limits& limits)
+    : impl_(std::make_unique<impl>(loop, std::move(overrides), limits))
 {}
 
 http_client::~http_client()
@@ -196,14 +198,34 @@
 exchange_id http_client::fetch(const client_request& request,
                                std::function<void(const client_answer&)> done)
 {
-    auto answer = std::make_shared<client_answer>();
+    /// The answer as far as it was received.
+    struct collected {
+        explicit collected(buffer_budget& budget) : share(budget) {}
+
+        client_answer answer;
+        buffer_share share;
+        exchange_id exchange = 0;
+    };
+    auto state = std::make_shared<collected>(impl_->buffers);
+    // Shares the ownership of the state.
+    const std::shared_ptr<client_answer> answer(state, &state->answer);
     auto finish = std::make_shared<std::function<void(const client_answer&)>>(std::move(done));
     answer_handler handler;
     handler.on_head = [answer](int status, const header_list& headers) {
         answer->status = status;
         answer->headers = headers;
     };
-    handler.on_data = [answer](std::string_view data) { answer->body.append(data); };
+    handler.on_data = [this, state, finish](std::string_view data) {
+        if (state->share.resize(state->answer.body.size() + data.size())) {
+            state->answer.body.append(data);
+            return;
+        }
+        cancel(state->exchange);
+        state->answer = client_answer{};
+        state->answer.stage = failure_stage::answering;
+        state->answer.message = too_large_message;
+        (*finish)(state->answer);
+    };
     handler.on_complete = [answer, finish] { (*finish)(*answer); };
     handler.on_failure = [answer, finish](failure_stage stage, const std::string& message) {
         answer->status = 0;
@@ -211,7 +233,13 @@
         answer->message = message;
         (*finish)(*answer);
     };
-    return start(request, std::move(handler));
+    state->exchange = start(request, std::move(handler));
+    return state->exchange;
+}
+
+buffer_budget& http_client::buffers()
+{
+    return impl_->buffers;
 }
 
 void http_client::cancel(exchange_id exchange)
--- a/src/dotterelport/net/line_splitter.cpp
+++ b/src/dotterelport/net/line_splitter.cpp
@@ -5,15 +5,20 @@
 
 namespace dotterelport::net {
 
-line_splitter::line_splitter(std::function<void(std::string_view)> on_line)
-    : on_line_(std::move(on_line))
+line_splitter::line_splitter(std::function<void(std::string_view)> on_line,
+                             std::size_t max_line_bytes)
+    : on_line_(std::move(on_line)), max_line_bytes_(max_line_bytes)
 {}
 
 void line_splitter::feed(std::string_view data)
 {
+    if (overlong_) {
+        return;
+    }
+    const std::size_t scanned = incomplete_line_.size();
     incomplete_line_.append(data);
     std::size_t start = 0;
-    for (auto end = incomplete_line_.find('\n'); end != std::string::npos;
+    for (auto end = incomplete_line_.find('\n', scanned); end != std::string::npos;
          end = incomplete_line_.find('\n', start)) {
         std::string_view line = std::string_view(incomplete_line_).substr(start, end - start);
         if (!line.empty() && line.back() == '\r') {
@@ -23,16 +28,23 @@
         on_line_(line);
     }
     incomplete_line_.erase(0, start);
+    if (incomplete_line_.size() > max_line_bytes_) {
+        overlong_ = true;
+        incomplete_line_ = {};
+    }
 }
 
-sse_parser::sse_parser(std::function<void(std::string_view)> on_event)
-    : on_event_(std::move(on_event)),
-      splitter_([this](std::string_view line) { handle_line(line); })
+sse_parser::sse_parser(std::function<void(std::string_view)> on_event, std::size_t max_event_bytes)
+    : on_event_(std::move(on_event)), max_event_bytes_(max_event_bytes),
+      splitter_([this](std::string_view line) { handle_line(line); }, max_event_bytes)
 {}
 
 void sse_parser::handle_line(std::string_view line)
 {
     constexpr std::string_view field = "data:";
+    if (overlong_) {
+        return;
+    }
     if (line.empty()) {
         if (std::exchange(has_data_, false)) {
             on_event_(std::exchange(data_, {}));
@@ -50,6 +62,10 @@
         data_.push_back('\n');
     }
     data_.append(line);
+    if (data_.size() > max_event_bytes_) {
+        overlong_ = true;
+        data_ = {};
+    }
 }
 
 bool is_event_stream(std::string_view content_type)
--- a/src/dotterelport/net/tcp_connection.cpp
+++ b/src/dotterelport/net/tcp_connection.cpp
@@ -19,6 +19,10 @@
 /// Maximum number of connections that wait to be accepted.
 constexpr int listen_backlog = 1024;
 
+/// Limit of the bytes that the kernel keeps for a connection until they are read. h2o reads until a
+/// read does not fill its buffer, so that this also bounds what one callback can receive.
+constexpr int receive_buffer_bytes = 64 << 10;
+
 /// @brief Result of recv() for the next byte, which stays unread.
 ssize_t peek(int descriptor)
 {
@@ -60,6 +64,8 @@
     socket_->data = this;
     const int enabled = 1;
     ::setsockopt(h2o_socket_get_fd(socket_), IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof(enabled));
+    ::setsockopt(h2o_socket_get_fd(socket_), SOL_SOCKET, SO_RCVBUF, &receive_buffer_bytes,
+                 sizeof(receive_buffer_bytes));
 }
 
 tcp_connection::~tcp_connection()
--- a/src/dotterelport/object_store/store_relay.cpp
+++ b/src/dotterelport/object_store/store_relay.cpp
@@ -3,6 +3,12 @@
 #include <utility>
 
 namespace dotterelport::object_store {
+namespace {
+
+/// One side is not read while the other has more unsent bytes than this.
+constexpr std::size_t max_unsent_bytes = 64U << 10U;
+
+} // namespace
 
 /// A router's connection and the connection to the store to which it is forwarded.
 struct store_relay::connection_pair {
@@ -37,7 +43,11 @@
     pairs_.emplace(id, item);
     item->router->start({.on_input = [this, id] { forward(id, true); },
                          .on_end = [this, id](net::stream_end /*end*/) { close(id); },
-                         .on_drained = [this, id] { finish_if_sent(id); }});
+                         .on_drained =
+                             [this, id] {
+                                 resume(id, false);
+                                 finish_if_sent(id);
+                             }});
     item->connector = std::make_unique<net::tcp_connector>(
         loop_, options_.store, options_.connect_timeout,
         [this, id](std::unique_ptr<net::tcp_connection> opened) {
@@ -70,21 +80,46 @@
                                 }
                                 ended->second->store_closed = true;
                                 finish_if_sent(id);
-                            }});
+                            },
+                        .on_drained = [this, id] { resume(id, true); }});
     forward(id, true);
 }
 
 void store_relay::forward(std::uint64_t id, bool to_store)
 {
     const auto found = pairs_.find(id);
-    if (found == pairs_.end() || found->second->store == nullptr) {
+    if (found == pairs_.end()) {
         return;
     }
     auto& item = *found->second;
+    if (item.store == nullptr) {
+        // The bytes wait for the connection to the store.
+        if (item.router->input().size() > max_unsent_bytes) {
+            item.router->pause_reading();
+        }
+        return;
+    }
     auto& from = to_store ? *item.router : *item.store;
     auto& to = to_store ? *item.store : *item.router;
     to.write(from.input());
     from.consume(from.input().size());
+    if (to.unsent() > max_unsent_bytes) {
+        from.pause_reading();
+    } else {
+        from.resume_reading();
+    }
+}
+
+void store_relay::resume(std::uint64_t id, bool to_store)
+{
+    const auto found = pairs_.find(id);
+    if (found == pairs_.end()) {
+        return;
+    }
+    auto& from = to_store ? found->second->router : found->second->store;
+    if (from != nullptr) {
+        from->resume_reading();
+    }
 }
 
 void store_relay::finish_if_sent(std::uint64_t id)
--- a/src/dotterelport/object_store/store_relay_test.cpp
+++ b/src/dotterelport/object_store/store_relay_test.cpp
@@ -9,6 +9,7 @@
 #include "dotterelport/net/http_server.hpp"
 #include "dotterelport/net/tcp_connection.hpp"
 #include "dotterelport/object_store/store_relay.hpp"
+#include "dotterelport/standin/endless_server.hpp"
 
 namespace dotterelport::object_store {
 namespace {
@@ -18,7 +19,7 @@
 /// A store behind a relay.
 struct fixture {
     net::event_loop loop;
-    net::http_server store{loop};
+    net::http_server store{loop, {.max_body_bytes = 4U << 20U}};
     net::http_client client{loop};
     std::unique_ptr<store_relay> relay;
 
@@ -131,5 +132,42 @@
     CHECK(run.relay->connection_count() <= 2);
 }
 
+// Guards against a store that sends faster than a router reads.
+TEST_CASE("The relay keeps a bounded part of answers that routers do not read")
+{
+    constexpr int readers = 12;
+    constexpr std::size_t allowed_growth = std::size_t{24} << 20U;
+    fixture run;
+    standin::endless_server store("HTTP/1.1 200 OK\r\n\r\n", std::string(4'000, 'x'));
+    run.relay->set_store(store.address());
+    const std::size_t before = standin::reset_peak_memory();
+    std::vector<std::unique_ptr<net::tcp_connector>> connectors;
+    std::vector<std::unique_ptr<net::tcp_connection>> connections;
+    for (int i = 0; i < readers; ++i) {
+        connectors.push_back(std::make_unique<net::tcp_connector>(
+            run.loop, run.relay->address(), 500ms, [&](auto connection) {
+                REQUIRE(connection != nullptr);
+                connection->start({.on_input = [] {}, .on_end = [](net::stream_end /*end*/) {}});
+                connection->pause_reading();
+                connection->write("GET / HTTP/1.1\r\n\r\n");
+                connections.push_back(std::move(connection));
+            }));
+    }
+    run.loop.run_for(1'500ms);
+    CHECK(store.accepted() == readers);
+    CHECK(standin::peak_memory() - before < allowed_growth);
+    run.relay->set_store({"127.0.0.1", 1});
+}
+
+// Guards against a pause that is never ended.
+TEST_CASE("A large answer passes the relay while its router reads slowly")
+{
+    fixture run;
+    const std::string body(3'000'000, 'y');
+    const auto answer = run.call(body);
+    CHECK(answer.status == 200);
+    CHECK(answer.body == body);
+}
+
 } // namespace
 } // namespace dotterelport::object_store
--- a/src/dotterelport/router/agent_attempt.cpp
+++ b/src/dotterelport/router/agent_attempt.cpp
@@ -23,6 +23,9 @@
 /// The attempt gives up after seven failed replacements in a row (2.5 s of delays).
 constexpr milliseconds first_rejoin_delay{20};
 constexpr int max_consecutive_failures = 7;
+/// Number of frames that belong to no attempt or repeat others, after which the agent is not
+/// expected to send any that continue the attempt.
+constexpr int max_dropped_frames = 1'000;
 
 /// The agent measures the deadline from the receipt of the admission, which is later than its
 /// sending. The router waits this much longer, so that the agent's verdict can arrive.
@@ -70,7 +73,7 @@
                              net::endpoint address, attempt_handler handler)
     : context_(std::move(environment)), admission_(std::move(admission)),
       address_(std::move(address)), handler_(std::move(handler)), filter_(admission_.offset),
-      deadline_at_(steady_now() + admission_.time_left)
+      held_(context_.http.buffers()), deadline_at_(steady_now() + admission_.time_left)
 {}
 
 agent_attempt::~agent_attempt()
@@ -109,7 +112,7 @@
     net::answer_handler handler;
     handler.on_data = [weak](std::string_view data) {
         if (const auto self = weak.lock(); self && !self->done_) {
-            self->line_splitter_->feed(data);
+            self->receive_data(data);
         }
     };
     handler.on_complete = [weak] {
@@ -125,6 +128,33 @@
     exchange_ = context_.http.start(message, std::move(handler));
 }
 
+void agent_attempt::receive_data(std::string_view data)
+{
+    line_splitter_->feed(data);
+    if (done_ || exchange_ == 0) {
+        return;
+    }
+    if (steady_now() > deadline_at_ + deadline_grace || dropped_frames_ > max_dropped_frames) {
+        const bool is_late = dropped_frames_ <= max_dropped_frames;
+        context_.rpc.call(address_, "cancel", key_parameters(admission_), resolve_timeout,
+                          [](const net::rpc_result&) {});
+        finish_error(verdict::may_have_run,
+                     is_late ? request::failure_reason::deadline
+                             : request::failure_reason::backend_error,
+                     is_late ? "the deadline has passed" : "the agent sends other frames");
+        return;
+    }
+    received_bytes_ += data.size();
+    const std::size_t held = line_splitter_->incomplete_bytes() +
+                             (handler_.held_bytes ? handler_.held_bytes(received_bytes_) : 0);
+    if (line_splitter_->is_overlong() || !held_.resize(held)) {
+        context_.rpc.call(address_, "cancel", key_parameters(admission_), resolve_timeout,
+                          [](const net::rpc_result&) {});
+        finish_error(verdict::may_have_run, request::failure_reason::backend_error,
+                     std::string(net::too_large_message));
+    }
+}
+
 void agent_attempt::receive_line(std::string_view line)
 {
     if (done_ || exchange_ == 0 || line.empty()) {
@@ -141,6 +171,9 @@
 {
     switch (filter_.check(received)) {
     case frame_filter::action::drop:
+        if (++dropped_frames_ > max_dropped_frames) {
+            return;
+        }
         log(events::frame_dropped, {{"workspace", admission_.key.workspace},
                                     {"key", admission_.key.key},
                                     {"agent", to_string(admission_.agent)},
--- a/src/dotterelport/router/agent_attempt.hpp
+++ b/src/dotterelport/router/agent_attempt.hpp
@@ -20,6 +20,8 @@
 struct attempt_handler {
     std::function<void(const json& data)> on_chunk = {};
     std::function<void(const attempt_result&)> on_done = {};
+    /// Returns how many bytes the receiver of the chunks keeps, of as many as were received.
+    std::function<std::size_t(std::size_t received)> held_bytes = {};
 };
 
 /// Filters the frames of an answer: only frames that continue this attempt, in order, pass.
@@ -78,6 +80,8 @@
 
 private:
     void send();
+    /// @brief Reads a part of the answer, and ends the attempt if the answer uses too much memory.
+    void receive_data(std::string_view data);
     void receive_line(std::string_view line);
     void receive_frame(const request::frame& received);
     void handle_failure(net::failure_stage stage, const std::string& message);
@@ -95,6 +99,7 @@
     attempt_handler handler_;
     frame_filter filter_;
     std::unique_ptr<net::line_splitter> line_splitter_;
+    net::buffer_share held_;
     net::exchange_id exchange_ = 0;
     net::timer_id timer_ = 0;
     /// The agent has confirmed that it received the request.
@@ -103,6 +108,8 @@
     bool uncertain_ = false;
     bool done_ = false;
     int consecutive_failures_ = 0;
+    std::size_t received_bytes_ = 0;
+    int dropped_frames_ = 0;
     milliseconds deadline_at_;
 };
 
--- a/src/dotterelport/router/answer.cpp
+++ b/src/dotterelport/router/answer.cpp
@@ -272,6 +272,13 @@
     return call_answer{std::move(context), nullptr};
 }
 
+std::size_t held_bytes(const answer& target, std::size_t received)
+{
+    // A stream keeps what its caller has not read yet, the others keep everything.
+    const auto* stream = std::get_if<chat_stream_answer>(&target);
+    return stream == nullptr ? received : stream->context.response->buffered();
+}
+
 void add_chunk(answer& target, const json& data)
 {
     std::visit(chunk_visitor{data}, target);
--- a/src/dotterelport/router/answer.hpp
+++ b/src/dotterelport/router/answer.hpp
@@ -60,6 +60,9 @@
 /// @brief Discards the collected chunks, before another attempt starts from the beginning.
 void reset_answer(answer& target);
 
+/// @brief Number of bytes that an answer keeps, of as many as were received for it.
+std::size_t held_bytes(const answer& target, std::size_t received);
+
 /// @brief Returns whether a part of the answer was sent to the caller.
 bool has_answer_started(const answer& target);
 
--- a/src/dotterelport/router/booking_run.cpp
+++ b/src/dotterelport/router/booking_run.cpp
@@ -254,6 +254,7 @@
     lease_ = context_.agents.begin(*agent, agent_criteria_.choice);
     attempt_handler handler;
     handler.on_chunk = [self = shared_from_this()](const json& data) { self->answer_data_ = data; };
+    handler.held_bytes = [](std::size_t received) { return received; };
     handler.on_done = [self = shared_from_this()](const attempt_result& result) {
         self->handle_result(result);
     };
--- a/src/dotterelport/router/request_run.cpp
+++ b/src/dotterelport/router/request_run.cpp
@@ -236,6 +236,9 @@
         self->lease_->answered();
         add_chunk(self->answer_, data);
     };
+    handler.held_bytes = [self = shared_from_this()](std::size_t received) {
+        return held_bytes(self->answer_, received);
+    };
     handler.on_done = [self = shared_from_this(), agent](const attempt_result& ended) {
         self->handle_result(agent, ended);
     };
