Keep a stalled stream at its server while no other one may continue it

Cause: stalled() cancelled the run before the retry budget was asked; the decision was break_off.

Change: it is cancelled only if a retry is left and a server can be chosen, and checked again every 250 ms otherwise.

--- a/include/dotterelport/request/retry_budget.hpp
+++ b/include/dotterelport/request/retry_budget.hpp
@@ -36,6 +36,9 @@
     /// @brief Consumes one retry and returns true, or returns false if none is available.
     [[nodiscard]] bool try_retry();
 
+    /// @brief Returns whether try_retry() would succeed now.
+    [[nodiscard]] bool can_retry() const { return available_retries_ >= 1.0; }
+
     /// @brief Random delay before a retry, between half and all of an exponential backoff step.
     /// @param retry 1 for the first retry
     [[nodiscard]] milliseconds delay(std::uint32_t retry, std::mt19937_64& generator) const;
--- a/src/dotterelport/gateway/forwarding.hpp
+++ b/src/dotterelport/gateway/forwarding.hpp
@@ -148,6 +148,7 @@
     void arm_stall_timer();
     /// @brief Ends the attempt if the server has sent no complete event for the stall limit.
     void check_stall();
+    void schedule_stall_check(milliseconds delay);
     /// @brief Time without progress after which the attempt counts as stalled.
     [[nodiscard]] milliseconds stall_limit() const;
     void deadline_expired();
--- a/src/dotterelport/gateway/forwarding_answer.cpp
+++ b/src/dotterelport/gateway/forwarding_answer.cpp
@@ -21,6 +21,9 @@
 /// Shortest pause between two checks for a stalled server.
 constexpr milliseconds min_stall_check{50};
 
+/// Pause until a stalled server without a substitute is checked again.
+constexpr milliseconds substitute_check{250};
+
 /// The server of a stream is paused while more bytes than this wait for the caller.
 constexpr std::size_t max_unsent_bytes = 256U << 10U;
 
@@ -326,18 +329,27 @@
         stalled();
         return;
     }
-    stall_timer_ = context_.loop.schedule(
-        std::max(remaining, min_stall_check), [self = shared_from_this(), id = attempt_->id] {
-            self->stall_timer_ = 0;
-            if (!self->finished_ && self->attempt_ && self->attempt_->id == id) {
-                self->check_stall();
-            }
-        });
+    schedule_stall_check(std::max(remaining, min_stall_check));
+}
+
+void forwarding::schedule_stall_check(milliseconds delay)
+{
+    stall_timer_ = context_.loop.schedule(delay, [self = shared_from_this(), id = attempt_->id] {
+        self->stall_timer_ = 0;
+        if (!self->finished_ && self->attempt_ && self->attempt_->id == id) {
+            self->check_stall();
+        }
+    });
 }
 
 void forwarding::stalled()
 {
-    if (!may_repeat() || time_until_permitted() != milliseconds{0}) {
+    if (!may_repeat()) {
+        return;
+    }
+    // Without a substitute, the server is the only one that may still complete the answer.
+    if (time_until_permitted() != milliseconds{0} || !retries().can_retry() || !choose_server()) {
+        schedule_stall_check(substitute_check);
         return;
     }
     context_.backends.cancel(attempt_->exchange);
--- a/src/dotterelport/object_store/store_relay_test.cpp
+++ b/src/dotterelport/object_store/store_relay_test.cpp
@@ -143,6 +143,7 @@
     const std::size_t before = standin::reset_peak_memory();
     std::vector<std::unique_ptr<net::tcp_connector>> connectors;
     std::vector<std::unique_ptr<net::tcp_connection>> connections;
+    connectors.reserve(readers);
     for (int i = 0; i < readers; ++i) {
         connectors.push_back(std::make_unique<net::tcp_connector>(
             run.loop, run.relay->address(), 500ms, [&](auto connection) {
--- a/src/dotterelport/request/retry_budget.cpp
+++ b/src/dotterelport/request/retry_budget.cpp
@@ -18,7 +18,7 @@
 
 bool retry_budget::try_retry()
 {
-    if (available_retries_ < 1.0) {
+    if (!can_retry()) {
         return false;
     }
     available_retries_ -= 1.0;
