Keep what a server stated while its registration is away

Cause: server_removed() dropped the limits and waits with the registration.

Change: they are kept for 60 s, and for as long as the wait lasts, and end when the server starts again.

--- a/include/dotterelport/gateway/server_statements.hpp
+++ b/include/dotterelport/gateway/server_statements.hpp
@@ -2,6 +2,7 @@
 #define DOTTERELPORT_GATEWAY_SERVER_STATEMENTS_HPP
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 
@@ -46,12 +47,16 @@
     /// @brief Returns whether a server states a limit.
     [[nodiscard]] bool is_limited(const std::string& server) const
     {
-        return limits_.rate(server).has_value();
+        return !has_restarted(server) && limits_.rate(server).has_value();
     }
 
     /// @brief Sets the number of gateways that share the servers' limits.
     void set_gateway_count(std::size_t count) { limits_.set_router_count(count); }
-    void forget(const std::string& server) { limits_.forget(server); }
+    /// @brief Records that a server is no longer registered. What it stated stays in force for a
+    /// while: its registration may only have expired in an outage of the store.
+    void removed(const std::string& server, std::uint64_t started_ms, milliseconds now);
+    /// @brief Forgets what servers stated that stay removed or have started again.
+    void expire(milliseconds now);
     [[nodiscard]] json dump() const;
 
 private:
@@ -59,9 +64,21 @@
     /// @return whether this was not known
     bool apply(const statement_message& message, const std::string& reported_by);
 
+    /// @brief Returns whether a server has started again since it was removed, so that what is known
+    /// was stated by its previous run.
+    [[nodiscard]] bool has_restarted(const std::string& server) const;
+    /// @brief Ends the removal of a server that is registered again.
+    void end_removal(const std::string& server);
+
+    struct removed_server {
+        std::uint64_t started_ms = 0;
+        milliseconds removed_at{0};
+    };
+
     peer_link& link_;
     server_directory& servers_;
     routing::server_limits limits_;
+    std::map<std::string, removed_server> removed_;
 };
 
 } // namespace dotterelport::gateway
--- a/src/dotterelport/gateway/gateway.cpp
+++ b/src/dotterelport/gateway/gateway.cpp
@@ -153,7 +153,7 @@
     {
         log(events::server_removed, {{"server", server.id}, {"service", server.service}});
         placement.forget(server.id);
-        statements.forget(server.id);
+        statements.removed(server.id, server.started_ms, steady_now());
         backends.drop_idle(server.address);
     }
 
@@ -170,6 +170,7 @@
     {
         servers.expire(steady_now());
         broker.expire();
+        statements.expire(steady_now());
         if (stopping) {
             check_drain();
         }
--- a/src/dotterelport/gateway/server_statements.cpp
+++ b/src/dotterelport/gateway/server_statements.cpp
@@ -1,11 +1,16 @@
 #include "dotterelport/gateway/server_statements.hpp"
 
+#include <vector>
+
 #include "dotterelport/base/clock.hpp"
 #include "dotterelport/gateway/events.hpp"
 
 namespace dotterelport::gateway {
 namespace {
 
+/// Time for which the statements of a removed server are kept; longer than an outage of the store.
+constexpr milliseconds removed_memory{60'000};
+
 json rate_or_null(const std::optional<double>& rate)
 {
     return rate ? json(*rate) : json();
@@ -44,6 +49,7 @@
     if (server == nullptr || server->started_ms != message.started_ms) {
         return false;
     }
+    end_removal(message.server);
     const bool is_new_rate = limits_.set_rate(message.server, message.max_rate, steady_now());
     if (is_new_rate) {
         log(events::server_limit_changed, {{"server", message.server},
@@ -64,6 +70,7 @@
     if (registered == nullptr || registered->started_ms != started_ms) {
         return;
     }
+    end_removal(server);
     if (statement.unreadable) {
         log(events::server_statement_unreadable, {{"server", server}});
     }
@@ -89,15 +96,59 @@
 
 milliseconds server_statements::time_until_permitted(const std::string& server) const
 {
-    return limits_.is_empty() ? milliseconds{0}
-                              : limits_.time_until_permitted(server, steady_now());
+    return limits_.is_empty() || has_restarted(server)
+               ? milliseconds{0}
+               : limits_.time_until_permitted(server, steady_now());
 }
 
 void server_statements::sent(const std::string& server)
 {
+    end_removal(server);
     limits_.sent(server, steady_now());
 }
 
+void server_statements::removed(const std::string& server, std::uint64_t started_ms,
+                                milliseconds now)
+{
+    removed_.insert_or_assign(server, removed_server{.started_ms = started_ms, .removed_at = now});
+}
+
+bool server_statements::has_restarted(const std::string& server) const
+{
+    const auto removal = removed_.find(server);
+    const auto* registered = removal == removed_.end() ? nullptr : servers_.find(server);
+    return registered != nullptr && registered->started_ms != removal->second.started_ms;
+}
+
+void server_statements::end_removal(const std::string& server)
+{
+    if (has_restarted(server)) {
+        limits_.forget(server);
+    }
+    if (servers_.find(server) != nullptr) {
+        removed_.erase(server);
+    }
+}
+
+void server_statements::expire(milliseconds now)
+{
+    std::vector<std::string> ended;
+    for (const auto& [server, removal] : removed_) {
+        const bool is_remembered = now - removal.removed_at < removed_memory ||
+                                   limits_.time_until_permitted(server, now) > milliseconds{0};
+        if (servers_.find(server) != nullptr) {
+            ended.push_back(server);
+        } else if (!is_remembered) {
+            limits_.forget(server);
+            ended.push_back(server);
+        }
+    }
+    for (const auto& server : ended) {
+        end_removal(server);
+        removed_.erase(server);
+    }
+}
+
 json server_statements::dump() const
 {
     return limits_.dump(steady_now());
--- a/src/dotterelport/gateway/server_statements_test.cpp
+++ b/src/dotterelport/gateway/server_statements_test.cpp
@@ -30,7 +30,10 @@
 
     node(net::event_loop& loop, const std::string& name)
         : link(loop, {.node = name, .address = {"127.0.0.1", 0}, .failure_domain = "a"}),
-          servers({}, [this](const backend_server& removed) { statements.forget(removed.id); }),
+          servers({},
+                  [this](const backend_server& removed) {
+                      statements.removed(removed.id, removed.started_ms, steady_now());
+                  }),
           statements(link, servers)
     {
         statements.set_gateway_count(2);
