--- a/include/dotterelport/gateway/server_statements.hpp
+++ b/include/dotterelport/gateway/server_statements.hpp
@@ -64,8 +64,8 @@
     /// @return whether this was not known
     bool apply(const statement_message& message, const std::string& reported_by);
 
-    /// @brief Returns whether a server has started again since it was removed, so that what is known
-    /// was stated by its previous run.
+    /// @brief Returns whether a server has started again since it was removed, so that what is
+    /// known was stated by its previous run.
     [[nodiscard]] bool has_restarted(const std::string& server) const;
     /// @brief Ends the removal of a server that is registered again.
     void end_removal(const std::string& server);
