--- a/include/dotterelport/gateway/gateway.hpp
+++ b/include/dotterelport/gateway/gateway.hpp
@@ -34,6 +34,7 @@
 
     /// @brief Puts a configuration in force if it is newer than the current one.
     void apply(std::shared_ptr<const service_catalogue> catalogue);
+    [[nodiscard]] bool has_configuration() const;
 
     /// @brief Replaces the whole list of registered servers.
     void replace_servers(const std::vector<backend_server>& servers, bool after_outage);
--- a/src/dotterelport/gateway/gateway.cpp
+++ b/src/dotterelport/gateway/gateway.cpp
@@ -254,6 +254,11 @@
     state_->log_readiness();
 }
 
+bool gateway::has_configuration() const
+{
+    return state_->catalogue != nullptr;
+}
+
 void gateway::replace_servers(const std::vector<backend_server>& servers, bool after_outage)
 {
     state_->servers.replace(servers, after_outage, steady_now());
