--- a/include/dotterelport/gateway/events.hpp
+++ b/include/dotterelport/gateway/events.hpp
@@ -88,7 +88,7 @@
     938, severity::info, "settlement_unmatched",
     "Another gateway settles a reservation that this one has not lent; the field state says "
     "whether "
-    "it waits here for a larger grant, has ended, or is unknown."};
+    "it waits here for a larger grant or is unknown."};
 inline constexpr log_event reservation_unclaimed{
     939, severity::info, "reservation_unclaimed",
     "Tokens were reserved for a request that no longer waits for them; they are released."};
--- a/src/dotterelport/gateway/budget_broker.cpp
+++ b/src/dotterelport/gateway/budget_broker.cpp
@@ -418,12 +418,12 @@
         keeper_.settle(lent->second.workspace, key, ran.value_or(verdict::may_have_run),
                        prompt_tokens, output_tokens);
         lent_.erase(lent);
-    } else {
-        log(events::settlement_unmatched, {{"key", key},
-                                           {"state", waiting != waiting_here_.end() ? "waiting"
-                                                     : ended_here_.contains(key)    ? "ended"
-                                                                                    : "unknown"},
-                                           {"verdict", message.content.at(1)}});
+    } else if (!ended_here_.contains(key)) {
+        // A repeated settlement is not logged: an overloaded owner gets many of them.
+        log(events::settlement_unmatched,
+            {{"key", key},
+             {"state", waiting != waiting_here_.end() ? "waiting" : "unknown"},
+             {"verdict", message.content.at(1)}});
     }
     if (waiting != waiting_here_.end()) {
         keeper_.abandon(waiting->second.workspace, key);
