--- a/include/dotterelport/routing/load_view.hpp
+++ b/include/dotterelport/routing/load_view.hpp
@@ -22,6 +22,9 @@
     /// Requests that the server can run at the same time.
     double capacity = 1;
     double tokens_per_second = 0;
+    /// How long work takes on the server's VM at this moment, relative to the usual time; nothing
+    /// if the server does not state it.
+    std::optional<double> slowdown = std::nullopt;
 };
 
 /// @brief Parses the member "load" of an agent's status. Absent fields keep their defaults.
--- a/include/dotterelport/routing/placement.hpp
+++ b/include/dotterelport/routing/placement.hpp
@@ -101,8 +101,11 @@
 /// A chosen server and what the choice was based on.
 struct placement_choice {
     std::string server;
-    /// Expected milliseconds until the first part of the answer.
+    /// Expected milliseconds until the first part of the answer, with penalties for servers that
+    /// suit other requests better.
     double cost_ms = 0;
+    /// The same without these penalties.
+    double expected_start_ms = 0;
     tokens cached_tokens = 0;
 };
 
--- a/src/dotterelport/routing/placement.cpp
+++ b/src/dotterelport/routing/placement.cpp
@@ -243,7 +243,8 @@
             uncached -= settings_.preferred_cache_probability * shared_uncached;
             shared_uncached *= 1 - settings_.preferred_cache_probability;
         }
-        double expected = cost(request, candidate, loads[i], uncached, median, now);
+        const double expected_start = cost(request, candidate, loads[i], uncached, median, now);
+        double expected = expected_start;
         expected +=
             (settings_.shared_weight - 1) * shared_uncached / settings_.prefill_tokens_per_ms;
         if (!reserved.empty()) {
@@ -256,7 +257,10 @@
             !best || std::pair(!usable, expected) < std::pair(!best_is_usable, best->cost_ms) ||
             (usable == best_is_usable && expected == best->cost_ms && last_sent < best_last_sent);
         if (better) {
-            best = {.server = candidate.server, .cost_ms = expected, .cached_tokens = cached};
+            best = {.server = candidate.server,
+                    .cost_ms = expected,
+                    .expected_start_ms = expected_start,
+                    .cached_tokens = cached};
             best_is_usable = usable;
             best_last_sent = last_sent;
         }
