Limit requests to cold servers, obey evacuations, and keep requests in allowed regions

Cause: nothing read how many requests a server tolerates after its start, the operators' evacuations of failure domains, or the regions that routes and workspaces allow.

Change: routing/server_limits has temporary rates, shared by few gateways chosen by rendezvous hashing; gateway/domain_evacuations takes servers out of server_directory::available(); forwarding checks the regions. The setting evacuations and cold_rate of a service switch them on.

--- a/include/dotterelport/gateway/events.hpp
+++ b/include/dotterelport/gateway/events.hpp
@@ -135,6 +135,17 @@
     "in "
     "force here; this gateway decides by its own read of the ledger."};
 
+inline constexpr log_event server_cold{
+    951, severity::info, "server_cold",
+    "A backend server has started recently, or may have: few gateways send it few requests for a "
+    "time."};
+inline constexpr log_event domain_evacuated{
+    952, severity::info, "domain_evacuated",
+    "Operators have evacuated a failure domain; its backend servers get no requests."};
+inline constexpr log_event evacuation_ended{
+    953, severity::info, "evacuation_ended",
+    "The backend servers of a failure domain get requests again, at first as few as cold ones."};
+
 } // namespace dotterelport::gateway::events
 
 #endif
--- a/include/dotterelport/gateway/gateway.hpp
+++ b/include/dotterelport/gateway/gateway.hpp
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -47,6 +48,15 @@
     /// @brief Adds another gateway or changes its description.
     void set_peer(const peer_description& description);
 
+    /// @brief Records that all registered gateways were passed to set_peer(). Before, no requests
+    /// are sent to cold servers, as the number of gateways that share them is unknown.
+    void peers_listed();
+
+    /// @brief Replaces the failure domains that operators have evacuated.
+    void replace_evacuations(const std::set<std::string>& domains);
+    void begin_evacuation(const std::string& domain);
+    void end_evacuation(const std::string& domain);
+
     /// @brief Lets the gateways of a large fleet share what they read from the store. The feed must
     /// exist as long as the event loop runs.
     void share(object_store::object_feed& feed);
--- a/include/dotterelport/gateway/peer_link.hpp
+++ b/include/dotterelport/gateway/peer_link.hpp
@@ -143,6 +143,9 @@
     /// @brief Records that a gateway did not answer in time.
     void mark_silent(const std::string& node);
 
+    /// @brief Names of all gateways of the fleet, reachable or not, including this one.
+    [[nodiscard]] std::vector<std::string> nodes() const;
+
     /// @brief Number of other gateways in the fleet.
     [[nodiscard]] std::size_t peer_count() const { return peers_.size(); }
     /// @brief Number of other gateways in the group.
--- a/include/dotterelport/gateway/protocol.hpp
+++ b/include/dotterelport/gateway/protocol.hpp
@@ -57,6 +57,8 @@
     bool leaving = false;
     /// Time for which it accepts no requests from this gateway; only with a refusal.
     std::optional<milliseconds> retry_after = std::nullopt;
+    /// Time for which it accepts few requests because it has just started.
+    std::optional<milliseconds> cold_remaining = std::nullopt;
     /// A statement cannot be parsed.
     bool unreadable = false;
 };
--- a/include/dotterelport/gateway/server_directory.hpp
+++ b/include/dotterelport/gateway/server_directory.hpp
@@ -13,6 +13,7 @@
 
 #include "dotterelport/base/clock.hpp"
 #include "dotterelport/base/json.hpp"
+#include "dotterelport/gateway/domain_evacuations.hpp"
 #include "dotterelport/net/endpoint.hpp"
 
 namespace dotterelport::gateway {
@@ -32,6 +33,9 @@
     std::uint64_t started_ms = 0;
     /// Orders the registrations of one run of the server: a newer one never has a smaller number.
     std::uint64_t sequence = 0;
+    /// Time for which the server accepts few requests because it has just started, counted from
+    /// when it wrote the registration.
+    milliseconds cold_remaining{0};
 
     bool operator==(const backend_server&) const = default;
 };
@@ -92,6 +96,10 @@
     /// @return whether this was not known
     bool mark_leaving(const std::string& id);
 
+    /// @brief Failure domains whose servers get no requests.
+    [[nodiscard]] domain_evacuations& evacuations() { return evacuations_; }
+    [[nodiscard]] const domain_evacuations& evacuations() const { return evacuations_; }
+
     /// @brief Removes registrations whose grace period has ended.
     void expire(milliseconds now);
 
@@ -141,6 +149,7 @@
     [[nodiscard]] bool accepts_requests(const backend_server& server) const;
 
     options options_;
+    domain_evacuations evacuations_;
     removal_handler on_removed_;
     std::map<std::string, backend_server> servers_;
     /// Ids of each service's servers.
--- a/include/dotterelport/gateway/server_statements.hpp
+++ b/include/dotterelport/gateway/server_statements.hpp
@@ -5,6 +5,9 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
 
 #include "dotterelport/base/json.hpp"
 #include "dotterelport/gateway/peer_link.hpp"
@@ -52,6 +55,24 @@
 
     /// @brief Sets the number of gateways that share the servers' limits.
     void set_gateway_count(std::size_t count) { limits_.set_router_count(count); }
+
+    /// @brief Sets the gateways that share what cold servers accept, including this one.
+    void set_fleet(std::vector<std::string> gateways)
+    {
+        limits_.set_fleet(link_.node(), std::move(gateways));
+    }
+
+    /// @brief Limits the requests to a server that has started recently, or may have.
+    /// @param rate requests per second that it accepts from all gateways together
+    /// @param reason what shows it, for the log
+    void limit_cold(const std::string& server, double rate, milliseconds remaining,
+                    std::string_view reason);
+
+    /// @brief Returns whether a server is limited because it has started recently.
+    [[nodiscard]] bool is_cold(const std::string& server) const
+    {
+        return limits_.has_temporary_rate(server, steady_now());
+    }
     /// @brief Records that a server is no longer registered. What it stated stays in force for a
     /// while: its registration may only have expired in an outage of the store.
     void removed(const std::string& server, std::uint64_t started_ms, milliseconds now);
--- a/include/dotterelport/gateway/service_catalogue.hpp
+++ b/include/dotterelport/gateway/service_catalogue.hpp
@@ -29,6 +29,9 @@
 /// @brief Name of a route kind for logs.
 std::string_view to_string(route_kind value);
 
+/// Names of regions.
+using region_list = std::vector<std::string>;
+
 /// A service to which a route sends requests, with its share of them.
 struct weighted_service {
     std::string service;
@@ -57,6 +60,8 @@
     /// Callers need no key.
     bool anonymous = false;
     bool resumable = false;
+    /// Regions whose backend servers may run the requests; any if there is no list.
+    std::optional<region_list> regions = std::nullopt;
 
     /// @brief Returns whether a request may run more than once.
     [[nodiscard]] bool may_repeat() const
@@ -77,6 +82,11 @@
     std::size_t batch_size = 0;
     /// Model engines only: tokens in one event of a stream.
     tokens tokens_per_event = 1;
+    /// Requests per second that a backend server accepts from all gateways together while it is
+    /// cold; 0 if it needs no such limit.
+    double cold_rate = 0;
+    /// Time for which a backend server is cold after its start.
+    milliseconds cold_time{0};
     /// The configuration defines the service in a way that cannot be read; its requests are
     /// refused.
     bool is_closed = false;
@@ -90,6 +100,8 @@
     std::optional<int> priority;
     /// Total number of tokens that the workspace may use; empty if it is unlimited.
     std::optional<tokens> prepaid;
+    /// Regions whose backend servers may run the workspace's requests; any if there is no list.
+    std::optional<region_list> regions = std::nullopt;
 };
 
 /// Limits on what a caller may send and how long it may take.
--- a/include/dotterelport/gateway/settings.hpp
+++ b/include/dotterelport/gateway/settings.hpp
@@ -2,6 +2,7 @@
 #define DOTTERELPORT_GATEWAY_SETTINGS_HPP
 
 #include <cstdint>
+#include <map>
 #include <string>
 
 #include "dotterelport/base/clock.hpp"
@@ -35,6 +36,10 @@
     double retry_share = 0.2;
     /// Retries of a service allowed in addition to its retry share, in all gateways together.
     double retry_reserve = 50;
+    /// Region of each failure domain, for routes and workspaces that are restricted to regions.
+    std::map<std::string, std::string> regions;
+    /// Operators can evacuate failure domains of this deployment.
+    bool evacuations = false;
 
     bool operator==(const settings&) const = default;
 };
--- a/src/dotterelport/gateway/forwarding.cpp
+++ b/src/dotterelport/gateway/forwarding.cpp
@@ -267,10 +267,28 @@
             .excluded = excluded};
 }
 
+bool forwarding::is_allowed(const backend_server& server) const
+{
+    const auto region = context_.regions.find(server.failure_domain);
+    const auto allows = [&](const std::optional<region_list>& regions) {
+        return !regions ||
+               (region != context_.regions.end() &&
+                std::find(regions->begin(), regions->end(), region->second) != regions->end());
+    };
+    return allows(route_->regions) && (workspace_ == nullptr || allows(workspace_->regions));
+}
+
+std::vector<const backend_server*> forwarding::allowed_servers() const
+{
+    auto servers = context_.servers.available(service_);
+    std::erase_if(servers, [this](const auto* server) { return !is_allowed(*server); });
+    return servers;
+}
+
 std::optional<milliseconds> forwarding::time_until_permitted() const
 {
     std::optional<milliseconds> shortest;
-    for (const auto* server : context_.servers.available(service_)) {
+    for (const auto* server : allowed_servers()) {
         if (std::find(tried_servers_.begin(), tried_servers_.end(), server->id) ==
             tried_servers_.end()) {
             const milliseconds time = context_.statements.time_until_permitted(server->id);
@@ -284,7 +302,7 @@
 {
     std::vector<routing::placement_candidate> candidates;
     std::vector<std::string> excluded = tried_servers_;
-    for (const auto* server : context_.servers.available(service_)) {
+    for (const auto* server : allowed_servers()) {
         candidates.push_back({.server = server->id,
                               .failure_domain = server->failure_domain,
                               .capacity = server->capacity,
@@ -393,12 +411,24 @@
     return handler;
 }
 
+void forwarding::limit_if_restarted(const std::string& server, attempt_end end)
+{
+    const auto* definition = catalogue_->find_service(service_);
+    const bool has_failed = end == attempt_end::not_connected || end == attempt_end::reset ||
+                            end == attempt_end::truncated;
+    if (has_failed && definition != nullptr && definition->cold_rate > 0) {
+        context_.statements.limit_cold(server, definition->cold_rate, definition->cold_time,
+                                       "connection_failed");
+    }
+}
+
 void forwarding::close_attempt(attempt_end end)
 {
     const milliseconds now = steady_now();
     auto& placement = context_.placement;
     const auto& ended = *attempt_;
     context_.counters.record_attempt(service_, std::string(to_string(end)));
+    limit_if_restarted(ended.server, end);
     switch (end) {
     case attempt_end::answered:
         placement.finished(
--- a/src/dotterelport/gateway/forwarding.hpp
+++ b/src/dotterelport/gateway/forwarding.hpp
@@ -41,6 +41,8 @@
     net::event_loop& loop;
     const protocol& wire;
     std::string failure_domain;
+    /// Region of each failure domain.
+    const std::map<std::string, std::string>& regions;
     net::backend_client& backends;
     server_directory& servers;
     routing::placement& placement;
@@ -112,6 +114,9 @@
     void reserve();
     void reserved(reservation_outcome outcome);
     void dispatch();
+    /// @brief Available servers that the regions of the route and of the workspace allow.
+    [[nodiscard]] std::vector<const backend_server*> allowed_servers() const;
+    [[nodiscard]] bool is_allowed(const backend_server& server) const;
     [[nodiscard]] std::optional<routing::placement_choice> choose_server() const;
     /// @brief Time until one of the servers to which the request was not sent before permits it; 0
     /// if it may be sent now, and nothing if there is no such server.
@@ -141,6 +146,9 @@
     void attempt_failed(verdict outcome, attempt_end end);
     /// @brief Reports to placement and metrics how the attempt ended.
     void close_attempt(attempt_end end);
+    /// @brief Limits the requests to a server whose connection failed, if servers of its service
+    /// accept few requests after a start: it may have started again.
+    void limit_if_restarted(const std::string& server, attempt_end end);
 
     /// @brief Time that the caller and the route allow, from the first byte of the request on.
     [[nodiscard]] milliseconds time_limit() const;
--- a/src/dotterelport/gateway/gateway.cpp
+++ b/src/dotterelport/gateway/gateway.cpp
@@ -67,6 +67,7 @@
     std::optional<stop_order> stopping;
     bool returning_grants = false;
     bool was_ready = false;
+    bool are_peers_listed = false;
     std::function<void()> stopped;
     std::uint64_t last_request = 0;
     std::map<std::uint64_t, std::shared_ptr<forwarding>> requests;
@@ -88,6 +89,7 @@
           counters(operators.metrics()), context{.loop = loop,
                                                  .wire = wire,
                                                  .failure_domain = configured.failure_domain,
+                                                 .regions = current_settings.regions,
                                                  .backends = backends,
                                                  .servers = servers,
                                                  .placement = placement,
@@ -104,6 +106,9 @@
                                                  .stopping = stopping}
     {
         set_retry_options();
+        if (configured.evacuations) {
+            servers.evacuations().require_list();
+        }
         callers = std::make_unique<net::stream_server>(
             loop, current_settings.callers, net::stream_server::options{},
             [this](std::shared_ptr<net::stream_exchange> exchange) {
@@ -136,7 +141,10 @@
         if (catalogue == nullptr) {
             return "no configuration";
         }
-        return servers.has_list() ? "" : "no list of backend servers";
+        if (!servers.has_list()) {
+            return "no list of backend servers";
+        }
+        return servers.evacuations().is_known() ? "" : "no list of evacuations";
     }
 
     void log_readiness()
@@ -157,6 +165,50 @@
         backends.drop_idle(server.address);
     }
 
+    /// @brief Limits the requests to a server that has started recently, if its service needs that.
+    /// @param remaining time for which it is cold; by default that after a start
+    void limit_cold(const backend_server& server, std::optional<milliseconds> remaining,
+                    std::string_view reason)
+    {
+        const auto* service =
+            catalogue == nullptr ? nullptr : catalogue->find_service(server.service);
+        if (service == nullptr || service->cold_rate <= 0) {
+            return;
+        }
+        const milliseconds cold_time = remaining.value_or(service->cold_time);
+        if (cold_time > milliseconds{0}) {
+            statements.limit_cold(server.id, service->cold_rate, cold_time, reason);
+        }
+    }
+
+    /// @brief Limits the requests to all servers that were registered as cold.
+    void limit_registered_cold()
+    {
+        for (const auto* server : servers.matching([](const backend_server& item) {
+                 return item.cold_remaining > milliseconds{0};
+             })) {
+            limit_cold(*server, server->cold_remaining, "registered");
+        }
+    }
+
+    void evacuation_ended(const std::string& domain)
+    {
+        log(events::evacuation_ended, {{"failure_domain", domain}});
+        // Servers may have started again meanwhile, and their registrations may not say so yet.
+        for (const auto* server : servers.matching(
+                 [&](const backend_server& item) { return item.failure_domain == domain; })) {
+            limit_cold(*server, std::nullopt, "evacuation_ended");
+        }
+    }
+
+    void update_fleet()
+    {
+        set_retry_options();
+        if (are_peers_listed) {
+            statements.set_fleet(link.nodes());
+        }
+    }
+
     void accept(std::shared_ptr<net::stream_exchange> exchange)
     {
         const std::uint64_t id = ++last_request;
@@ -169,6 +221,9 @@
     void check()
     {
         servers.expire(steady_now());
+        for (const auto& domain : servers.evacuations().expire(steady_now())) {
+            evacuation_ended(domain);
+        }
         broker.expire();
         statements.expire(steady_now());
         if (stopping) {
@@ -251,6 +306,7 @@
                                   .idle_timeout = limits.idle_timeout});
     state_->budgets.declare(*in_force);
     state_->peers.set_cache_capacity(in_force->largest_cache());
+    state_->limit_registered_cold();
     state_->log_readiness();
 }
 
@@ -262,6 +318,7 @@
 void gateway::replace_servers(const std::vector<backend_server>& servers, bool after_outage)
 {
     state_->servers.replace(servers, after_outage, steady_now());
+    state_->limit_registered_cold();
     state_->log_readiness();
 }
 
@@ -275,6 +332,7 @@
                                      {"draining", server.draining}});
     }
     state_->servers.update(server, steady_now());
+    state_->limit_cold(server, server.cold_remaining, "registered");
 }
 
 void gateway::remove_server(const std::string& id, bool after_outage)
@@ -296,7 +354,38 @@
 void gateway::set_peer(const peer_description& description)
 {
     state_->link.set_peer(description);
-    state_->set_retry_options();
+    state_->update_fleet();
+}
+
+void gateway::peers_listed()
+{
+    state_->are_peers_listed = true;
+    state_->update_fleet();
+}
+
+void gateway::replace_evacuations(const std::set<std::string>& domains)
+{
+    for (const auto& domain : state_->servers.evacuations().replace(domains, steady_now())) {
+        state_->evacuation_ended(domain);
+    }
+    if (!domains.empty()) {
+        log(events::domain_evacuated, {{"failure_domains", domains}});
+    }
+    state_->log_readiness();
+}
+
+void gateway::begin_evacuation(const std::string& domain)
+{
+    if (state_->servers.evacuations().begin(domain)) {
+        log(events::domain_evacuated, {{"failure_domains", json::array({domain})}});
+    }
+}
+
+void gateway::end_evacuation(const std::string& domain)
+{
+    if (state_->servers.evacuations().end(domain)) {
+        state_->evacuation_ended(domain);
+    }
 }
 
 void gateway::share(object_store::object_feed& feed)
@@ -309,6 +398,7 @@
     state_->broker.begin_era(era);
     state_->crashes.observe_era(era);
     state_->servers.begin_era(steady_now());
+    state_->servers.evacuations().begin_era(steady_now());
 }
 
 peer_description gateway::self_description() const
@@ -365,7 +455,8 @@
             {"reservations", state_->broker.dump()},
             {"budgets", state_->budgets.dump()},
             {"crashes", state_->crashes.dump()},
-            {"limits", state_->statements.dump()}};
+            {"limits", state_->statements.dump()},
+            {"evacuations", state_->servers.evacuations().dump()}};
 }
 
 } // namespace dotterelport::gateway
--- a/src/dotterelport/gateway/peer_link.cpp
+++ b/src/dotterelport/gateway/peer_link.cpp
@@ -181,6 +181,15 @@
     return result;
 }
 
+std::vector<std::string> peer_link::nodes() const
+{
+    std::vector<std::string> result{self_.node};
+    for (const auto& [node, peer] : peers_) {
+        result.push_back(node);
+    }
+    return result;
+}
+
 bool peer_link::is_live(const std::string& node) const
 {
     const auto found = peers_.find(node);
--- a/src/dotterelport/gateway/server_directory.cpp
+++ b/src/dotterelport/gateway/server_directory.cpp
@@ -222,7 +222,8 @@
 
 bool server_directory::accepts_requests(const backend_server& server) const
 {
-    return !server.draining && !replaced_.contains(server.id) && !leaving_.contains(server.id) &&
+    return evacuations_.is_known() && !evacuations_.contains(server.failure_domain) &&
+           !server.draining && !replaced_.contains(server.id) && !leaving_.contains(server.id) &&
            !unconfirmed_.contains(server.id);
 }
 
--- a/src/dotterelport/gateway/server_statements.cpp
+++ b/src/dotterelport/gateway/server_statements.cpp
@@ -101,6 +101,19 @@
                : limits_.time_until_permitted(server, steady_now());
 }
 
+void server_statements::limit_cold(const std::string& server, double rate, milliseconds remaining,
+                                   std::string_view reason)
+{
+    const milliseconds now = steady_now();
+    end_removal(server);
+    if (limits_.set_temporary_rate(server, rate, now + remaining, now)) {
+        log(events::server_cold, {{"server", server},
+                                  {"rate", rate},
+                                  {"remaining_ms", remaining.count()},
+                                  {"reason", reason}});
+    }
+}
+
 void server_statements::sent(const std::string& server)
 {
     end_removal(server);
--- a/src/dotterelport/gateway/settings.cpp
+++ b/src/dotterelport/gateway/settings.cpp
@@ -27,7 +27,9 @@
             "log_level": {"enum": ["debug", "info", "warning", "error"]},
             "grace_s": {"type": "number", "exclusiveMinimum": 0},
             "retry_share": {"type": "number", "minimum": 0},
-            "retry_reserve": {"type": "number", "minimum": 0}
+            "retry_reserve": {"type": "number", "minimum": 0},
+            "regions": {"type": "object", "additionalProperties": {"type": "string"}},
+            "evacuations": {"type": "boolean"}
         }
     })");
     return document;
@@ -73,6 +75,8 @@
     result.grace = milliseconds{std::llround(grace_s * ms_per_s)};
     result.retry_share = document.value("retry_share", result.retry_share);
     result.retry_reserve = document.value("retry_reserve", result.retry_reserve);
+    result.regions = document.value("regions", result.regions);
+    result.evacuations = document.value("evacuations", result.evacuations);
     return result;
 }
 
--- a/src/dotterelport/routing/server_limits.cpp
+++ b/src/dotterelport/routing/server_limits.cpp
@@ -2,6 +2,9 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
+
+#include "dotterelport/base/hash.hpp"
 
 namespace dotterelport::routing {
 namespace {
@@ -31,7 +34,7 @@
     if (!rate) {
         if (before) {
             found->second.rate.reset();
-            if (found->second.wait_until <= now) {
+            if (found->second.wait_until <= now && found->second.temporary_until <= now) {
                 limits_.erase(found);
             }
         }
@@ -50,6 +53,59 @@
     return std::abs(*rate - *before) > noticeable_change * *before;
 }
 
+void server_limits::set_fleet(const std::string& self, std::vector<std::string> routers)
+{
+    self_ = self;
+    fleet_ = std::move(routers);
+}
+
+bool server_limits::set_temporary_rate(const std::string& server, double rate, milliseconds until,
+                                       milliseconds now)
+{
+    auto& item = limits_[server];
+    const bool is_new = item.temporary_until <= now;
+    item.temporary_rate = rate;
+    item.temporary_until = std::max(item.temporary_until, until);
+    return is_new;
+}
+
+bool server_limits::has_temporary_rate(const std::string& server, milliseconds now) const
+{
+    const auto found = limits_.find(server);
+    return found != limits_.end() && found->second.temporary_until > now;
+}
+
+std::optional<milliseconds> server_limits::temporary_spacing(const std::string& server,
+                                                             double rate) const
+{
+    const auto users =
+        std::min(fleet_.size(), static_cast<std::size_t>(std::max(1.0, std::floor(rate))));
+    const std::uint64_t seed = hash64(server);
+    const std::uint64_t own_weight = hash64(self_, seed);
+    const auto higher = std::count_if(fleet_.begin(), fleet_.end(), [&](const std::string& router) {
+        return hash64(router, seed) > own_weight;
+    });
+    if (static_cast<std::size_t>(higher) >= users) {
+        return std::nullopt;
+    }
+    // A whole number of requests in each second, as the part of a request is sent early or late.
+    const double each = rate / static_cast<double>(users);
+    const double per_second = each < 1 ? each : std::floor(each);
+    return milliseconds{static_cast<std::int64_t>(std::ceil(ms_per_s / per_second))};
+}
+
+milliseconds server_limits::time_until_temporarily_permitted(const std::string& server,
+                                                             const limit& item,
+                                                             milliseconds now) const
+{
+    const auto spacing = temporary_spacing(server, item.temporary_rate);
+    if (!spacing) {
+        return item.temporary_until - now;
+    }
+    const milliseconds next = item.last_sent ? *item.last_sent + *spacing : now;
+    return std::clamp(next - now, milliseconds{0}, item.temporary_until - now);
+}
+
 void server_limits::set_wait(const std::string& server, milliseconds wait, milliseconds now)
 {
     auto& until = limits_[server].wait_until;
@@ -75,6 +131,9 @@
         const double remaining_ms = std::ceil(next_permit_ms(item, now) - in_ms(now));
         result = std::max(result, milliseconds{static_cast<std::int64_t>(remaining_ms)});
     }
+    if (item.temporary_until > now) {
+        result = std::max(result, time_until_temporarily_permitted(server, item, now));
+    }
     return result;
 }
 
@@ -87,8 +146,12 @@
 void server_limits::sent(const std::string& server, milliseconds now)
 {
     const auto found = limits_.find(server);
-    if (found != limits_.end() && found->second.rate) {
-        auto& item = found->second;
+    if (found == limits_.end()) {
+        return;
+    }
+    auto& item = found->second;
+    item.last_sent = now;
+    if (item.rate) {
         item.next_permit_ms = next_permit_ms(item, now) + ms_per_permit(*item.rate);
     }
 }
@@ -97,8 +160,10 @@
 {
     json result = json::object();
     for (const auto& [server, item] : limits_) {
-        result[server] = {{"rate", item.rate ? json(*item.rate) : json()},
-                          {"permitted_in_ms", time_until_permitted(server, now).count()}};
+        result[server] = {
+            {"rate", item.rate ? json(*item.rate) : json()},
+            {"temporary_rate", item.temporary_until > now ? json(item.temporary_rate) : json()},
+            {"permitted_in_ms", time_until_permitted(server, now).count()}};
     }
     return result;
 }
