--- a/include/dotterelport/gateway/domain_evacuations.hpp
+++ b/include/dotterelport/gateway/domain_evacuations.hpp
@@ -55,6 +55,7 @@
     /// @brief Returns whether the evacuations were read, or need not be.
     [[nodiscard]] bool is_known() const { return !is_required_ || has_list_; }
 
+    [[nodiscard]] std::size_t size() const { return domains_.size(); }
     [[nodiscard]] json dump() const;
 
 private:
--- a/include/dotterelport/gateway/server_statements.hpp
+++ b/include/dotterelport/gateway/server_statements.hpp
@@ -53,6 +53,9 @@
         return !has_restarted(server) && limits_.rate(server).has_value();
     }
 
+    /// @brief Number of servers that are limited because they have started recently.
+    [[nodiscard]] std::size_t cold_count() const { return limits_.temporary_count(steady_now()); }
+
     /// @brief Sets the number of gateways that share the servers' limits.
     void set_gateway_count(std::size_t count) { limits_.set_router_count(count); }
 
--- a/include/dotterelport/gateway/service_catalogue.hpp
+++ b/include/dotterelport/gateway/service_catalogue.hpp
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -146,7 +147,8 @@
     bool requires_keys_ = false;
     milliseconds pause_limit_{0};
     /// Routes by host and path prefix.
-    std::unordered_map<std::string, std::unordered_map<std::string, route>> routes_;
+    std::unordered_map<std::string, std::unordered_map<std::string, std::shared_ptr<const route>>>
+        routes_;
     std::map<std::string, service_definition, std::less<>> services_;
     std::vector<workspace> workspaces_;
     std::unordered_map<std::string, std::size_t> workspace_of_key_;
@@ -159,6 +161,8 @@
     explicit builder(std::uint64_t version) { catalogue_.version_ = version; }
 
     builder& add(route value);
+    /// @brief Adds a route that another catalogue may have too.
+    builder& add(std::shared_ptr<const route> value);
     builder& add(service_definition value);
     /// @brief Adds a workspace, which implies require_keys().
     builder& add(workspace value);
--- a/include/dotterelport/object_store/object_feed.hpp
+++ b/include/dotterelport/object_store/object_feed.hpp
@@ -20,7 +20,8 @@
 struct typed_object {
     std::string name;
     version object_version = 0;
-    json value;
+    /// JSON text, which another writer may have left unreadable.
+    std::string value;
 };
 
 /// Outcome of a call that lists or watches objects.
--- a/include/dotterelport/routing/server_limits.hpp
+++ b/include/dotterelport/routing/server_limits.hpp
@@ -73,6 +73,9 @@
     /// @brief Records that a request is sent to a server.
     void sent(const std::string& server, milliseconds now);
 
+    /// @brief Number of servers with a temporary rate.
+    [[nodiscard]] std::size_t temporary_count(milliseconds now) const;
+
     void forget(const std::string& server) { limits_.erase(server); }
 
     /// @return requests per second that a server accepts from all routers; nothing if unlimited
--- a/src/dotterelport/gateway/feed_exchange.cpp
+++ b/src/dotterelport/gateway/feed_exchange.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <numeric>
 #include <utility>
 
 #include "dotterelport/base/hash.hpp"
@@ -42,6 +43,20 @@
             .age = std::max(milliseconds{0}, milliseconds{item.at(3).get<std::int64_t>()})};
 }
 
+/// @brief Reads the value of an object; gateways of an earlier version send it parsed.
+std::string parse_value(const json& value)
+{
+    return value.is_string() ? value.get<std::string>() : value.dump();
+}
+
+/// @brief Size of a message about changes, without the other fields of the objects.
+std::size_t value_bytes(const object_store::shared_changes& changes)
+{
+    return std::accumulate(
+        changes.changes.begin(), changes.changes.end(), std::size_t{0},
+        [](std::size_t sum, const auto& change) { return sum + change.object.value.size(); });
+}
+
 object_store::shared_changes parse_changes(const json& document)
 {
     object_store::shared_changes result{.era = parse_era(document, 5),
@@ -53,7 +68,7 @@
         result.changes.push_back(
             {.object = {.name = item.at(0).get<std::string>(),
                         .object_version = item.at(1).get<object_store::version>(),
-                        .value = item.at(3)},
+                        .value = parse_value(item.at(3))},
              .removed = item.at(2).get<bool>()});
     }
     return result;
@@ -149,10 +164,12 @@
         !is_watcher(kind)) {
         return;
     }
-    json content = to_json(kind, changes);
-    if (json::to_msgpack(content).size() <= settings_.max_message_bytes) {
-        link_.broadcast(peer_message_kind::feed_changes, content);
-        return;
+    if (value_bytes(changes) <= settings_.max_message_bytes) {
+        const json content = to_json(kind, changes);
+        if (json::to_msgpack(content).size() <= settings_.max_message_bytes) {
+            link_.broadcast(peer_message_kind::feed_changes, content);
+            return;
+        }
     }
     link_.broadcast(peer_message_kind::feed_state,
                     json::array({to_json(kind, {.era = changes.era,
--- a/src/dotterelport/gateway/gateway.cpp
+++ b/src/dotterelport/gateway/gateway.cpp
@@ -226,6 +226,7 @@
         }
         broker.expire();
         statements.expire(steady_now());
+        counters.set_unusable(statements.cold_count(), servers.evacuations().size());
         if (stopping) {
             check_drain();
         }
--- a/src/dotterelport/gateway/metrics.cpp
+++ b/src/dotterelport/gateway/metrics.cpp
@@ -30,6 +30,16 @@
                     .Name("dotterelport_gateway_attempts_total")
                     .Help("Sends to backend servers, by service and outcome")
                     .Register(registry)),
+      cold_servers_(prometheus::BuildGauge()
+                        .Name("dotterelport_gateway_cold_servers")
+                        .Help("Servers that get few requests because they have started recently")
+                        .Register(registry)
+                        .Add({})),
+      evacuated_domains_(prometheus::BuildGauge()
+                             .Name("dotterelport_gateway_evacuated_domains")
+                             .Help("Failure domains that operators have evacuated")
+                             .Register(registry)
+                             .Add({})),
       first_byte_seconds_(
           prometheus::BuildHistogram()
               .Name("dotterelport_gateway_first_byte_seconds")
@@ -66,4 +76,10 @@
     attempts_.Add({{"service", service}, {"outcome", outcome}}).Increment();
 }
 
+void metrics::set_unusable(std::size_t cold_servers, std::size_t evacuated_domains)
+{
+    cold_servers_.Set(static_cast<double>(cold_servers));
+    evacuated_domains_.Set(static_cast<double>(evacuated_domains));
+}
+
 } // namespace dotterelport::gateway
--- a/src/dotterelport/gateway/metrics.hpp
+++ b/src/dotterelport/gateway/metrics.hpp
@@ -1,6 +1,7 @@
 #ifndef DOTTERELPORT_GATEWAY_METRICS_HPP
 #define DOTTERELPORT_GATEWAY_METRICS_HPP
 
+#include <cstddef>
 #include <string>
 
 #include <prometheus/counter.h>
@@ -23,12 +24,15 @@
     void record_refusal(const std::string& service, int status, const std::string& reason);
     void record_abandoned(const std::string& service);
     void record_attempt(const std::string& service, const std::string& outcome);
+    void set_unusable(std::size_t cold_servers, std::size_t evacuated_domains);
 
 private:
     prometheus::Family<prometheus::Counter>& answers_;
     prometheus::Family<prometheus::Counter>& refusals_;
     prometheus::Family<prometheus::Counter>& abandoned_;
     prometheus::Family<prometheus::Counter>& attempts_;
+    prometheus::Gauge& cold_servers_;
+    prometheus::Gauge& evacuated_domains_;
     prometheus::Family<prometheus::Histogram>& first_byte_seconds_;
     prometheus::Family<prometheus::Histogram>& answer_seconds_;
 };
--- a/src/dotterelport/gateway/service_catalogue.cpp
+++ b/src/dotterelport/gateway/service_catalogue.cpp
@@ -41,7 +41,7 @@
          end = end == 0 ? std::string_view::npos : path.rfind('/', end - 1)) {
         const auto found = host_routes->second.find(std::string(path.substr(0, end + 1)));
         if (found != host_routes->second.end()) {
-            return found->second.services.empty() ? nullptr : &found->second;
+            return found->second->services.empty() ? nullptr : found->second.get();
         }
     }
     return nullptr;
@@ -69,15 +69,20 @@
 }
 
 service_catalogue::builder& service_catalogue::builder::add(route value)
+{
+    return add(std::make_shared<const route>(std::move(value)));
+}
+
+service_catalogue::builder& service_catalogue::builder::add(std::shared_ptr<const route> value)
 {
     ++catalogue_.route_count_;
-    if (value.longest_pause > milliseconds{0}) {
+    if (value->longest_pause > milliseconds{0}) {
         auto& limit = catalogue_.pause_limit_;
         limit =
-            limit > milliseconds{0} ? std::min(limit, value.longest_pause) : value.longest_pause;
+            limit > milliseconds{0} ? std::min(limit, value->longest_pause) : value->longest_pause;
     }
-    auto& host_routes = catalogue_.routes_[normalize_host(value.host)];
-    const std::string prefix = value.path_prefix;
+    auto& host_routes = catalogue_.routes_[normalize_host(value->host)];
+    const std::string prefix = value->path_prefix;
     host_routes.insert_or_assign(prefix, std::move(value));
     return *this;
 }
--- a/src/dotterelport/routing/server_limits.cpp
+++ b/src/dotterelport/routing/server_limits.cpp
@@ -156,6 +156,13 @@
     }
 }
 
+std::size_t server_limits::temporary_count(milliseconds now) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(limits_.begin(), limits_.end(),
+                      [now](const auto& item) { return item.second.temporary_until > now; }));
+}
+
 json server_limits::dump(milliseconds now) const
 {
     json result = json::object();
