Send slow requests that may be repeated to a second server

Operators accept some extra work on the servers if it cuts the slowest answers. A request whose answer does not begin within the 95th percentile of the recent times of its service and size is sent to a second server, if that one is expected to start much earlier, the fleet is not short of capacity and the operators' share (setting second_send_share, default 0) is not used up. The first answer is used, the other attempt is cancelled, and the tokens are charged once.

--- a/include/dotterelport/gateway/attempt_policy.hpp
+++ b/include/dotterelport/gateway/attempt_policy.hpp
@@ -40,6 +40,8 @@
     /// The request's deadline has passed.
     timeout,
     caller_gone,
+    /// Another attempt answered first.
+    superseded,
     /// No further server is available.
     no_server,
     /// All servers that are available limit how many requests they accept.
--- a/include/dotterelport/gateway/events.hpp
+++ b/include/dotterelport/gateway/events.hpp
@@ -146,6 +146,14 @@
     953, severity::info, "evacuation_ended",
     "The backend servers of a failure domain get requests again, at first as few as cold ones."};
 
+inline constexpr log_event second_send{
+    983, severity::info, "second_send",
+    "A request whose answer does not begin within the usual time is sent to a second backend "
+    "server."};
+inline constexpr log_event second_send_answered{
+    984, severity::info, "second_send_answered",
+    "The second backend server answers first; the request is cancelled at the first one."};
+
 } // namespace dotterelport::gateway::events
 
 #endif
--- a/include/dotterelport/gateway/settings.hpp
+++ b/include/dotterelport/gateway/settings.hpp
@@ -36,6 +36,9 @@
     double retry_share = 0.2;
     /// Retries of a service allowed in addition to its retry share, in all gateways together.
     double retry_reserve = 50;
+    /// Second sends of slow requests that may be repeated, per request of a service; 0 switches
+    /// them off.
+    double second_send_share = 0;
     /// Region of each failure domain, for routes and workspaces that are restricted to regions.
     std::map<std::string, std::string> regions;
     /// Operators can evacuate failure domains of this deployment.
--- a/src/dotterelport/ctl/event_catalogue.cpp
+++ b/src/dotterelport/ctl/event_catalogue.cpp
@@ -124,6 +124,8 @@
         gateway::server_cold,
         gateway::domain_evacuated,
         gateway::evacuation_ended,
+        gateway::second_send,
+        gateway::second_send_answered,
         gateway::ledger_step,
         gateway::ledger_copy_unreadable,
         gateway::server_examined,
--- a/src/dotterelport/gateway/attempt_policy.cpp
+++ b/src/dotterelport/gateway/attempt_policy.cpp
@@ -14,7 +14,7 @@
 /// gateway's own network rather than to the servers.
 constexpr std::uint32_t max_failed_connects = 3;
 
-constexpr enum_names<attempt_end, 17> attempt_end_names{{
+constexpr enum_names<attempt_end, 18> attempt_end_names{{
     {attempt_end::answered, "answered"},
     {attempt_end::server_error, "server_error"},
     {attempt_end::server_refused, "server_refused"},
@@ -29,6 +29,7 @@
     {attempt_end::stalled, "stalled"},
     {attempt_end::timeout, "timeout"},
     {attempt_end::caller_gone, "caller_gone"},
+    {attempt_end::superseded, "superseded"},
     {attempt_end::no_server, "no_server"},
     {attempt_end::servers_limited, "servers_limited"},
     {attempt_end::quarantined, "quarantined"},
--- a/src/dotterelport/gateway/forwarding.cpp
+++ b/src/dotterelport/gateway/forwarding.cpp
@@ -188,6 +188,7 @@
         cache_capacity_ = definition->cache_capacity;
     }
     retries().record_first_attempt();
+    context_.second_sends.record_first_send(service_);
 }
 
 request::retry_budget& forwarding::retries() const
@@ -342,21 +343,31 @@
 }
 
 void forwarding::send(const backend_server& server, const routing::placement_choice& choice)
+{
+    start_attempt(attempt_, server, choice);
+    attempt_->exchange =
+        context_.backends.start(std::move(attempt_->call), make_handler(attempt_->id));
+    arm_stall_timer();
+    arm_second_send();
+}
+
+void forwarding::start_attempt(std::optional<attempt>& started, const backend_server& server,
+                               const routing::placement_choice& choice)
 {
     const milliseconds now = steady_now();
-    attempt_ = attempt{};
-    attempt_->id = ++context_.last_attempt;
-    attempt_->server = server.id;
-    attempt_->server_started_ms = server.started_ms;
-    attempt_->sent = now;
-    attempt_->events_before = events_.events();
-    attempt_->held = std::make_unique<net::buffer_share>(context_.buffers);
-    attempt_->unsent = std::make_unique<net::buffer_share>(context_.buffers);
+    started = attempt{};
+    started->id = ++context_.last_attempt;
+    started->server = server.id;
+    started->server_started_ms = server.started_ms;
+    started->sent = now;
+    started->events_before = events_.events();
+    started->held = std::make_unique<net::buffer_share>(context_.buffers);
+    started->unsent = std::make_unique<net::buffer_share>(context_.buffers);
     tried_servers_.push_back(server.id);
     ++sends_;
 
     const auto last_event = events_.last_id() ? events_.last_id() : request_.last_event;
-    net::backend_call call;
+    auto& call = started->call;
     call.to = server.address;
     call.method = exchange_->head().method;
     call.bytes = context_.wire.encode_request(
@@ -367,11 +378,12 @@
          .last_event = last_event,
          .urgency = routing::engine_urgency(request_.prompt_tokens)});
     call.max_idle = route_->may_repeat() ? max_idle_if_repeatable : max_idle_if_not_repeatable;
-    context_.placement.sent(server.id, attempt_->id, placement_request(), cache_capacity_, now);
+    context_.placement.sent(server.id, started->id, placement_request(), cache_capacity_, now);
     context_.peers.add_prompt(server.id, request_.parts);
     context_.crashes.sent(suspects_);
     context_.statements.sent(server.id);
     json fields = log_fields();
+    fields["server"] = server.id;
     fields["send"] = sends_;
     fields["cost_ms"] = choice.cost_ms;
     fields["cached_tokens"] = choice.cached_tokens;
@@ -379,8 +391,6 @@
     fields["time_left_ms"] = time_left().count();
     fields["configuration"] = catalogue_->version();
     log(events::request_sent, fields);
-    attempt_->exchange = context_.backends.start(std::move(call), make_handler(attempt_->id));
-    arm_stall_timer();
 }
 
 net::backend_handler forwarding::make_handler(std::uint64_t attempt_id)
@@ -422,13 +432,17 @@
     }
 }
 
-void forwarding::close_attempt(attempt_end end)
+void forwarding::close_attempt(const attempt& ended, attempt_end end)
 {
     const milliseconds now = steady_now();
     auto& placement = context_.placement;
-    const auto& ended = *attempt_;
     context_.counters.record_attempt(service_, std::string(to_string(end)));
     limit_if_restarted(ended.server, end);
+    const bool is_slow = end == attempt_end::superseded || end == attempt_end::timeout ||
+                         end == attempt_end::stalled;
+    if (is_slow && !ended.has_data) {
+        context_.second_sends.record_start(service_, request_.prompt_tokens, now - ended.sent);
+    }
     switch (end) {
     case attempt_end::answered:
         placement.finished(
@@ -445,6 +459,7 @@
         placement.unreachable(ended.server, ended.id, now);
         break;
     case attempt_end::caller_gone:
+    case attempt_end::superseded:
     case attempt_end::server_refused:
         placement.cancelled(ended.server, ended.id, now);
         break;
@@ -459,6 +474,9 @@
     if (outcome == verdict::may_have_run) {
         may_have_run_ = true;
     }
+    if (fail_over(end)) {
+        return;
+    }
     const verdict request_verdict = may_have_run_ ? verdict::may_have_run : outcome;
     // If the request may be repeated, only this attempt's verdict counts: a server that refused the
     // request has not run it, whatever earlier servers did.
@@ -600,6 +618,8 @@
     }
     context_.loop.cancel(deadline_timer_);
     context_.loop.cancel(stall_timer_);
+    context_.loop.cancel(second_timer_);
+    end_second(attempt_end::superseded);
     settle();
     clear_attempt();
     exchange_->on_disconnect(nullptr);
--- a/src/dotterelport/gateway/forwarding.hpp
+++ b/src/dotterelport/gateway/forwarding.hpp
@@ -18,6 +18,7 @@
 #include "dotterelport/gateway/event_stream.hpp"
 #include "dotterelport/gateway/peer_exchange.hpp"
 #include "dotterelport/gateway/protocol.hpp"
+#include "dotterelport/gateway/second_send.hpp"
 #include "dotterelport/gateway/server_directory.hpp"
 #include "dotterelport/gateway/server_statements.hpp"
 #include "dotterelport/gateway/service_catalogue.hpp"
@@ -51,6 +52,7 @@
     budget_broker& budgets;
     crash_watch& crashes;
     server_statements& statements;
+    second_send_policy& second_sends;
     metrics& counters;
     /// Retry budget of each service.
     std::map<std::string, request::retry_budget>& retries;
@@ -87,6 +89,8 @@
         std::string server;
         /// Start of the server's run.
         std::uint64_t server_started_ms = 0;
+        /// The request to the server, until it is passed to the client.
+        net::backend_call call;
         net::exchange_id exchange = 0;
         milliseconds sent{0};
         std::optional<net::http1_answer_head> head;
@@ -100,6 +104,8 @@
         /// Memory of events that the caller has not read yet.
         std::unique_ptr<net::buffer_share> unsent;
         bool is_streamed = false;
+        /// A part of the answer's body has arrived.
+        bool has_data = false;
         std::uint64_t events_before = 0;
     };
 
@@ -122,6 +128,27 @@
     /// if it may be sent now, and nothing if there is no such server.
     [[nodiscard]] std::optional<milliseconds> time_until_permitted() const;
     void send(const backend_server& server, const routing::placement_choice& choice);
+    /// @brief Sends the request to a server.
+    /// @param started the new attempt
+    void start_attempt(std::optional<attempt>& started, const backend_server& server,
+                       const routing::placement_choice& choice);
+
+    /// @brief Considers a second send if the answer does not begin within the usual time.
+    void arm_second_send();
+    void consider_second_send();
+    /// @brief Handles the second attempt, which is in progress, as if it was the only one.
+    template<typename Function> auto as_only_attempt(Function function);
+    /// @brief Returns whether an attempt receives an answer that the caller may get.
+    [[nodiscard]] static bool is_usable(const attempt& value);
+    /// @brief Continues with the second attempt only, which answers first.
+    void prefer_second();
+    /// @brief Gives up the second attempt.
+    void end_second(attempt_end end);
+    /// @brief Continues with the second attempt after the first has failed.
+    /// @return false if there is no second attempt
+    /// @param end how the first attempt ended
+    bool fail_over(attempt_end end);
+    [[nodiscard]] net::backend_handler make_second_handler(std::uint64_t attempt_id);
     [[nodiscard]] net::backend_handler make_handler(std::uint64_t attempt_id);
 
     bool received_head(const net::http1_answer_head& head);
@@ -145,7 +172,8 @@
     /// @brief Ends the attempt and decides what to do next.
     void attempt_failed(verdict outcome, attempt_end end);
     /// @brief Reports to placement and metrics how the attempt ended.
-    void close_attempt(attempt_end end);
+    void close_attempt(attempt_end end) { close_attempt(*attempt_, end); }
+    void close_attempt(const attempt& ended, attempt_end end);
     /// @brief Limits the requests to a server whose connection failed, if servers of its service
     /// accept few requests after a start: it may have started again.
     void limit_if_restarted(const std::string& server, attempt_end end);
@@ -200,6 +228,9 @@
     /// What of the request may crash servers.
     std::vector<request::suspect> suspects_;
     std::optional<attempt> attempt_;
+    /// A second send, while it is not known which attempt answers first.
+    std::optional<attempt> second_;
+    net::timer_id second_timer_ = 0;
     std::vector<std::string> tried_servers_;
     std::uint32_t sends_ = 0;
     std::uint32_t failed_connects_ = 0;
--- a/src/dotterelport/gateway/forwarding_answer.cpp
+++ b/src/dotterelport/gateway/forwarding_answer.cpp
@@ -112,6 +112,14 @@
 void forwarding::received_data(std::string_view data)
 {
     context_.placement.answered(attempt_->server, attempt_->id, steady_now());
+    if (!attempt_->has_data) {
+        attempt_->has_data = true;
+        context_.second_sends.record_start(service_, request_.prompt_tokens,
+                                           steady_now() - attempt_->sent);
+        if (is_usable(*attempt_)) {
+            end_second(attempt_end::superseded);
+        }
+    }
     if (!attempt_->is_streamed) {
         buffer_body(data);
         return;
@@ -201,6 +209,10 @@
         attempt_failed(verdict::may_have_run, attempt_end::server_error);
         return;
     }
+    if (status >= first_server_error && second_) {
+        attempt_failed(verdict::may_have_run, attempt_end::server_error);
+        return;
+    }
     if (status >= first_server_error && route_->may_repeat() && !exchange_->is_started() &&
         sends_ < route_->max_attempts && time_left() > milliseconds{0} &&
         time_until_permitted() == milliseconds{0} && retries().try_retry()) {
--- a/src/dotterelport/gateway/gateway.cpp
+++ b/src/dotterelport/gateway/gateway.cpp
@@ -58,6 +58,7 @@
     budget_broker broker;
     crash_watch crashes;
     server_statements statements;
+    second_send_policy second_sends;
     process::operators_server operators;
     metrics counters;
     std::map<std::string, request::retry_budget> retries;
@@ -98,6 +99,7 @@
                                                  .budgets = broker,
                                                  .crashes = crashes,
                                                  .statements = statements,
+                                                 .second_sends = second_sends,
                                                  .counters = counters,
                                                  .retries = retries,
                                                  .retry_options = retry_options,
@@ -106,6 +108,7 @@
                                                  .stopping = stopping}
     {
         set_retry_options();
+        second_sends.set_share(configured.second_send_share);
         if (configured.evacuations) {
             servers.evacuations().require_list();
         }
@@ -412,6 +415,8 @@
     state_->current_settings.grace = new_settings.grace;
     state_->current_settings.retry_share = new_settings.retry_share;
     state_->current_settings.retry_reserve = new_settings.retry_reserve;
+    state_->current_settings.second_send_share = new_settings.second_send_share;
+    state_->second_sends.set_share(new_settings.second_send_share);
     state_->set_retry_options();
     log(events::settings_reloaded, {{"grace_ms", new_settings.grace.count()},
                                     {"retry_share", new_settings.retry_share},
@@ -457,6 +462,7 @@
             {"budgets", state_->budgets.dump()},
             {"crashes", state_->crashes.dump()},
             {"limits", state_->statements.dump()},
+            {"second_sends", state_->second_sends.dump()},
             {"evacuations", state_->servers.evacuations().dump()}};
 }
 
--- a/src/dotterelport/gateway/metrics.cpp
+++ b/src/dotterelport/gateway/metrics.cpp
@@ -30,6 +30,10 @@
                     .Name("dotterelport_gateway_attempts_total")
                     .Help("Sends to backend servers, by service and outcome")
                     .Register(registry)),
+      second_sends_(prometheus::BuildCounter()
+                        .Name("dotterelport_gateway_second_sends_total")
+                        .Help("Decisions on second sends of slow requests, by service")
+                        .Register(registry)),
       cold_servers_(prometheus::BuildGauge()
                         .Name("dotterelport_gateway_cold_servers")
                         .Help("Servers that get few requests because they have started recently")
@@ -76,6 +80,11 @@
     attempts_.Add({{"service", service}, {"outcome", outcome}}).Increment();
 }
 
+void metrics::record_second_send(const std::string& service, const std::string& decision)
+{
+    second_sends_.Add({{"service", service}, {"decision", decision}}).Increment();
+}
+
 void metrics::set_unusable(std::size_t cold_servers, std::size_t evacuated_domains)
 {
     cold_servers_.Set(static_cast<double>(cold_servers));
--- a/src/dotterelport/gateway/metrics.hpp
+++ b/src/dotterelport/gateway/metrics.hpp
@@ -24,6 +24,7 @@
     void record_refusal(const std::string& service, int status, const std::string& reason);
     void record_abandoned(const std::string& service);
     void record_attempt(const std::string& service, const std::string& outcome);
+    void record_second_send(const std::string& service, const std::string& decision);
     void set_unusable(std::size_t cold_servers, std::size_t evacuated_domains);
 
 private:
@@ -31,6 +32,7 @@
     prometheus::Family<prometheus::Counter>& refusals_;
     prometheus::Family<prometheus::Counter>& abandoned_;
     prometheus::Family<prometheus::Counter>& attempts_;
+    prometheus::Family<prometheus::Counter>& second_sends_;
     prometheus::Gauge& cold_servers_;
     prometheus::Gauge& evacuated_domains_;
     prometheus::Family<prometheus::Histogram>& first_byte_seconds_;
--- a/src/dotterelport/gateway/settings.cpp
+++ b/src/dotterelport/gateway/settings.cpp
@@ -28,6 +28,7 @@
             "grace_s": {"type": "number", "exclusiveMinimum": 0},
             "retry_share": {"type": "number", "minimum": 0},
             "retry_reserve": {"type": "number", "minimum": 0},
+            "second_send_share": {"type": "number", "minimum": 0, "maximum": 0.2},
             "regions": {"type": "object", "additionalProperties": {"type": "string"}},
             "evacuations": {"type": "boolean"}
         }
@@ -75,6 +76,7 @@
     result.grace = milliseconds{std::llround(grace_s * ms_per_s)};
     result.retry_share = document.value("retry_share", result.retry_share);
     result.retry_reserve = document.value("retry_reserve", result.retry_reserve);
+    result.second_send_share = document.value("second_send_share", result.second_send_share);
     result.regions = document.value("regions", result.regions);
     result.evacuations = document.value("evacuations", result.evacuations);
     return result;
