Count the stated slowdown of a server in its expected time

Servers state in X-Server-Load how long work takes on their VM at this moment, and placement ignored it: prompts waited at engines that were known to be slow. The figure now multiplies the expected time at the server. It fades to the server's average figure with its age, because it changes about every 600 ms at an unknown time; work that lasts longer than the period counts at the average figure after it. The learnt times of requests are without the slowdown, so that it is not counted twice. Servers that state no figure are chosen as before.

--- a/include/dotterelport/routing/load_view.hpp
+++ b/include/dotterelport/routing/load_view.hpp
@@ -60,12 +60,30 @@
     /// Time after the end of an ejection during which interactive requests avoid the server, so
     /// that a request of a lower class probes it first if there is any.
     milliseconds probe_patience{3'000};
+    /// Time after which a stated slowdown has certainly changed: servers draw a new figure about
+    /// every 600 ms.
+    milliseconds slowdown_period{600};
+    /// Time constant of the average of a server's stated slowdowns.
+    milliseconds usual_slowdown_time{6'000};
     /// Time without failures after which a server's earlier ejections are no longer counted. Until
     /// then each ejection lasts twice as long as the previous one, so that a flapping server gets
     /// few requests.
     milliseconds ejection_memory{60'000};
 };
 
+/// How slow a server states to be. The figure changes about once a period, at an unknown time, and
+/// then the usual figure is the best estimate.
+struct slowdown_estimate {
+    double stated = 1;
+    /// Average of the figures that the server has stated.
+    double usual = 1;
+    milliseconds age{0};
+    milliseconds period{600};
+
+    /// @brief Expected time for work that would take `work_ms` on a server with the figure 1.
+    [[nodiscard]] double expected_ms(double work_ms) const;
+};
+
 /// Estimated load and health of a backend server at a point in time.
 struct load_estimate {
     /// Estimated number of requests that run or wait at the server.
@@ -83,6 +101,9 @@
     /// Weight of the reported load, from 0 to 1. It decays with the report's age relative to the
     /// duration of a request, because the reported requests end in the meantime.
     double trust = 0;
+    /// How slow the server states to be; nothing if it does not state it. The times below are
+    /// without it.
+    std::optional<slowdown_estimate> slowdown;
     /// Moving average of the milliseconds per token or call; 0 if unknown.
     double ms_per_unit = 0;
     /// Moving average of the milliseconds from sending a request to its end; 0 if unknown.
@@ -147,6 +168,13 @@
     struct server_state {
         std::optional<load_report> report;
         milliseconds reported_at{0};
+        /// Last stated slowdown; nothing if the server states none.
+        std::optional<double> slowdown;
+        milliseconds slowdown_at{0};
+        /// Average of the stated slowdowns over time. Starts at 1, the usual time by definition:
+        /// starting at the first figure would keep a server that is slow at that moment from the
+        /// requests whose answers would correct it.
+        double usual_slowdown = 1;
         std::map<std::uint64_t, request_state> in_flight;
         /// Ended requests that the last report may still include.
         std::deque<ended_request> ended_requests;
@@ -161,6 +189,12 @@
         milliseconds last_response{0};
     };
 
+    void record_slowdown(server_state& server, double slowdown, milliseconds now) const;
+    /// @brief Slowdown of a server, with a figure of the given age; nothing if it states none.
+    [[nodiscard]] std::optional<slowdown_estimate> slowdown(const server_state& server,
+                                                            milliseconds age) const;
+    /// @brief Time without the slowdown for work that has just ended after `elapsed`.
+    [[nodiscard]] double usual_ms(const server_state& server, milliseconds elapsed) const;
     std::optional<request_state> remove(server_state& server, std::uint64_t id, milliseconds now);
     [[nodiscard]] const server_state* find(const std::string& server) const;
 
--- /dev/null
+++ b/src/dotterelport/routing/fleet_replay_test.cpp
@@ -0,0 +1,209 @@
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <cmath>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <numeric>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "dotterelport/base/hash.hpp"
+#include "dotterelport/routing/placement.hpp"
+
+namespace dotterelport::routing {
+namespace {
+
+using namespace std::chrono_literals;
+
+/// Load that a fleet of gateways sends to model engines whose speed changes.
+struct replay_load {
+    std::size_t gateways = 25;
+    std::size_t engines = 24;
+    milliseconds duration{8'000};
+    double requests_per_ms = 0.2;
+    /// Interval at which all gateways receive the same reports, and each other's loads.
+    milliseconds view_interval{100};
+    double slow_share = 0.15;
+    double slow_factor = 2.5;
+    milliseconds slow_period{600};
+    bool states_slowdown = true;
+};
+
+struct replay_result {
+    double mean_ms = 0;
+    double slowest_tenth_ms = 0;
+    /// Hash of all chosen servers and their costs.
+    std::uint64_t digest = 0;
+};
+
+/// Replays a load in steps of 1 ms. An engine prefills one prompt at a time.
+class fleet_replay {
+public:
+    explicit fleet_replay(const replay_load& load) : load_(load), engines_(load.engines)
+    {
+        for (std::size_t i = 0; i < load.engines; ++i) {
+            candidates_.push_back(
+                {.server = "engine-" + std::to_string(i), .failure_domain = "a", .capacity = 96});
+        }
+        for (std::size_t i = 0; i < load.gateways; ++i) {
+            gateways_.push_back(std::make_unique<placement>(placement_settings{}));
+        }
+    }
+
+    replay_result run()
+    {
+        for (; now_ < load_.duration; now_ += 1ms) {
+            work();
+            if (now_.count() % load_.view_interval.count() == 0) {
+                share_views();
+            }
+            constexpr double steps = 10'000;
+            if (static_cast<double>(random_() % 10'000) < load_.requests_per_ms * steps) {
+                send();
+            }
+        }
+        std::sort(times_ms_.begin(), times_ms_.end());
+        const auto mean = [](auto first, auto last) {
+            return std::accumulate(first, last, 0.0) / static_cast<double>(last - first);
+        };
+        const auto tenth = static_cast<std::ptrdiff_t>(times_ms_.size() / 10);
+        return {.mean_ms = mean(times_ms_.begin(), times_ms_.end()),
+                .slowest_tenth_ms = mean(times_ms_.end() - tenth, times_ms_.end()),
+                .digest = digest_};
+    }
+
+private:
+    struct job {
+        std::uint64_t id = 0;
+        std::size_t gateway = 0;
+        milliseconds sent{0};
+        double prefill_ms = 0;
+        double output_ms = 300;
+    };
+
+    struct engine {
+        std::vector<job> waiting;
+        std::vector<job> running;
+    };
+
+    [[nodiscard]] double factor(std::size_t index) const
+    {
+        const std::string& name = candidates_[index].server;
+        const auto phase = static_cast<std::int64_t>(hash64(name) % 600);
+        const auto period =
+            static_cast<std::uint64_t>((now_.count() + phase) / load_.slow_period.count());
+        constexpr double steps = 1'000;
+        const bool is_slow =
+            static_cast<double>(hash64(name, period + 1) % 1'000) < load_.slow_share * steps;
+        return is_slow ? load_.slow_factor : 1.0;
+    }
+
+    void work()
+    {
+        for (std::size_t i = 0; i < engines_.size(); ++i) {
+            auto& [waiting, running] = engines_[i];
+            const double done_ms = 1 / factor(i);
+            if (!waiting.empty() && (waiting.front().prefill_ms -= done_ms) <= 0) {
+                const job answered = waiting.front();
+                waiting.erase(waiting.begin());
+                running.push_back(answered);
+                times_ms_.push_back(static_cast<double>((now_ - answered.sent).count()));
+                gateways_[answered.gateway]->answered(candidates_[i].server, answered.id, now_);
+            }
+            std::erase_if(running, [&, i = i](job& item) {
+                item.output_ms -= done_ms;
+                if (item.output_ms > 0) {
+                    return false;
+                }
+                gateways_[item.gateway]->finished(candidates_[i].server, item.id, 30, now_);
+                return true;
+            });
+        }
+    }
+
+    void share_views()
+    {
+        for (std::size_t i = 0; i < gateways_.size(); ++i) {
+            const auto shares = gateways_[i]->own_load_shares(now_);
+            for (std::size_t other = 0; other < gateways_.size(); ++other) {
+                if (other != i) {
+                    gateways_[other]->record_peer_load_shares(std::to_string(i), shares, now_);
+                }
+            }
+            for (std::size_t server = 0; server < engines_.size(); ++server) {
+                const auto& state = engines_[server];
+                load_report report{.running = static_cast<double>(state.running.size()),
+                                   .waiting = static_cast<double>(state.waiting.size()),
+                                   .capacity = 96};
+                if (load_.states_slowdown) {
+                    report.slowdown = factor(server);
+                }
+                gateways_[i]->record_report(candidates_[server].server, report, now_);
+            }
+        }
+    }
+
+    void send()
+    {
+        const std::size_t gateway = random_() % gateways_.size();
+        // Most prompts are short, and the long ones take most of the time.
+        const tokens prompt_tokens = random_() % 4 == 0 ? 6'000 : 500;
+        const std::vector<prompt_part> parts{{.id = 1'000 + ++last_id_, .size = prompt_tokens}};
+        const placement_request request{
+            .parts = parts, .prompt_tokens = prompt_tokens, .failure_domain = "a"};
+        auto& chooser = *gateways_[gateway];
+        const auto choice = chooser.choose(request, candidates_, now_);
+        REQUIRE(choice);
+        constexpr double digits = 1e6;
+        digest_ = hash64(choice->server + std::to_string(std::llround(choice->cost_ms * digits)),
+                         digest_);
+        const auto server = static_cast<std::size_t>(
+            std::find_if(candidates_.begin(), candidates_.end(),
+                         [&](const auto& item) { return item.server == choice->server; }) -
+            candidates_.begin());
+        chooser.sent(choice->server, last_id_, request, 0, now_);
+        engines_[server].waiting.push_back(
+            {.id = last_id_,
+             .gateway = gateway,
+             .sent = now_,
+             .prefill_ms =
+                 static_cast<double>(prompt_tokens) / placement_settings{}.prefill_tokens_per_ms});
+    }
+
+    replay_load load_;
+    std::vector<placement_candidate> candidates_;
+    std::vector<engine> engines_;
+    std::vector<std::unique_ptr<placement>> gateways_;
+    std::mt19937_64 random_{7};
+    std::uint64_t last_id_ = 0;
+    milliseconds now_{0};
+    std::vector<double> times_ms_;
+    std::uint64_t digest_ = 0;
+};
+
+// Guards against choices that ignore the stated slowdown: prompts wait at engines that are known to
+// be slow at this moment.
+TEST_CASE("Engines of which 15 % are 2.5 times slower for 600 ms get fewer requests meanwhile")
+{
+    replay_load load{.gateways = 1, .states_slowdown = false};
+    const replay_result before = fleet_replay(load).run();
+    load.states_slowdown = true;
+    const replay_result after = fleet_replay(load).run();
+    CHECK(after.mean_ms < 0.9 * before.mean_ms);
+    CHECK(after.slowest_tenth_ms < 0.9 * before.slowest_tenth_ms);
+}
+
+// Guards against changes to deployments whose servers send three figures. The digest is that of the
+// choices before servers stated a fourth figure; costs are compared to a millionth of a
+// millisecond, since the last bits differ between processors.
+TEST_CASE("Choices and costs for servers that state no slowdown are the same as before")
+{
+    CHECK(fleet_replay({.states_slowdown = false}).run().digest == 6597270310021279442U);
+}
+
+} // namespace
+} // namespace dotterelport::routing
--- a/src/dotterelport/routing/load_view.cpp
+++ b/src/dotterelport/routing/load_view.cpp
@@ -35,6 +35,20 @@
     return name_of(availability_names, server_availability);
 }
 
+double slowdown_estimate::expected_ms(double work_ms) const
+{
+    if (age >= period) {
+        return work_ms * usual;
+    }
+    // The report is equally likely to arrive at any time of the period. If the figure has not
+    // changed since, half of the remaining time of the period is left on average.
+    const double unchanged = 1 - in_ms(age) / in_ms(period);
+    const double remaining_ms = in_ms(period - age) / 2;
+    const double work_in_period_ms = std::min(work_ms, remaining_ms / stated);
+    const double if_unchanged = work_in_period_ms * stated + (work_ms - work_in_period_ms) * usual;
+    return unchanged * if_unchanged + (1 - unchanged) * work_ms * usual;
+}
+
 load_report parse_load_report(const json& fields)
 {
     const load_report defaults;
@@ -58,12 +72,51 @@
     server_state& state = servers_[server];
     state.report = report;
     state.reported_at = now;
+    if (report.slowdown) {
+        record_slowdown(state, *report.slowdown, now);
+    }
     const milliseconds measured_at = now - settings_.report_lag;
     std::erase_if(state.ended_requests, [measured_at](const ended_request& item) {
         return item.ended_at <= measured_at;
     });
 }
 
+void load_view::record_slowdown(server_state& server, double slowdown, milliseconds now) const
+{
+    // A figure says nothing about the time before its period. Weighting by time keeps the average
+    // independent of how many requests the server answers while it is fast.
+    const milliseconds covered = server.slowdown
+                                     ? std::min(now - server.slowdown_at, settings_.slowdown_period)
+                                     : settings_.slowdown_period;
+    const double weight = 1 - std::exp(-in_ms(covered) / in_ms(settings_.usual_slowdown_time));
+    server.usual_slowdown += weight * (slowdown - server.usual_slowdown);
+    server.slowdown = slowdown;
+    server.slowdown_at = now;
+}
+
+std::optional<slowdown_estimate> load_view::slowdown(const server_state& server,
+                                                     milliseconds age) const
+{
+    if (!server.slowdown) {
+        return std::nullopt;
+    }
+    return slowdown_estimate{.stated = *server.slowdown,
+                             .usual = server.usual_slowdown,
+                             .age = age,
+                             .period = settings_.slowdown_period};
+}
+
+double load_view::usual_ms(const server_state& server, milliseconds elapsed) const
+{
+    const double elapsed_ms = in_ms(elapsed);
+    if (!server.slowdown) {
+        return elapsed_ms;
+    }
+    // The figure at the end holds for half a period on average, and the usual one before.
+    const double recent_ms = std::min(elapsed_ms, in_ms(settings_.slowdown_period) / 2);
+    return recent_ms / *server.slowdown + (elapsed_ms - recent_ms) / server.usual_slowdown;
+}
+
 void load_view::sent(const std::string& server, std::uint64_t id, milliseconds now, double prefill)
 {
     server_state& state = servers_[server];
@@ -112,11 +165,13 @@
     if (!ended || units <= 0) {
         return;
     }
-    state.duration_ms = average(state.duration_ms, std::max(1.0, in_ms(now - ended->sent_at)));
+    state.duration_ms =
+        average(state.duration_ms, std::max(1.0, usual_ms(state, now - ended->sent_at)));
     // The time between tokens shows the server's speed without the time in its queue.
     const milliseconds begin =
         units > 1 ? ended->answered_at.value_or(ended->sent_at) : ended->sent_at;
-    state.ms_per_unit = average(state.ms_per_unit, std::max(0.1, in_ms(now - begin) / units));
+    state.ms_per_unit =
+        average(state.ms_per_unit, std::max(0.1, usual_ms(state, now - begin) / units));
 }
 
 void load_view::failed(const std::string& server, std::uint64_t id, milliseconds now)
@@ -160,6 +215,7 @@
     result.ms_per_unit = state->ms_per_unit;
     result.duration_ms = state->duration_ms;
     result.last_sent = state->last_sent;
+    result.slowdown = slowdown(*state, now - state->slowdown_at);
     for (const auto& [id, item] : state->in_flight) {
         if (!item.answered_at) {
             result.unresponsive =
@@ -226,14 +282,17 @@
     json result = json::object();
     for (const auto& [name, state] : servers_) {
         const load_estimate server_load = estimate(name, now);
-        result[name] = {{"load", server_load.load},
-                        {"capacity", server_load.capacity},
-                        {"own", server_load.own},
-                        {"report_age_ms",
-                         server_load.report_age ? json(server_load.report_age->count()) : json()},
-                        {"ms_per_unit", server_load.ms_per_unit},
-                        {"available", to_string(available(name, now))},
-                        {"ejections", state.ejections}};
+        result[name] = {
+            {"load", server_load.load},
+            {"capacity", server_load.capacity},
+            {"own", server_load.own},
+            {"report_age_ms",
+             server_load.report_age ? json(server_load.report_age->count()) : json()},
+            {"ms_per_unit", server_load.ms_per_unit},
+            {"slowdown", state.slowdown ? json(server_load.slowdown->expected_ms(1)) : json()},
+            {"usual_slowdown", state.slowdown ? json(state.usual_slowdown) : json()},
+            {"available", to_string(available(name, now))},
+            {"ejections", state.ejections}};
     }
     return result;
 }
--- a/src/dotterelport/routing/load_view_test.cpp
+++ b/src/dotterelport/routing/load_view_test.cpp
@@ -151,5 +151,41 @@
     CHECK_FALSE(server_balancer.choose({}, {}, 0ms));
 }
 
+// Guards against avoiding a server for long after a figure that changes every 600 ms: the older the
+// figure, the closer the expected time is to that of the server's usual figure.
+TEST_CASE("A stated slowdown multiplies the expected time and fades to the usual figure")
+{
+    load_view loads;
+    CHECK_FALSE(loads.estimate("a", 0ms).slowdown);
+    loads.record_report("a", {.running = 1}, 0ms);
+    CHECK_FALSE(loads.estimate("a", 0ms).slowdown);
+    loads.record_report("a", {.running = 1, .slowdown = 1.0}, 0ms);
+    loads.record_report("a", {.running = 1, .slowdown = 2.5}, 100ms);
+    const auto expected_ms = [&](milliseconds now, double work_ms) {
+        return loads.estimate("a", now).slowdown->expected_ms(work_ms);
+    };
+    CHECK(expected_ms(100ms, 100) == Approx(250));
+    CHECK(expected_ms(400ms, 50) == Approx(0.5 * 125 + 0.5 * 50).epsilon(0.03));
+    CHECK(expected_ms(900ms, 100) == Approx(100).epsilon(0.05));
+    // Work that takes longer than the period is slow only until the figure changes.
+    CHECK(expected_ms(100ms, 1'000) < 1'300);
+}
+
+// Guards against treating a server as slow for good that has always stated the same high figure,
+// and against forgetting its usual speed once its reports are old.
+TEST_CASE("A usual slowdown is learnt from the figures that a server states over time")
+{
+    load_view loads;
+    for (auto now = 0ms; now < 30s; now += 200ms) {
+        loads.record_report("a", {.running = 1, .slowdown = 2.0}, now);
+        loads.sent("a", 1, now);
+        loads.finished("a", 1, 1, now + 100ms);
+    }
+    const load_estimate estimate = loads.estimate("a", 60s);
+    CHECK(estimate.slowdown->expected_ms(100) == Approx(200).epsilon(0.02));
+    // The learnt times of requests are without it, so that it is not counted twice.
+    CHECK(estimate.duration_ms == Approx(50).epsilon(0.02));
+}
+
 } // namespace
 } // namespace dotterelport::routing
--- a/src/dotterelport/routing/placement.cpp
+++ b/src/dotterelport/routing/placement.cpp
@@ -200,6 +200,11 @@
         result += load.duration_ms * (1.0 - median_ms_per_unit / load.ms_per_unit);
         result *= load.ms_per_unit / median_ms_per_unit;
     }
+    if (load.slowdown) {
+        // A call's own work takes longer too, so slow servers differ even if they are idle.
+        const double own_ms = request.prompt_tokens == 0 ? load.duration_ms : 0.0;
+        result = std::max(0.0, load.slowdown->expected_ms(result + own_ms) - own_ms);
+    }
     result = std::max(result, in_ms(load.unresponsive));
     result += settings_.failure_ms * failure_share(candidate.server, now);
     if (candidate.failure_domain != request.failure_domain) {
