Keep model engines from exceeding their memory

An engine crashes if the prompts and outputs that it holds exceed its memory in tokens. Placement only counted time, so prompts with a large cached part all went to the engine that has the part. The gateway now counts what its own requests hold at each engine and passes the number on in load messages; messages without it are accepted. An engine that a request certainly pushes beyond its memory is not chosen, and one that would be used beyond 80 % only if no other is left that is not ejected, the least used first. If none is left, the request is refused as not run (engines_full, event 970). The guard applies to engines that state their slowdown.

The memory that another gateway's requests hold counts for 2 s after its last message instead of 0.4 s: an engine that is believed empty by mistake crashes.

--- a/include/dotterelport/gateway/attempt_policy.hpp
+++ b/include/dotterelport/gateway/attempt_policy.hpp
@@ -44,6 +44,8 @@
     no_server,
     /// All servers that are available limit how many requests they accept.
     servers_limited,
+    /// The requests that run on the model engines leave none of them enough memory for this one.
+    engines_full,
     /// The request has a part, or a content, that crashes servers.
     quarantined,
 };
--- a/include/dotterelport/gateway/events.hpp
+++ b/include/dotterelport/gateway/events.hpp
@@ -146,6 +146,11 @@
     953, severity::info, "evacuation_ended",
     "The backend servers of a failure domain get requests again, at first as few as cold ones."};
 
+inline constexpr log_event engines_full{
+    970, severity::warning, "engines_full",
+    "A request was refused because the requests that run on the model engines leave none of them "
+    "enough memory for it."};
+
 } // namespace dotterelport::gateway::events
 
 #endif
--- a/include/dotterelport/routing/load_view.hpp
+++ b/include/dotterelport/routing/load_view.hpp
@@ -12,6 +12,7 @@
 
 #include "dotterelport/base/clock.hpp"
 #include "dotterelport/base/json.hpp"
+#include "dotterelport/base/tokens.hpp"
 
 namespace dotterelport::routing {
 
@@ -110,6 +111,9 @@
     double duration_ms = 0;
     /// Uncached prompt tokens of this router's unanswered requests.
     double pending_prefill_tokens = 0;
+    /// Memory that this router's requests hold at the server: their prompts and their output so
+    /// far.
+    tokens held = 0;
     /// Time at which this router last sent a request to the server.
     std::optional<milliseconds> last_sent;
     /// Longest time that an unanswered request of this router has waited since it was sent or since
@@ -127,7 +131,12 @@
     /// @brief Records that a request is sent.
     /// @param id number that is unique among this router's requests
     /// @param prefill prompt tokens that are estimated not to be cached at the server
-    void sent(const std::string& server, std::uint64_t id, milliseconds now, double prefill = 0);
+    /// @param prompt all prompt tokens
+    void sent(const std::string& server, std::uint64_t id, milliseconds now, double prefill = 0,
+              tokens prompt = 0);
+
+    /// @brief Records how much output a request has received so far.
+    void produced(const std::string& server, std::uint64_t id, tokens output);
 
     /// @brief Records the first token or byte of an answer.
     void answered(const std::string& server, std::uint64_t id, milliseconds now);
@@ -158,6 +167,8 @@
         milliseconds sent_at{0};
         std::optional<milliseconds> answered_at;
         double prefill = 0;
+        tokens prompt = 0;
+        tokens output = 0;
     };
 
     struct ended_request {
--- a/include/dotterelport/routing/placement.hpp
+++ b/include/dotterelport/routing/placement.hpp
@@ -25,6 +25,9 @@
     std::size_t capacity = 1;
     /// The server limits how many requests it accepts, whatever their size.
     bool rate_limited = false;
+    /// Model engines only: tokens that its requests may hold together; it crashes beyond. 0 if this
+    /// is not limited.
+    tokens memory = 0;
 };
 
 /// Properties of a request that decide which backend server suits it.
@@ -32,6 +35,7 @@
     /// Parts of the prompt; empty for requests without one.
     std::span<const prompt_part> parts = {};
     tokens prompt_tokens = 0;
+    tokens max_output_tokens = 0;
     /// Failure domain of the router.
     std::string_view failure_domain = {};
     /// Longest acceptable pause between two events of the streams that run on the same server; 0 if
@@ -84,6 +88,12 @@
     milliseconds report_decay_time{600};
     /// Time after which the shares received from another router are ignored.
     milliseconds peer_load_timeout{400};
+    /// Time after which also the memory is ignored that another router's requests hold. Longer,
+    /// because streams run for seconds, and an engine that is believed empty by mistake crashes.
+    milliseconds peer_memory_timeout{2'000};
+    /// Share of an engine's memory beyond which it is avoided. The remainder is for the output of
+    /// the requests that run and for those that other routers have sent since their last message.
+    double safe_memory_share = 0.8;
     load_settings load = default_load();
 
     /// @brief Load settings for servers that report only with their answers.
@@ -96,6 +106,8 @@
     /// Prompt tokens that the server has yet to prefill.
     double pending_prefill_tokens = 0;
     double running = 0;
+    /// Prompts and output so far of the requests that run or wait.
+    double held_tokens = 0;
 };
 
 /// A chosen server and what the choice was based on.
@@ -120,7 +132,8 @@
 public:
     explicit placement(const placement_settings& settings = {});
 
-    /// @return nothing if there are no candidates or all are excluded
+    /// @return nothing if there are no candidates, or if all are excluded or have too little memory
+    /// left for the request
     [[nodiscard]] std::optional<placement_choice>
     choose(const placement_request& request, std::span<const placement_candidate> candidates,
            milliseconds now) const;
@@ -132,6 +145,8 @@
     void sent(const std::string& server, std::uint64_t id, const placement_request& request,
               tokens cache_capacity, milliseconds now);
     void answered(const std::string& server, std::uint64_t id, milliseconds now);
+    /// @brief Records how much output a request has received so far.
+    void produced(const std::string& server, std::uint64_t id, tokens output);
     /// @param units events of a stream, or 1 for another answer
     void finished(const std::string& server, std::uint64_t id, double units, milliseconds now);
     void failed(const std::string& server, std::uint64_t id, milliseconds now);
@@ -175,6 +190,11 @@
     void add_up_peer_loads(milliseconds now) const;
     /// @brief Result of the last add_up_peer_loads() for a server.
     [[nodiscard]] load_share peer_load_share(const std::string& server) const;
+    /// @brief Share of the candidate's memory that would be in use with the request's prompt and an
+    /// output of the given size; 0 if its memory is not limited or it states no slowdown.
+    [[nodiscard]] double memory_share(const placement_request& request,
+                                      const placement_candidate& candidate,
+                                      const load_estimate& load, tokens output) const;
     [[nodiscard]] double failure_share(const std::string& server, milliseconds now) const;
     void record_result(const std::string& server, bool failed, milliseconds now);
     [[nodiscard]] double stream_delay_cost(const placement_request& request, double uncached,
--- a/src/dotterelport/ctl/event_catalogue.cpp
+++ b/src/dotterelport/ctl/event_catalogue.cpp
@@ -124,6 +124,7 @@
         gateway::server_cold,
         gateway::domain_evacuated,
         gateway::evacuation_ended,
+        gateway::engines_full,
         gateway::ledger_step,
         gateway::ledger_copy_unreadable,
         gateway::server_examined,
--- a/src/dotterelport/gateway/attempt_policy.cpp
+++ b/src/dotterelport/gateway/attempt_policy.cpp
@@ -14,7 +14,7 @@
 /// gateway's own network rather than to the servers.
 constexpr std::uint32_t max_failed_connects = 3;
 
-constexpr enum_names<attempt_end, 17> attempt_end_names{{
+constexpr enum_names<attempt_end, 18> attempt_end_names{{
     {attempt_end::answered, "answered"},
     {attempt_end::server_error, "server_error"},
     {attempt_end::server_refused, "server_refused"},
@@ -31,15 +31,16 @@
     {attempt_end::caller_gone, "caller_gone"},
     {attempt_end::no_server, "no_server"},
     {attempt_end::servers_limited, "servers_limited"},
+    {attempt_end::engines_full, "engines_full"},
     {attempt_end::quarantined, "quarantined"},
 }};
 
 bool may_send_again(const attempt_report& report, request::retry_budget& retries)
 {
     if (report.end == attempt_end::timeout || report.end == attempt_end::no_server ||
-        report.end == attempt_end::servers_limited || report.end == attempt_end::quarantined ||
-        report.time_left < min_time_for_retry || report.sends >= report.max_sends ||
-        report.failed_connects >= max_failed_connects ||
+        report.end == attempt_end::servers_limited || report.end == attempt_end::engines_full ||
+        report.end == attempt_end::quarantined || report.time_left < min_time_for_retry ||
+        report.sends >= report.max_sends || report.failed_connects >= max_failed_connects ||
         !may_retry(report.outcome, report.may_repeat)) {
         return false;
     }
--- a/src/dotterelport/gateway/decisions_test.cpp
+++ b/src/dotterelport/gateway/decisions_test.cpp
@@ -5,6 +5,7 @@
 #include "dotterelport/base/error.hpp"
 #include "dotterelport/gateway/attempt_policy.hpp"
 #include "dotterelport/gateway/event_stream.hpp"
+#include "dotterelport/gateway/peer_exchange.hpp"
 #include "dotterelport/gateway/server_directory.hpp"
 #include "dotterelport/gateway/service_catalogue.hpp"
 #include "dotterelport/gateway/settings.hpp"
@@ -366,5 +367,32 @@
     CHECK(may_leave(order, order.received + after, is_idle, is_last) == leaves);
 }
 
+// Guards against ignoring the loads of gateways of the previous release while a fleet is updated.
+TEST_CASE("Load messages with and without the memory that requests hold are accepted")
+{
+    const json earlier = json::parse(R"([[["engine-0", 9000, 2]], []])");
+    const auto without = parse_load_message(earlier).shares.at(0);
+    CHECK(without.pending_prefill_tokens == 9'000);
+    CHECK(without.running == 2);
+    CHECK(without.held_tokens == 0);
+    const load_message message{.shares = {{"engine-0", 9'000, 2, 18'500}}, .prompts = {}};
+    CHECK(parse_load_message(to_json(message)).shares.at(0).held_tokens == 18'500);
+}
+
+// Guards against sending a request again and again, and against an unclear answer for a request
+// that no server has got, while all engines are full.
+TEST_CASE("A request for which no engine has memory left is refused as not run")
+{
+    request::retry_budget retries(request::retry_budget::options{});
+    const auto decision = decide_after_attempt({.outcome = verdict::not_run,
+                                                .may_repeat = true,
+                                                .max_sends = 3,
+                                                .time_left = 2s,
+                                                .end = attempt_end::engines_full},
+                                               retries);
+    CHECK(std::holds_alternative<refuse_not_run>(decision));
+    CHECK(to_string(attempt_end::engines_full) == "engines_full");
+}
+
 } // namespace
 } // namespace dotterelport::gateway
--- a/src/dotterelport/gateway/forwarding.cpp
+++ b/src/dotterelport/gateway/forwarding.cpp
@@ -262,6 +262,7 @@
 {
     return {.parts = request_.parts,
             .prompt_tokens = request_.prompt_tokens,
+            .max_output_tokens = request_.max_output_tokens,
             .failure_domain = context_.failure_domain,
             .pause_limit = catalogue_->pause_limit(),
             .excluded = excluded};
@@ -306,7 +307,8 @@
         candidates.push_back({.server = server->id,
                               .failure_domain = server->failure_domain,
                               .capacity = server->capacity,
-                              .rate_limited = context_.statements.is_limited(server->id)});
+                              .rate_limited = context_.statements.is_limited(server->id),
+                              .memory = cache_capacity_});
         // Limited servers stay candidates, so that the servers preferred for a prompt do not change
         // with each permit.
         if (context_.statements.time_until_permitted(server->id) > milliseconds{0}) {
@@ -334,8 +336,16 @@
     const auto choice = choose_server();
     const backend_server* server = choice ? context_.servers.find(choice->server) : nullptr;
     if (server == nullptr) {
+        // If a server is left that permits the request, placement has found too little memory.
+        const bool are_full = !choice && time_until_permitted().has_value();
+        if (are_full) {
+            json fields = log_fields();
+            fields["prompt_tokens"] = request_.prompt_tokens;
+            fields["memory_tokens"] = cache_capacity_;
+            log(events::engines_full, fields);
+        }
         attempt_failed(may_have_run_ ? verdict::may_have_run : verdict::not_run,
-                       attempt_end::no_server);
+                       are_full ? attempt_end::engines_full : attempt_end::no_server);
         return;
     }
     send(*server, *choice);
--- a/src/dotterelport/gateway/forwarding_answer.cpp
+++ b/src/dotterelport/gateway/forwarding_answer.cpp
@@ -120,6 +120,7 @@
     write_events(events_.append(data));
     if (events_.events() > events_before) {
         last_progress_ = steady_now();
+        context_.placement.produced(attempt_->server, attempt_->id, delivered_tokens());
     }
     if (events_.is_overlong() || !attempt_->held->resize(events_.incomplete_bytes())) {
         context_.backends.cancel(attempt_->exchange);
--- a/src/dotterelport/gateway/peer_exchange.cpp
+++ b/src/dotterelport/gateway/peer_exchange.cpp
@@ -18,7 +18,7 @@
     json shares = json::array();
     for (const auto& share : message.shares) {
         shares.push_back({share.server, std::llround(share.pending_prefill_tokens),
-                          std::llround(share.running)});
+                          std::llround(share.running), std::llround(share.held_tokens)});
     }
     json prompts = json::array();
     for (const auto& prompt : message.prompts) {
@@ -38,7 +38,9 @@
     for (const auto& item : document.at(0)) {
         result.shares.push_back({.server = item.at(0).get<std::string>(),
                                  .pending_prefill_tokens = item.at(1).get<double>(),
-                                 .running = item.at(2).get<double>()});
+                                 .running = item.at(2).get<double>(),
+                                 // Absent in messages of gateways of earlier releases.
+                                 .held_tokens = item.size() > 3 ? item.at(3).get<double>() : 0});
     }
     for (const auto& item : document.at(1)) {
         sent_prompt prompt{.server = item.at(0).get<std::string>(), .parts = {}};
--- a/src/dotterelport/routing/load_view.cpp
+++ b/src/dotterelport/routing/load_view.cpp
@@ -117,11 +117,25 @@
     return recent_ms / *server.slowdown + (elapsed_ms - recent_ms) / server.usual_slowdown;
 }
 
-void load_view::sent(const std::string& server, std::uint64_t id, milliseconds now, double prefill)
+void load_view::sent(const std::string& server, std::uint64_t id, milliseconds now, double prefill,
+                     tokens prompt)
 {
     server_state& state = servers_[server];
     state.last_sent = now;
-    state.in_flight[id] = {.sent_at = now, .answered_at = std::nullopt, .prefill = prefill};
+    state.in_flight[id] = {
+        .sent_at = now, .answered_at = std::nullopt, .prefill = prefill, .prompt = prompt};
+}
+
+void load_view::produced(const std::string& server, std::uint64_t id, tokens output)
+{
+    const auto state = servers_.find(server);
+    if (state == servers_.end()) {
+        return;
+    }
+    const auto found = state->second.in_flight.find(id);
+    if (found != state->second.in_flight.end()) {
+        found->second.output = output;
+    }
 }
 
 void load_view::answered(const std::string& server, std::uint64_t id, milliseconds now)
@@ -217,6 +231,7 @@
     result.last_sent = state->last_sent;
     result.slowdown = slowdown(*state, now - state->slowdown_at);
     for (const auto& [id, item] : state->in_flight) {
+        result.held += item.prompt + item.output;
         if (!item.answered_at) {
             result.unresponsive =
                 std::max(result.unresponsive, now - std::max(item.sent_at, state->last_response));
@@ -286,6 +301,7 @@
             {"load", server_load.load},
             {"capacity", server_load.capacity},
             {"own", server_load.own},
+            {"held_tokens", server_load.held},
             {"report_age_ms",
              server_load.report_age ? json(server_load.report_age->count()) : json()},
             {"ms_per_unit", server_load.ms_per_unit},
--- a/src/dotterelport/routing/placement.cpp
+++ b/src/dotterelport/routing/placement.cpp
@@ -147,6 +147,18 @@
     return *middle;
 }
 
+double placement::memory_share(const placement_request& request,
+                               const placement_candidate& candidate, const load_estimate& load,
+                               tokens output) const
+{
+    if (candidate.memory <= 0 || request.prompt_tokens <= 0 || !load.slowdown) {
+        return 0;
+    }
+    const double held = static_cast<double>(load.held + request.prompt_tokens + output) +
+                        peer_load_share(candidate.server).held_tokens;
+    return held / static_cast<double>(candidate.memory);
+}
+
 double placement::separation_cost(const placement_candidate& candidate, bool is_reserved,
                                   tokens prompt) const
 {
@@ -233,7 +245,9 @@
     const std::string* preferred = preferred_server(
         shared, candidates, reserved, request.prompt_tokens > settings_.long_prompt_tokens);
     std::optional<placement_choice> best;
-    bool best_is_usable = false;
+    // Servers are compared by whether they are ejected, then by how far their memory is used beyond
+    // the safe share, then by cost.
+    std::pair<bool, double> best_rank;
     std::optional<milliseconds> best_last_sent;
     for (std::size_t i = 0; i < candidates.size(); ++i) {
         const auto& candidate = candidates[i];
@@ -241,6 +255,9 @@
         if (std::find(excluded.begin(), excluded.end(), candidate.server) != excluded.end()) {
             continue;
         }
+        if (memory_share(request, candidate, loads[i], 0) > 1) {
+            continue;
+        }
         const tokens cached = caches_.cached(candidate.server, request.parts);
         double uncached = static_cast<double>(std::max<tokens>(0, request.prompt_tokens - cached));
         double shared_uncached = static_cast<double>(std::max<tokens>(0, shared_tokens - cached));
@@ -255,18 +272,21 @@
         if (!reserved.empty()) {
             expected += separation_cost(candidate, reserved[i], request.prompt_tokens);
         }
-        const bool usable = loads_.available(candidate.server, now) != availability::ejected;
+        const double used_memory =
+            memory_share(request, candidate, loads[i], request.max_output_tokens);
+        const std::pair rank(loads_.available(candidate.server, now) == availability::ejected,
+                             used_memory > settings_.safe_memory_share ? used_memory : 0.0);
         const auto last_sent = loads[i].last_sent;
         // Ties go to the least recently used server, so that requests rotate over idle servers.
         const bool better =
-            !best || std::pair(!usable, expected) < std::pair(!best_is_usable, best->cost_ms) ||
-            (usable == best_is_usable && expected == best->cost_ms && last_sent < best_last_sent);
+            !best || std::pair(rank, expected) < std::pair(best_rank, best->cost_ms) ||
+            (rank == best_rank && expected == best->cost_ms && last_sent < best_last_sent);
         if (better) {
             best = {.server = candidate.server,
                     .cost_ms = expected,
                     .expected_start_ms = expected_start,
                     .cached_tokens = cached};
-            best_is_usable = usable;
+            best_rank = rank;
             best_last_sent = last_sent;
         }
     }
@@ -278,7 +298,8 @@
 {
     const tokens cached = caches_.cached(server, request.parts);
     loads_.sent(server, id, now,
-                static_cast<double>(std::max<tokens>(0, request.prompt_tokens - cached)));
+                static_cast<double>(std::max<tokens>(0, request.prompt_tokens - cached)),
+                request.prompt_tokens);
     if (!request.parts.empty()) {
         caches_.record(
             server, request.parts,
@@ -291,6 +312,11 @@
     loads_.answered(server, id, now);
 }
 
+void placement::produced(const std::string& server, std::uint64_t id, tokens output)
+{
+    loads_.produced(server, id, output);
+}
+
 void placement::finished(const std::string& server, std::uint64_t id, double units,
                          milliseconds now)
 {
@@ -330,7 +356,8 @@
         const load_estimate load = loads_.estimate(server, now);
         result.push_back({.server = server,
                           .pending_prefill_tokens = load.pending_prefill_tokens,
-                          .running = load.own});
+                          .running = load.own,
+                          .held_tokens = static_cast<double>(load.held)});
     }
     return result;
 }
@@ -354,11 +381,16 @@
 {
     peer_loads_.clear();
     for (const auto& [peer, latest] : peers_) {
-        if (now - latest.received > settings_.peer_load_timeout) {
+        const milliseconds age = now - latest.received;
+        if (age > settings_.peer_memory_timeout) {
             continue;
         }
         for (const auto& share : latest.shares) {
             load_share& sum = peer_loads_[share.server];
+            sum.held_tokens += share.held_tokens;
+            if (age > settings_.peer_load_timeout) {
+                continue;
+            }
             sum.pending_prefill_tokens += share.pending_prefill_tokens;
             sum.running += share.running;
         }
