Spread popular shared prompt parts, and count unseen sends in the memory guard

A shared part had one preferred engine however much traffic it received; other engines that prefilled it counted four times the time, to spare their caches. Placement now records the load of each chain of shared parts, from its own sends and those that other gateways report, and prefers as many engines as keep each of them a quarter busy with it. They are the first of the same rendezvous ranking, so that gateways agree on them without messages, and prefilling the part there counts once. Only engines that state their slowdown take part; the memory of the record is bounded (4,096 chains).

If fewer requests fit into the safe share than other gateways may have sent since their last messages, only the first of the gateways in the order of that engine use it.

--- a/include/dotterelport/routing/placement.hpp
+++ b/include/dotterelport/routing/placement.hpp
@@ -43,6 +43,9 @@
     milliseconds pause_limit{0};
     /// Servers to which the request was sent before.
     std::span<const std::string> excluded = {};
+
+    /// @brief Maximum number of tokens that the request holds at an engine.
+    [[nodiscard]] tokens max_tokens() const { return prompt_tokens + max_output_tokens; }
 };
 
 struct placement_settings {
@@ -59,6 +62,11 @@
     /// Weight of uncached shared parts, which another server may have cached. Above 1, because each
     /// server that prefills a part also evicts another part from its cache.
     double shared_weight = 4.0;
+    /// Share of its time that each engine preferred for a chain of shared parts may spend on the
+    /// prompts with it. A chain with more load is preferred at further engines.
+    double chain_utilisation = 0.25;
+    /// Time constant of the average load of each chain of shared parts.
+    milliseconds chain_load_time{2'000};
     /// Share of each failure domain's engines that are reserved for short prompts: long prompts
     /// avoid them, so that they do not delay the streams there.
     double reserved_share = 0.2;
@@ -94,6 +102,9 @@
     /// Share of an engine's memory beyond which it is avoided. The remainder is for the output of
     /// the requests that run and for those that other routers have sent since their last message.
     double safe_memory_share = 0.8;
+    /// Requests that each other router may have sent to one engine since its last message. With
+    /// 0.5, a replay of 25 routers exceeded the memory of an engine by 3 %.
+    double unseen_sends = 1.0;
     /// Name of this router. Routers that have the same view of the servers differ in it.
     std::string router;
     /// Requests of other routers that may be on their way to a server, unseen. Of 0.5 to 3, 2 gave
@@ -172,7 +183,7 @@
 
     /// @brief Records that another router sent a prompt to a server.
     void record_peer_prompt(const std::string& server, std::span<const prompt_part> parts,
-                            tokens cache_capacity);
+                            tokens cache_capacity, milliseconds now);
 
     /// @brief Deletes the state of a server that left or restarted.
     void forget(const std::string& server);
@@ -187,11 +198,23 @@
         milliseconds updated{0};
     };
 
+    /// Work that prompts with a chain of shared parts cause in all routers.
+    struct chain_load {
+        /// Milliseconds of prefill of what the prompts do not share; decays with time.
+        double prefill_ms = 0;
+        milliseconds updated{0};
+    };
+
     struct peer_load_shares {
         milliseconds received{0};
         std::vector<load_share> shares;
     };
 
+    void record_chain(std::span<const prompt_part> parts, tokens own_tokens, milliseconds now);
+    [[nodiscard]] double decayed_prefill_ms(const chain_load& load, milliseconds now) const;
+    /// @brief Number of engines that the load of a chain of shared parts needs.
+    [[nodiscard]] std::size_t engines_for(std::span<const prompt_part> shared,
+                                          milliseconds now) const;
     /// @brief Adds up the recent loads that other routers reported, for each server.
     void add_up_peer_loads(milliseconds now) const;
     /// @brief Result of the last add_up_peer_loads() for a server.
@@ -206,6 +229,12 @@
     [[nodiscard]] double uncertainty(const placement_request& request,
                                      const placement_candidate& candidate,
                                      const load_estimate& load) const;
+    /// @brief Returns whether an engine has enough memory for a request and for those that other
+    /// routers may have sent since their last messages.
+    /// @param order place of this router among those that use the server first, from 0 to 1
+    [[nodiscard]] bool is_safe(const placement_request& request,
+                               const placement_candidate& candidate, double used_memory,
+                               double order) const;
     [[nodiscard]] double failure_share(const std::string& server, milliseconds now) const;
     void record_result(const std::string& server, bool failed, milliseconds now);
     [[nodiscard]] double stream_delay_cost(const placement_request& request, double uncached,
@@ -222,8 +251,11 @@
     prompt_cache_view caches_;
     std::map<std::string, failure_record, std::less<>> failures_;
     std::map<std::string, peer_load_shares, std::less<>> peers_;
+    std::unordered_map<std::uint64_t, chain_load> chains_;
     /// Kept between calls of choose() to reuse its memory.
     mutable std::unordered_map<std::string, load_share> peer_loads_;
+    /// Other routers whose loads were counted by the last add_up_peer_loads().
+    mutable double active_peers_ = 0;
 };
 
 } // namespace dotterelport::routing
--- a/src/dotterelport/gateway/peer_exchange.cpp
+++ b/src/dotterelport/gateway/peer_exchange.cpp
@@ -107,7 +107,7 @@
 {
     const load_message load = parse_load_message(message.content);
     for (const auto& prompt : load.prompts) {
-        placement_.record_peer_prompt(prompt.server, prompt.parts, cache_capacity_);
+        placement_.record_peer_prompt(prompt.server, prompt.parts, cache_capacity_, steady_now());
     }
     std::uint64_t& last_sequence = last_sequence_[message.node];
     if (message.sequence < last_sequence && last_sequence - message.sequence < reorder_window) {
--- a/src/dotterelport/routing/fleet_replay_test.cpp
+++ b/src/dotterelport/routing/fleet_replay_test.cpp
@@ -9,7 +9,6 @@
 #include <numeric>
 #include <random>
 #include <string>
-#include <utility>
 #include <vector>
 
 #include "dotterelport/base/hash.hpp"
@@ -20,6 +19,8 @@
 
 using namespace std::chrono_literals;
 
+constexpr tokens cache_capacity = 300'000;
+
 /// Load that a fleet of gateways sends to model engines whose speed changes.
 struct replay_load {
     std::size_t gateways = 25;
@@ -32,8 +33,11 @@
     double slow_factor = 2.5;
     milliseconds slow_period{600};
     bool states_slowdown = true;
-    /// Part that all prompts share.
+    /// Size of the part that prompts share.
     tokens shared_tokens = 0;
+    /// Half of the prompts share one part, and each of the others one of this many.
+    std::uint64_t rare_parts = 0;
+    placement_settings settings = {};
     /// Memory of an engine.
     tokens memory = 0;
 };
@@ -61,7 +65,7 @@
                                    .memory = load.memory});
         }
         for (std::size_t i = 0; i < load.gateways; ++i) {
-            placement_settings settings;
+            placement_settings settings = load.settings;
             settings.router = "gateway-" + std::to_string(i);
             gateways_.push_back(std::make_unique<placement>(settings));
         }
@@ -113,7 +117,6 @@
     struct engine {
         std::vector<job> waiting;
         std::vector<job> running;
-        bool has_shared_part = false;
     };
 
     [[nodiscard]] double factor(std::size_t index) const
@@ -192,9 +195,11 @@
         // Most prompts are short, and the long ones take most of the time.
         const tokens own_tokens = random_() % 4 == 0 ? 6'000 : 500;
         const tokens prompt_tokens = own_tokens + load_.shared_tokens;
+        const std::uint64_t shared_part =
+            load_.rare_parts == 0 || random_() % 2 == 0 ? 1 : 2 + random_() % load_.rare_parts;
         std::vector<prompt_part> parts{{.id = 1'000 + ++last_id_, .size = own_tokens}};
         if (load_.shared_tokens > 0) {
-            parts.insert(parts.begin(), {.id = 1, .size = load_.shared_tokens});
+            parts.insert(parts.begin(), {.id = shared_part, .size = load_.shared_tokens});
         }
         const placement_request request{.parts = parts,
                                         .prompt_tokens = prompt_tokens,
@@ -213,9 +218,14 @@
             std::find_if(candidates_.begin(), candidates_.end(),
                          [&](const auto& item) { return item.server == choice->server; }) -
             candidates_.begin());
-        chooser.sent(choice->server, last_id_, request, load_.memory, now_);
-        const bool is_cached = std::exchange(engines_[server].has_shared_part, true);
-        const tokens uncached = own_tokens + (is_cached ? 0 : load_.shared_tokens);
+        chooser.sent(choice->server, last_id_, request, cache_capacity, now_);
+        for (std::size_t i = 0; i < gateways_.size() && load_.shared_tokens > 0; ++i) {
+            if (i != gateway) {
+                gateways_[i]->record_peer_prompt(choice->server, parts, cache_capacity, now_);
+            }
+        }
+        const tokens uncached = prompt_tokens - caches_.cached(choice->server, parts);
+        caches_.record(choice->server, parts, cache_capacity / 2);
         engines_[server].waiting.push_back(
             {.id = last_id_,
              .gateway = gateway,
@@ -229,6 +239,8 @@
     std::vector<placement_candidate> candidates_;
     std::vector<engine> engines_;
     std::vector<std::unique_ptr<placement>> gateways_;
+    /// What the engines have cached.
+    prompt_cache_view caches_;
     std::mt19937_64 random_{7};
     std::uint64_t last_id_ = 0;
     milliseconds now_{0};
@@ -263,6 +275,21 @@
     CHECK(after.slowest_tenth_ms < 0.9 * before.slowest_tenth_ms);
 }
 
+// Guards against a queue at the engine that has a popular part cached while other engines are idle.
+TEST_CASE("A shared part with half of the traffic is spread over the engines that it needs")
+{
+    const std::size_t gateways = GENERATE(1U, 25U);
+    replay_load load{
+        .gateways = gateways, .requests_per_ms = 0.1, .shared_tokens = 6'000, .rare_parts = 100};
+    const replay_result after = fleet_replay(load).run();
+    load.settings.chain_utilisation = 1e6;
+    const replay_result preferred_at_one = fleet_replay(load).run();
+    load.states_slowdown = false;
+    const replay_result before = fleet_replay(load).run();
+    CHECK(after.mean_ms < 0.8 * preferred_at_one.mean_ms);
+    CHECK(after.mean_ms < 0.8 * before.mean_ms);
+}
+
 // Guards against a crash of an engine: prompts that share a large part cost little time at the
 // engine that has it cached, so that their number there exceeds its memory.
 TEST_CASE("Prompts that share a large part do not exceed the memory of the engine that caches it")
@@ -318,6 +345,13 @@
 TEST_CASE("Choices and costs for servers that state no slowdown are the same as before")
 {
     CHECK(fleet_replay({.states_slowdown = false}).run().digest == 6597270310021279442U);
+    CHECK(fleet_replay({.requests_per_ms = 0.1,
+                        .states_slowdown = false,
+                        .shared_tokens = 6'000,
+                        .rare_parts = 100,
+                        .memory = 100'000})
+              .run()
+              .digest == 3601399885179492948U);
 }
 
 } // namespace
--- a/src/dotterelport/routing/placement.cpp
+++ b/src/dotterelport/routing/placement.cpp
@@ -21,39 +21,52 @@
 /// use the remainder.
 constexpr double prompt_cache_share = 0.6;
 
+/// Maximum number of chains of shared parts whose load is recorded.
+constexpr std::size_t max_chains = 4'096;
+
 tokens total_tokens(std::span<const prompt_part> parts)
 {
     return std::accumulate(parts.begin(), parts.end(), tokens{0},
                            [](tokens sum, const prompt_part& part) { return sum + part.size; });
 }
 
-/// @brief Server that all routers prefer for a chain of parts, chosen by rendezvous hashing. If
-/// there are both reserved and other engines, long prompts prefer one of the others and short
-/// prompts a reserved one.
-/// @return null if there are no parts or if no engines are marked
-const std::string* preferred_server(std::span<const prompt_part> parts,
-                                    std::span<const placement_candidate> candidates,
-                                    const std::vector<bool>& reserved, bool is_long)
+/// @brief Servers that all routers prefer for a chain of parts, best first, chosen by rendezvous
+/// hashing. If there are both reserved and other engines, long prompts prefer the others and short
+/// prompts the reserved ones.
+/// @return indices; none if there are no parts or if no engines are marked
+std::vector<std::size_t> preferred_servers(std::span<const prompt_part> parts,
+                                           std::span<const placement_candidate> candidates,
+                                           const std::vector<bool>& reserved, bool is_long,
+                                           std::size_t count)
 {
     if (parts.empty() || reserved.empty()) {
-        return nullptr;
+        return {};
     }
     const bool has_both = std::find(reserved.begin(), reserved.end(), true) != reserved.end() &&
                           std::find(reserved.begin(), reserved.end(), false) != reserved.end();
     const std::uint64_t chain = chain_hash(parts);
-    const std::string* preferred = nullptr;
-    std::uint64_t highest = 0;
+    struct ranked_candidate {
+        std::uint64_t weight = 0;
+        std::size_t index = 0;
+    };
+    std::vector<ranked_candidate> ranked;
+    ranked.reserve(candidates.size());
     for (std::size_t i = 0; i < candidates.size(); ++i) {
-        if (has_both && reserved[i] == is_long) {
-            continue;
-        }
-        const std::uint64_t weight = hash64(candidates[i].server, chain);
-        if (preferred == nullptr || weight > highest) {
-            preferred = &candidates[i].server;
-            highest = weight;
+        if (!has_both || reserved[i] != is_long) {
+            ranked.push_back({.weight = hash64(candidates[i].server, chain), .index = i});
         }
     }
-    return preferred;
+    count = std::min(count, ranked.size());
+    std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(count),
+                      ranked.end(), [](const auto& left, const auto& right) {
+                          return left.weight > right.weight ||
+                                 (left.weight == right.weight && left.index < right.index);
+                      });
+    std::vector<std::size_t> result;
+    for (std::size_t i = 0; i < count; ++i) {
+        result.push_back(ranked[i].index);
+    }
+    return result;
 }
 
 /// @brief Marks a share of each failure domain's servers as reserved. Ranks them by the hash of
@@ -166,6 +179,20 @@
     return held / static_cast<double>(candidate.memory);
 }
 
+bool placement::is_safe(const placement_request& request, const placement_candidate& candidate,
+                        double used_memory, double order) const
+{
+    if (used_memory <= 0) {
+        return true;
+    }
+    // Requests of this size that still fit after this one. If fewer fit than other routers may send
+    // before they see this one, only the routers that are first in the order of this server use it.
+    const double fitting = (settings_.safe_memory_share - used_memory) *
+                           static_cast<double>(candidate.memory) /
+                           static_cast<double>(request.max_tokens());
+    return fitting >= 0 && fitting >= order * settings_.unseen_sends * active_peers_;
+}
+
 double placement::uncertainty(const placement_request& request,
                               const placement_candidate& candidate, const load_estimate& load) const
 {
@@ -262,8 +289,13 @@
     const auto reserved = request.prompt_tokens > 0
                               ? reserved_servers(candidates, settings_.reserved_share)
                               : std::vector<bool>();
-    const std::string* preferred = preferred_server(
-        shared, candidates, reserved, request.prompt_tokens > settings_.long_prompt_tokens);
+    const auto preferred = preferred_servers(shared, candidates, reserved,
+                                             request.prompt_tokens > settings_.long_prompt_tokens,
+                                             engines_for(shared, now));
+    std::vector<bool> is_preferred(candidates.size());
+    for (const std::size_t index : preferred) {
+        is_preferred[index] = true;
+    }
     std::optional<placement_choice> best;
     // Servers are compared by whether they are ejected, then by how far their memory is used beyond
     // the safe share, then by cost.
@@ -283,29 +315,31 @@
         const tokens cached = caches_.cached(candidate.server, request.parts);
         double uncached = static_cast<double>(std::max<tokens>(0, request.prompt_tokens - cached));
         double shared_uncached = static_cast<double>(std::max<tokens>(0, shared_tokens - cached));
-        if (preferred == &candidate.server) {
+        // Further engines take part in a chain's load only if they state their slowdown.
+        const bool is_hot = preferred.size() > 1 && is_preferred[i] && loads[i].slowdown;
+        if (is_hot || (!preferred.empty() && preferred.front() == i)) {
             uncached -= settings_.preferred_cache_probability * shared_uncached;
             shared_uncached *= 1 - settings_.preferred_cache_probability;
         }
         const double expected_start = cost(request, candidate, loads[i], uncached, median, now);
         double expected = expected_start;
-        expected +=
-            (settings_.shared_weight - 1) * shared_uncached / settings_.prefill_tokens_per_ms;
+        // A chain in frequent use earns its place in the caches of the engines that its load needs.
+        const double shared_weight = is_hot ? 1 : settings_.shared_weight;
+        expected += (shared_weight - 1) * shared_uncached / settings_.prefill_tokens_per_ms;
         if (!reserved.empty()) {
             expected += separation_cost(candidate, reserved[i], request.prompt_tokens);
         }
+        const double order =
+            loads[i].slowdown ? unit_interval(hash64(candidate.server, router_hash)) : 0.0;
         const double used_memory =
             memory_share(request, candidate, loads[i], request.max_output_tokens);
         const std::pair rank(loads_.available(candidate.server, now) == availability::ejected,
-                             used_memory > settings_.safe_memory_share ? used_memory : 0.0);
+                             is_safe(request, candidate, used_memory, order) ? 0.0 : used_memory);
         const auto last_sent = loads[i].last_sent;
         // Routers with the same view order the servers whose expected times hardly differ each in
         // its own way. The shift is 0 for servers that state no slowdown.
         const double uncertain_ms = uncertainty(request, candidate, loads[i]);
-        const double compared =
-            uncertain_ms > 0
-                ? expected + uncertain_ms * unit_interval(hash64(candidate.server, router_hash))
-                : expected;
+        const double compared = uncertain_ms > 0 ? expected + uncertain_ms * order : expected;
         // Ties go to the least recently used server, so that requests rotate over idle servers.
         const bool better =
             !best || std::pair(rank, compared) < std::pair(best_rank, best_compared) ||
@@ -331,6 +365,7 @@
                 static_cast<double>(std::max<tokens>(0, request.prompt_tokens - cached)),
                 request.prompt_tokens);
     if (!request.parts.empty()) {
+        record_chain(request.parts, request.parts.back().size, now);
         caches_.record(
             server, request.parts,
             static_cast<tokens>(static_cast<double>(cache_capacity) * prompt_cache_share));
@@ -401,20 +436,65 @@
 }
 
 void placement::record_peer_prompt(const std::string& server, std::span<const prompt_part> parts,
-                                   tokens cache_capacity)
+                                   tokens cache_capacity, milliseconds now)
 {
+    if (!parts.empty()) {
+        record_chain(parts, parts.back().size, now);
+    }
     caches_.record(server, parts,
                    static_cast<tokens>(static_cast<double>(cache_capacity) * prompt_cache_share));
 }
 
+double placement::decayed_prefill_ms(const chain_load& load, milliseconds now) const
+{
+    return load.prefill_ms *
+           std::exp(-in_ms(now - load.updated) / in_ms(settings_.chain_load_time));
+}
+
+void placement::record_chain(std::span<const prompt_part> parts, tokens own_tokens,
+                             milliseconds now)
+{
+    if (parts.size() < 2) {
+        return;
+    }
+    if (chains_.size() >= max_chains) {
+        // Chains of which nothing was heard lately make room; if all are in use, they are counted
+        // anew.
+        std::erase_if(chains_, [&](const auto& item) {
+            return now - item.second.updated > settings_.chain_load_time;
+        });
+        if (chains_.size() >= max_chains / 2) {
+            chains_.clear();
+        }
+    }
+    chain_load& load = chains_[chain_hash(parts.first(parts.size() - 1))];
+    load.prefill_ms = decayed_prefill_ms(load, now) +
+                      static_cast<double>(own_tokens) / settings_.prefill_tokens_per_ms;
+    load.updated = now;
+}
+
+std::size_t placement::engines_for(std::span<const prompt_part> shared, milliseconds now) const
+{
+    const auto found = shared.empty() ? chains_.end() : chains_.find(chain_hash(shared));
+    if (found == chains_.end()) {
+        return 1;
+    }
+    const double utilisation =
+        decayed_prefill_ms(found->second, now) / in_ms(settings_.chain_load_time);
+    return std::max<std::size_t>(
+        1, static_cast<std::size_t>(std::ceil(utilisation / settings_.chain_utilisation)));
+}
+
 void placement::add_up_peer_loads(milliseconds now) const
 {
     peer_loads_.clear();
+    active_peers_ = 0;
     for (const auto& [peer, latest] : peers_) {
         const milliseconds age = now - latest.received;
         if (age > settings_.peer_memory_timeout) {
             continue;
         }
+        active_peers_ += 1;
         for (const auto& share : latest.shares) {
             load_share& sum = peer_loads_[share.server];
             sum.held_tokens += share.held_tokens;
