--- a/src/dotterelport/routing/placement.cpp
+++ b/src/dotterelport/routing/placement.cpp
@@ -525,9 +525,11 @@
 
 json placement::dump(milliseconds now) const
 {
+    add_up_peer_loads(now);
     json result = loads_.dump(now);
     for (auto& [server, state] : result.items()) {
         state["failure_share"] = failure_share(server, now);
+        state["held_by_others_tokens"] = peer_load_share(server).held_tokens;
     }
     return result;
 }
