Reject requests that cannot start in time, and hold those that full servers refuse

Cause: a request was sent at once however long it would wait at its server, and the refusal of a full server went back to the caller.

Change: gateway/admission decides without I/O, for services whose servers state the fourth load figure and if the setting admission is not false. A request is rejected if half of its expected start, corrected by the ratio that was observed, is later than its time limit. A request that full servers refused waits up to its target latency and is sent to them again, within the retry budget and to at most max_attempts different servers. Less urgent requests are bound by the time limit at which more urgent ones were rejected.

--- a/include/dotterelport/gateway/events.hpp
+++ b/include/dotterelport/gateway/events.hpp
@@ -146,6 +146,18 @@
     953, severity::info, "evacuation_ended",
     "The backend servers of a failure domain get requests again, at first as few as cold ones."};
 
+inline constexpr log_event admission_active{
+    965, severity::info, "admission_active",
+    "A backend server of a service has stated its slowdown for the first time; from now on, this "
+    "gateway decides which of the service's requests are sent, wait or are rejected."};
+inline constexpr log_event request_not_admitted{
+    966, severity::info, "request_not_admitted",
+    "A request is rejected because it could not start before its time limit, or because its "
+    "servers stay full; the fields contain what was expected."};
+inline constexpr log_event request_waits{
+    967, severity::info, "request_waits",
+    "Full backend servers refused a request, which waits at this gateway for a free slot."};
+
 } // namespace dotterelport::gateway::events
 
 #endif
--- a/include/dotterelport/gateway/settings.hpp
+++ b/include/dotterelport/gateway/settings.hpp
@@ -40,6 +40,9 @@
     std::map<std::string, std::string> regions;
     /// Operators can evacuate failure domains of this deployment.
     bool evacuations = false;
+    /// Reject or hold requests while capacity is short, for services whose servers state their
+    /// slowdown.
+    bool admission = true;
 
     bool operator==(const settings&) const = default;
 };
--- a/src/dotterelport/gateway/forwarding.cpp
+++ b/src/dotterelport/gateway/forwarding.cpp
@@ -275,7 +275,8 @@
                (region != context_.regions.end() &&
                 std::find(regions->begin(), regions->end(), region->second) != regions->end());
     };
-    return allows(route_->regions) && (workspace_ == nullptr || allows(workspace_->regions));
+    return !is_excluded_after_refusals(server.id) && allows(route_->regions) &&
+           (workspace_ == nullptr || allows(workspace_->regions));
 }
 
 std::vector<const backend_server*> forwarding::allowed_servers() const
@@ -338,7 +339,9 @@
                        attempt_end::no_server);
         return;
     }
-    send(*server, *choice);
+    if (!refuse_late(*choice)) {
+        send(*server, *choice);
+    }
 }
 
 void forwarding::send(const backend_server& server, const routing::placement_choice& choice)
@@ -349,6 +352,7 @@
     attempt_->server = server.id;
     attempt_->server_started_ms = server.started_ms;
     attempt_->sent = now;
+    attempt_->expected_start_ms = choice.expected_start_ms;
     attempt_->events_before = events_.events();
     attempt_->held = std::make_unique<net::buffer_share>(context_.buffers);
     attempt_->unsent = std::make_unique<net::buffer_share>(context_.buffers);
@@ -428,6 +432,12 @@
     auto& placement = context_.placement;
     const auto& ended = *attempt_;
     context_.counters.record_attempt(service_, std::string(to_string(end)));
+    if (end == attempt_end::timeout || end == attempt_end::stalled) {
+        record_start();
+    }
+    if (end == attempt_end::server_refused && context_.admissions.is_active(service_)) {
+        refused_servers_.push_back(ended.server);
+    }
     limit_if_restarted(ended.server, end);
     switch (end) {
     case attempt_end::answered:
@@ -484,6 +494,9 @@
         close_attempt(end);
         clear_attempt();
     }
+    if (std::holds_alternative<refuse_not_run>(decision) && wait_after(end)) {
+        return;
+    }
     execute(decision, end, fields);
 }
 
@@ -600,6 +613,8 @@
     }
     context_.loop.cancel(deadline_timer_);
     context_.loop.cancel(stall_timer_);
+    context_.loop.cancel(slot_timer_);
+    waiting_place_.reset();
     settle();
     clear_attempt();
     exchange_->on_disconnect(nullptr);
--- a/src/dotterelport/gateway/forwarding.hpp
+++ b/src/dotterelport/gateway/forwarding.hpp
@@ -12,6 +12,7 @@
 #include <string_view>
 #include <vector>
 
+#include "dotterelport/gateway/admission.hpp"
 #include "dotterelport/gateway/attempt_policy.hpp"
 #include "dotterelport/gateway/budget_broker.hpp"
 #include "dotterelport/gateway/crash_watch.hpp"
@@ -51,6 +52,7 @@
     budget_broker& budgets;
     crash_watch& crashes;
     server_statements& statements;
+    admission& admissions;
     metrics& counters;
     /// Retry budget of each service.
     std::map<std::string, request::retry_budget>& retries;
@@ -101,6 +103,9 @@
         std::unique_ptr<net::buffer_share> unsent;
         bool is_streamed = false;
         std::uint64_t events_before = 0;
+        double expected_start_ms = 0;
+        /// The first part of the answer has arrived.
+        bool has_started = false;
     };
 
     [[nodiscard]] bool authorize();
@@ -122,6 +127,21 @@
     /// if it may be sent now, and nothing if there is no such server.
     [[nodiscard]] std::optional<milliseconds> time_until_permitted() const;
     void send(const backend_server& server, const routing::placement_choice& choice);
+
+    /// @brief Ends a request that has not run if it cannot start before its time limit.
+    /// @return whether the request has ended
+    bool refuse_late(const routing::placement_choice& choice);
+    /// @brief Reports to admission control how long the attempt took to start, or has taken so far.
+    void record_start();
+    /// @brief Keeps a request that only full servers refused until one may have a free slot.
+    /// @return false if the request must not wait, or has not been refused by a full server
+    bool wait_after(attempt_end end);
+    /// @brief Sends a request that waited to a server again, or lets it wait longer.
+    void slot_expected();
+    /// @brief Returns whether a request that was sent to as many servers as it may be is limited to
+    /// those of them that refused it.
+    [[nodiscard]] bool is_excluded_after_refusals(const std::string& server) const;
+    [[nodiscard]] int priority() const;
     [[nodiscard]] net::backend_handler make_handler(std::uint64_t attempt_id);
 
     bool received_head(const net::http1_answer_head& head);
@@ -201,6 +221,10 @@
     std::vector<request::suspect> suspects_;
     std::optional<attempt> attempt_;
     std::vector<std::string> tried_servers_;
+    /// Full servers that refused the request, if admission control takes effect.
+    std::vector<std::string> refused_servers_;
+    std::unique_ptr<waiting_place> waiting_place_;
+    net::timer_id slot_timer_ = 0;
     std::uint32_t sends_ = 0;
     std::uint32_t failed_connects_ = 0;
     bool may_have_run_ = false;
--- a/src/dotterelport/gateway/forwarding_answer.cpp
+++ b/src/dotterelport/gateway/forwarding_answer.cpp
@@ -97,6 +97,9 @@
     }
     if (answer.load) {
         context_.placement.record_report(attempt_->server, *answer.load, steady_now());
+        if (context_.admissions.record_report(service_, *answer.load)) {
+            log(events::admission_active, {{"service", service_}, {"server", attempt_->server}});
+        }
     }
     return true;
 }
@@ -112,6 +115,7 @@
 void forwarding::received_data(std::string_view data)
 {
     context_.placement.answered(attempt_->server, attempt_->id, steady_now());
+    record_start();
     if (!attempt_->is_streamed) {
         buffer_body(data);
         return;
--- a/src/dotterelport/gateway/gateway.cpp
+++ b/src/dotterelport/gateway/gateway.cpp
@@ -63,6 +63,7 @@
     std::map<std::string, request::retry_budget> retries;
     request::retry_budget::options retry_options;
     std::mt19937_64 random{std::random_device{}()};
+    admission admissions{current_settings.admission, random};
     std::uint64_t last_attempt = 0;
     std::optional<stop_order> stopping;
     bool returning_grants = false;
@@ -98,6 +99,7 @@
                                                  .budgets = broker,
                                                  .crashes = crashes,
                                                  .statements = statements,
+                                                 .admissions = admissions,
                                                  .counters = counters,
                                                  .retries = retries,
                                                  .retry_options = retry_options,
@@ -456,6 +458,7 @@
             {"budgets", state_->budgets.dump()},
             {"crashes", state_->crashes.dump()},
             {"limits", state_->statements.dump()},
+            {"admission", state_->admissions.dump(steady_now())},
             {"evacuations", state_->servers.evacuations().dump()}};
 }
 
--- a/src/dotterelport/gateway/metrics.cpp
+++ b/src/dotterelport/gateway/metrics.cpp
@@ -30,6 +30,10 @@
                     .Name("dotterelport_gateway_attempts_total")
                     .Help("Sends to backend servers, by service and outcome")
                     .Register(registry)),
+      waits_(prometheus::BuildCounter()
+                 .Name("dotterelport_gateway_waits_total")
+                 .Help("Waits of requests that full backend servers refused, by service")
+                 .Register(registry)),
       first_byte_seconds_(
           prometheus::BuildHistogram()
               .Name("dotterelport_gateway_first_byte_seconds")
@@ -56,6 +60,11 @@
         .Increment();
 }
 
+void metrics::record_wait(const std::string& service)
+{
+    waits_.Add({{"service", service}}).Increment();
+}
+
 void metrics::record_abandoned(const std::string& service)
 {
     abandoned_.Add({{"service", service}}).Increment();
--- a/src/dotterelport/gateway/metrics.hpp
+++ b/src/dotterelport/gateway/metrics.hpp
@@ -23,12 +23,14 @@
     void record_refusal(const std::string& service, int status, const std::string& reason);
     void record_abandoned(const std::string& service);
     void record_attempt(const std::string& service, const std::string& outcome);
+    void record_wait(const std::string& service);
 
 private:
     prometheus::Family<prometheus::Counter>& answers_;
     prometheus::Family<prometheus::Counter>& refusals_;
     prometheus::Family<prometheus::Counter>& abandoned_;
     prometheus::Family<prometheus::Counter>& attempts_;
+    prometheus::Family<prometheus::Counter>& waits_;
     prometheus::Family<prometheus::Histogram>& first_byte_seconds_;
     prometheus::Family<prometheus::Histogram>& answer_seconds_;
 };
