--- a/include/dotterelport/gateway/second_send.hpp
+++ b/include/dotterelport/gateway/second_send.hpp
@@ -52,7 +52,7 @@
 std::string_view to_string(second_send_decision value);
 
 /// A request that waits for the first part of its answer.
-struct waiting_request {
+struct slow_request {
     std::string_view service;
     tokens prompt_tokens = 0;
     /// Time since it was sent to the first server.
@@ -85,7 +85,7 @@
     [[nodiscard]] std::optional<milliseconds> delay(std::string_view service,
                                                     tokens prompt_tokens) const;
 
-    [[nodiscard]] second_send_decision decide(const waiting_request& request) const;
+    [[nodiscard]] second_send_decision decide(const slow_request& request) const;
 
     /// @brief Records a second send.
     void record_second_send(std::string_view service);
--- /dev/null
+++ b/src/dotterelport/gateway/admission.cpp
@@ -0,0 +1,292 @@
+#include "dotterelport/gateway/admission.hpp"
+
+#include <algorithm>
+
+namespace dotterelport::gateway {
+namespace {
+
+/// Share of the expected start that is assumed before a request is rejected: the estimate is
+/// uncertain, and a rejection is worse than a late answer.
+constexpr double optimistic_share = 0.5;
+
+/// Weight of one start in the moving average of the ratio.
+constexpr double ratio_weight = 0.2;
+
+/// Number of starts before the ratio is used.
+constexpr int min_observations = 4;
+
+/// Time after the last observed start for which the ratio is used. After it, requests are sent
+/// again, so that a wrong ratio cannot reject a service's requests for good.
+constexpr milliseconds ratio_lifetime{5'000};
+
+/// Time for which the rejection of a request holds back less urgent requests that would start
+/// later than it.
+constexpr milliseconds rejection_memory{1'000};
+
+/// Shortest wait, and interval at which waiting requests are tried again.
+constexpr milliseconds min_wait{20};
+
+/// Time after which a server that was full is likely to have free capacity.
+constexpr milliseconds full_server_retry_after{300};
+
+constexpr milliseconds min_retry_after{50};
+
+/// Share of the time left for which a request without a target latency may be held.
+constexpr int held_divisor = 8;
+
+double in_ms(milliseconds duration)
+{
+    return static_cast<double>(duration.count());
+}
+
+} // namespace
+
+admission::admission(bool is_enabled, std::mt19937_64& random, const waiting_limits& limits)
+    : is_enabled_(is_enabled), random_(random), limits_(limits)
+{}
+
+bool admission::record_report(const std::string& service, const routing::load_report& report)
+{
+    return is_enabled_ && report.slowdown && services_.try_emplace(service).second;
+}
+
+bool admission::is_active(const std::string& service) const
+{
+    return services_.contains(service);
+}
+
+std::optional<double> admission::start_ratio(const service_state& service, milliseconds now)
+{
+    if (service.observations < min_observations ||
+        now - service.last_observation > ratio_lifetime) {
+        return std::nullopt;
+    }
+    return std::min(1.0, service.start_ratio);
+}
+
+void admission::record_start(const std::string& service, double expected_start_ms,
+                             milliseconds actual, milliseconds target_latency, milliseconds now)
+{
+    const auto found = services_.find(service);
+    // Short expected starts leave out fixed times, such as that of the network, and would show a
+    // ratio that does not hold for a long queue.
+    if (found == services_.end() || expected_start_ms < std::max(1.0, in_ms(target_latency))) {
+        return;
+    }
+    service_state& state = found->second;
+    if (now - state.last_observation > ratio_lifetime) {
+        state.observations = 0;
+    }
+    const double ratio = in_ms(actual) / expected_start_ms;
+    state.start_ratio = state.observations == 0
+                            ? ratio
+                            : state.start_ratio + ratio_weight * (ratio - state.start_ratio);
+    ++state.observations;
+    state.last_observation = now;
+}
+
+milliseconds admission::spread(double from_ms, double to_ms)
+{
+    const double value = std::uniform_real_distribution<double>(from_ms, to_ms)(random_);
+    return std::max(min_retry_after, milliseconds{static_cast<std::int64_t>(value)});
+}
+
+admission_decision admission::decide(const std::string& service, const admission_request& request,
+                                     milliseconds now)
+{
+    const auto found = services_.find(service);
+    const auto ratio = found == services_.end() ? std::nullopt : start_ratio(found->second, now);
+    if (!ratio) {
+        return send_now{};
+    }
+    const double likely_ms = request.expected_start_ms * *ratio;
+    const double optimistic_ms = likely_ms * optimistic_share;
+    auto& rejections = found->second.rejections;
+    if (optimistic_ms > in_ms(request.time_limit)) {
+        rejections[request.priority] = {.time_limit = request.time_limit, .at = now};
+    }
+    milliseconds limit = request.time_left;
+    for (const auto& [priority, last] : rejections) {
+        // A less urgent request with a longer time limit must not take the place that a more urgent
+        // one could not wait for.
+        if (priority < request.priority && now - last.at <= rejection_memory) {
+            limit = std::min(limit, last.time_limit);
+        }
+    }
+    if (optimistic_ms <= in_ms(limit)) {
+        return send_now{};
+    }
+    return reject_now{.reason = "starts_too_late", .retry_after = spread(optimistic_ms, likely_ms)};
+}
+
+milliseconds admission::longest_wait(milliseconds held, milliseconds target_latency,
+                                     milliseconds time_left)
+{
+    const milliseconds limit =
+        target_latency > milliseconds{0} ? target_latency : (held + time_left) / held_divisor;
+    return std::max(milliseconds{0}, std::min(limit - held, time_left - min_wait));
+}
+
+reject_now admission::no_capacity()
+{
+    return {.reason = "no_capacity",
+            .retry_after =
+                spread(in_ms(full_server_retry_after) / 2, in_ms(full_server_retry_after) * 3 / 2)};
+}
+
+admission_decision admission::decide_after_refusal(const std::string& service,
+                                                   const refused_request& request, milliseconds now)
+{
+    milliseconds earliest = request.servers.empty() ? now : milliseconds::max();
+    const auto found = services_.find(service);
+    for (const auto& server : request.servers) {
+        earliest = std::min(
+            earliest, is_full(service, server, now) ? found->second.full_until.at(server) : now);
+    }
+    if (earliest > now) {
+        found->second.closed_until = earliest;
+        found->second.is_short = true;
+    }
+    const milliseconds longest =
+        longest_wait(request.held, request.target_latency, request.time_left);
+    if (std::max(min_wait, earliest - now) > longest) {
+        return no_capacity();
+    }
+    return wait_for_slot{.longest = longest};
+}
+
+void admission::server_full(const std::string& service, const full_server& refusal,
+                            milliseconds now)
+{
+    const auto found = services_.find(service);
+    if (found == services_.end()) {
+        return;
+    }
+    // The mean duration includes the time in the queue, so that it can be far above the time until
+    // a slot is free. Gateways that were refused together must not return together.
+    const double slot_ms =
+        std::min(refusal.ms_per_slot, in_ms(refusal.target_latency) / held_divisor);
+    const double spread_factor = std::uniform_real_distribution<double>(1.0, 2.0)(random_);
+    std::erase_if(found->second.full_until, [now](const auto& item) { return item.second <= now; });
+    found->second.full_until[refusal.server] =
+        now + std::max({min_wait, refusal.permitted_after,
+                        milliseconds{static_cast<std::int64_t>(slot_ms * spread_factor)}});
+}
+
+void admission::slot_freed(const std::string& service, const std::string& server)
+{
+    const auto found = services_.find(service);
+    if (found != services_.end() && found->second.full_until.erase(server) > 0) {
+        found->second.closed_until = milliseconds{0};
+    }
+}
+
+bool admission::may_have_full_servers(const std::string& service) const
+{
+    const auto found = services_.find(service);
+    return found != services_.end() && !found->second.full_until.empty();
+}
+
+bool admission::is_full(const std::string& service, const std::string& server,
+                        milliseconds now) const
+{
+    const auto found = services_.find(service);
+    if (found == services_.end()) {
+        return false;
+    }
+    const auto until = found->second.full_until.find(server);
+    return until != found->second.full_until.end() && now < until->second;
+}
+
+bool admission::is_short(const std::string& service, milliseconds now) const
+{
+    const auto found = services_.find(service);
+    return found != services_.end() && (now < found->second.closed_until ||
+                                        (found->second.is_short && !found->second.queue.empty()));
+}
+
+bool admission::push(const std::string& service, const waiting_request& request,
+                     std::optional<std::uint64_t>& displaced)
+{
+    const auto found = services_.find(service);
+    if (found == services_.end() ||
+        found->second.queue.count(request.workspace) >= limits_.workspace_requests) {
+        return false;
+    }
+    auto& queue = found->second.queue;
+    const auto fits = [&] {
+        return waiting_ < limits_.requests && waiting_bytes_ + request.bytes <= limits_.bytes;
+    };
+    if (!fits()) {
+        displaced = queue.displaceable(request.priority);
+        if (displaced) {
+            count_removed(*queue.remove(*displaced));
+        }
+        if (!fits()) {
+            return false;
+        }
+    }
+    queue.push(request);
+    ++waiting_;
+    waiting_bytes_ += request.bytes;
+    return true;
+}
+
+void admission::count_removed(const waiting_request& request)
+{
+    --waiting_;
+    waiting_bytes_ -= request.bytes;
+}
+
+void admission::remove(const std::string& service, std::uint64_t id)
+{
+    const auto found = services_.find(service);
+    if (found == services_.end()) {
+        return;
+    }
+    if (const auto removed = found->second.queue.remove(id)) {
+        count_removed(*removed);
+    }
+}
+
+std::vector<ended_wait> admission::take_ended(milliseconds now)
+{
+    std::vector<ended_wait> result;
+    for (auto& [name, state] : services_) {
+        for (const auto& expired : state.queue.take_expired(now)) {
+            count_removed(expired);
+            result.push_back({.id = expired.id, .is_admitted = false});
+        }
+        if (now < state.closed_until) {
+            continue;
+        }
+        while (const auto next = state.queue.pop()) {
+            count_removed(*next);
+            result.push_back({.id = next->id, .is_admitted = true});
+            if (state.is_short) {
+                break;
+            }
+        }
+        state.is_short = state.is_short && !state.queue.empty();
+    }
+    return result;
+}
+
+json admission::dump(milliseconds now) const
+{
+    json services = json::object();
+    for (const auto& [name, state] : services_) {
+        const auto ratio = start_ratio(state, now);
+        services[name] = {
+            {"start_ratio", ratio ? json(*ratio) : json()},
+            {"observations", state.observations},
+            {"waiting", state.queue.size()},
+            {"closed_ms", std::max(milliseconds{0}, state.closed_until - now).count()}};
+    }
+    return {{"enabled", is_enabled_},
+            {"waiting", waiting_},
+            {"waiting_bytes", waiting_bytes_},
+            {"services", services}};
+}
+
+} // namespace dotterelport::gateway
--- a/src/dotterelport/gateway/forwarding.cpp
+++ b/src/dotterelport/gateway/forwarding.cpp
@@ -277,7 +277,8 @@
                (region != context_.regions.end() &&
                 std::find(regions->begin(), regions->end(), region->second) != regions->end());
     };
-    return allows(route_->regions) && (workspace_ == nullptr || allows(workspace_->regions));
+    return !is_excluded_after_refusals(server.id) && allows(route_->regions) &&
+           (workspace_ == nullptr || allows(workspace_->regions));
 }
 
 std::vector<const backend_server*> forwarding::allowed_servers() const
@@ -316,6 +317,9 @@
             excluded.push_back(server->id);
         }
     }
+    if (context_.admissions.may_have_full_servers(service_)) {
+        exclude_full_servers(candidates, excluded);
+    }
     return context_.placement.choose(placement_request(excluded), candidates, steady_now());
 }
 
@@ -331,7 +335,7 @@
         deadline_expired();
         return;
     }
-    if (refuse_quarantined() || refuse_limited()) {
+    if (refuse_quarantined() || refuse_limited() || wait_if_short()) {
         return;
     }
     const auto choice = choose_server();
@@ -349,7 +353,9 @@
                        are_full ? attempt_end::engines_full : attempt_end::no_server);
         return;
     }
-    send(*server, *choice);
+    if (!refuse_late(*choice)) {
+        send(*server, *choice);
+    }
 }
 
 void forwarding::send(const backend_server& server, const routing::placement_choice& choice)
@@ -370,6 +376,7 @@
     started->server = server.id;
     started->server_started_ms = server.started_ms;
     started->sent = now;
+    started->expected_start_ms = choice.expected_start_ms;
     started->events_before = events_.events();
     started->held = std::make_unique<net::buffer_share>(context_.buffers);
     started->unsent = std::make_unique<net::buffer_share>(context_.buffers);
@@ -447,6 +454,12 @@
     const milliseconds now = steady_now();
     auto& placement = context_.placement;
     context_.counters.record_attempt(service_, std::string(to_string(end)));
+    if (!ended.has_data && (end == attempt_end::timeout || end == attempt_end::stalled)) {
+        record_start();
+    }
+    if (end == attempt_end::server_refused) {
+        record_refusal(ended.server);
+    }
     limit_if_restarted(ended.server, end);
     const bool is_slow = end == attempt_end::superseded || end == attempt_end::timeout ||
                          end == attempt_end::stalled;
@@ -455,6 +468,7 @@
     }
     switch (end) {
     case attempt_end::answered:
+        context_.waiting.slot_freed(service_, ended.server);
         placement.finished(
             ended.server, ended.id,
             static_cast<double>(ended.is_streamed ? events_.events() - ended.events_before : 1),
@@ -512,6 +526,9 @@
         close_attempt(end);
         clear_attempt();
     }
+    if (std::holds_alternative<refuse_not_run>(decision) && wait_after(end)) {
+        return;
+    }
     execute(decision, end, fields);
 }
 
@@ -630,6 +647,7 @@
     context_.loop.cancel(stall_timer_);
     context_.loop.cancel(second_timer_);
     end_second(attempt_end::superseded);
+    context_.waiting.leave(service_, wait_);
     settle();
     clear_attempt();
     exchange_->on_disconnect(nullptr);
--- a/src/dotterelport/gateway/forwarding.hpp
+++ b/src/dotterelport/gateway/forwarding.hpp
@@ -12,6 +12,7 @@
 #include <string_view>
 #include <vector>
 
+#include "dotterelport/gateway/admission.hpp"
 #include "dotterelport/gateway/attempt_policy.hpp"
 #include "dotterelport/gateway/budget_broker.hpp"
 #include "dotterelport/gateway/crash_watch.hpp"
@@ -29,6 +30,7 @@
 #include "dotterelport/request/retry_budget.hpp"
 #include "dotterelport/routing/placement.hpp"
 #include "metrics.hpp"
+#include "waiting_room.hpp"
 
 namespace dotterelport::gateway {
 
@@ -53,6 +55,8 @@
     crash_watch& crashes;
     server_statements& statements;
     second_send_policy& second_sends;
+    admission& admissions;
+    waiting_room& waiting;
     metrics& counters;
     /// Retry budget of each service.
     std::map<std::string, request::retry_budget>& retries;
@@ -107,6 +111,7 @@
         /// A part of the answer's body has arrived.
         bool has_data = false;
         std::uint64_t events_before = 0;
+        double expected_start_ms = 0;
     };
 
     [[nodiscard]] bool authorize();
@@ -149,6 +154,31 @@
     /// @param end how the first attempt ended
     bool fail_over(attempt_end end);
     [[nodiscard]] net::backend_handler make_second_handler(std::uint64_t attempt_id);
+
+    /// @brief Ends a request that has not run if it cannot start before its time limit.
+    /// @return whether the request has ended
+    bool refuse_late(const routing::placement_choice& choice);
+    /// @brief Reports to admission control how long the attempt took to start, or has taken so far.
+    void record_start();
+    /// @brief Records that a full server refused the request.
+    void record_refusal(const std::string& server);
+    /// @brief Keeps a request that full servers refused until one may have a free slot, or ends it.
+    /// @return false if the request has not been refused by a full server
+    bool wait_after(attempt_end end);
+    /// @brief Keeps a new request while all servers are full, or ends it if too many wait.
+    /// @return false if the request is to be sent now
+    bool wait_if_short();
+    /// @return false if too many requests wait
+    bool wait_for_capacity(milliseconds longest);
+    void wait_ended(bool is_admitted);
+    void refuse_for_capacity();
+    /// @brief Excludes full servers if there is another one.
+    void exclude_full_servers(const std::vector<routing::placement_candidate>& candidates,
+                              std::vector<std::string>& excluded) const;
+    /// @brief Returns whether a request that was sent to as many servers as it may be is limited to
+    /// those of them that refused it.
+    [[nodiscard]] bool is_excluded_after_refusals(const std::string& server) const;
+    [[nodiscard]] int priority() const;
     [[nodiscard]] net::backend_handler make_handler(std::uint64_t attempt_id);
 
     bool received_head(const net::http1_answer_head& head);
@@ -232,6 +262,12 @@
     std::optional<attempt> second_;
     net::timer_id second_timer_ = 0;
     std::vector<std::string> tried_servers_;
+    /// Full servers that refused the request, if admission control takes effect.
+    std::vector<std::string> refused_servers_;
+    /// Number of the wait for capacity; 0 if the request does not wait.
+    std::uint64_t wait_ = 0;
+    /// The request has waited and may be sent.
+    bool was_admitted_ = false;
     std::uint32_t sends_ = 0;
     std::uint32_t failed_connects_ = 0;
     bool may_have_run_ = false;
--- a/src/dotterelport/gateway/forwarding_answer.cpp
+++ b/src/dotterelport/gateway/forwarding_answer.cpp
@@ -97,6 +97,9 @@
     }
     if (answer.load) {
         context_.placement.record_report(attempt_->server, *answer.load, steady_now());
+        if (context_.admissions.record_report(service_, *answer.load)) {
+            log(events::admission_active, {{"service", service_}, {"server", attempt_->server}});
+        }
     }
     return true;
 }
@@ -116,6 +119,7 @@
         attempt_->has_data = true;
         context_.second_sends.record_start(service_, request_.prompt_tokens,
                                            steady_now() - attempt_->sent);
+        record_start();
         if (is_usable(*attempt_)) {
             end_second(attempt_end::superseded);
         }
--- a/src/dotterelport/gateway/gateway.cpp
+++ b/src/dotterelport/gateway/gateway.cpp
@@ -71,6 +71,8 @@
     std::map<std::string, request::retry_budget> retries;
     request::retry_budget::options retry_options;
     std::mt19937_64 random{std::random_device{}()};
+    admission admissions{current_settings.admission, random};
+    waiting_room waiting{loop, admissions};
     std::uint64_t last_attempt = 0;
     std::optional<stop_order> stopping;
     bool returning_grants = false;
@@ -108,6 +110,8 @@
                                                  .crashes = crashes,
                                                  .statements = statements,
                                                  .second_sends = second_sends,
+                                                 .admissions = admissions,
+                                                 .waiting = waiting,
                                                  .counters = counters,
                                                  .retries = retries,
                                                  .retry_options = retry_options,
@@ -441,6 +445,7 @@
         stop_order{.received = steady_now(), .grace = state_->current_settings.grace};
     state_->stopped = std::move(stopped);
     state_->callers->start_draining();
+    state_->waiting.reject_all();
     state_->link.leave();
     state_->broker.hand_over();
 }
@@ -471,6 +476,7 @@
             {"crashes", state_->crashes.dump()},
             {"limits", state_->statements.dump()},
             {"second_sends", state_->second_sends.dump()},
+            {"admission", state_->admissions.dump(steady_now())},
             {"evacuations", state_->servers.evacuations().dump()}};
 }
 
--- a/src/dotterelport/gateway/metrics.cpp
+++ b/src/dotterelport/gateway/metrics.cpp
@@ -44,6 +44,10 @@
                              .Help("Failure domains that operators have evacuated")
                              .Register(registry)
                              .Add({})),
+      waits_(prometheus::BuildCounter()
+                 .Name("dotterelport_gateway_waits_total")
+                 .Help("Waits of requests for a free slot at full backend servers, by service")
+                 .Register(registry)),
       first_byte_seconds_(
           prometheus::BuildHistogram()
               .Name("dotterelport_gateway_first_byte_seconds")
@@ -70,6 +74,11 @@
         .Increment();
 }
 
+void metrics::record_wait(const std::string& service)
+{
+    waits_.Add({{"service", service}}).Increment();
+}
+
 void metrics::record_abandoned(const std::string& service)
 {
     abandoned_.Add({{"service", service}}).Increment();
--- a/src/dotterelport/gateway/metrics.hpp
+++ b/src/dotterelport/gateway/metrics.hpp
@@ -26,6 +26,7 @@
     void record_attempt(const std::string& service, const std::string& outcome);
     void record_second_send(const std::string& service, const std::string& decision);
     void set_unusable(std::size_t cold_servers, std::size_t evacuated_domains);
+    void record_wait(const std::string& service);
 
 private:
     prometheus::Family<prometheus::Counter>& answers_;
@@ -35,6 +36,7 @@
     prometheus::Family<prometheus::Counter>& second_sends_;
     prometheus::Gauge& cold_servers_;
     prometheus::Gauge& evacuated_domains_;
+    prometheus::Family<prometheus::Counter>& waits_;
     prometheus::Family<prometheus::Histogram>& first_byte_seconds_;
     prometheus::Family<prometheus::Histogram>& answer_seconds_;
 };
--- a/src/dotterelport/gateway/second_send.cpp
+++ b/src/dotterelport/gateway/second_send.cpp
@@ -112,7 +112,7 @@
     return std::max(settings_.min_delay, percentile_of(*times, settings_.percentile));
 }
 
-second_send_decision second_send_policy::decide(const waiting_request& request) const
+second_send_decision second_send_policy::decide(const slow_request& request) const
 {
     constexpr double half = 0.5;
     const auto* times = times_of(request.service, request.prompt_tokens);
--- a/src/dotterelport/gateway/second_send_test.cpp
+++ b/src/dotterelport/gateway/second_send_test.cpp
@@ -23,7 +23,7 @@
     return policy;
 }
 
-waiting_request waiting_for(milliseconds waited)
+slow_request waiting_for(milliseconds waited)
 {
     return {.service = service,
             .prompt_tokens = 2'000,
--- a/src/dotterelport/gateway/settings.cpp
+++ b/src/dotterelport/gateway/settings.cpp
@@ -30,7 +30,8 @@
             "retry_reserve": {"type": "number", "minimum": 0},
             "second_send_share": {"type": "number", "minimum": 0, "maximum": 0.2},
             "regions": {"type": "object", "additionalProperties": {"type": "string"}},
-            "evacuations": {"type": "boolean"}
+            "evacuations": {"type": "boolean"},
+            "admission": {"type": "boolean"}
         }
     })");
     return document;
@@ -79,6 +80,7 @@
     result.second_send_share = document.value("second_send_share", result.second_send_share);
     result.regions = document.value("regions", result.regions);
     result.evacuations = document.value("evacuations", result.evacuations);
+    result.admission = document.value("admission", result.admission);
     return result;
 }
 
