State the time of Retry-After for no_grant, and flush budgets when the store returns

Cause: no_grant always stated 50 ms, also when no gateway had tokens. After an outage, usage stayed in memory until the next flush (up to 5 s), and gateways kept idle grants for 3 s; processes killed in that time lost them.

Change, in fleets of at least 8 gateways: * gateway/grant_wait decides Retry-After from what the owner states in its reserved message, or from the state of the group, the store and the ledger. * While the store is away, a gateway calls it 120 ms after each failed call. The first one that is answered tells the others (store_returned). Each writes its usage, smallest remainder first, and returns idle tokens. * Smaller fleets are served as before.

--- a/include/dotterelport/budget/shard_session.hpp
+++ b/include/dotterelport/budget/shard_session.hpp
@@ -43,6 +43,16 @@
     recovering,
 };
 
+/// Which unused tokens of a grant a round returns.
+enum class idle_return {
+    /// Those above the usual tolerance, and those of grants that were not used for a while.
+    usual,
+    /// All above the target for the present demand.
+    above_target,
+    /// All that are not reserved.
+    all,
+};
+
 /// Conditions under which a round runs.
 struct round_environment {
     milliseconds now{0};
@@ -51,6 +61,10 @@
     std::size_t failure_domains = 1;
     /// Whether to write open bill lines; otherwise a later round writes them.
     bool flush = true;
+    idle_return returned = idle_return::usual;
+    /// Whether to read the ledger also if nothing has to be written, to find out whether the
+    /// platform answers.
+    bool must_read = false;
     /// Whether a ledger that the store has lost a part of may be written from the newest copy that
     /// is known: the other holders had the time to send theirs.
     bool may_recover = true;
--- a/include/dotterelport/gateway/budget_broker.hpp
+++ b/include/dotterelport/gateway/budget_broker.hpp
@@ -37,6 +37,9 @@
     /// Interval at which the owner of a shard sends its state also if it has not changed, as the
     /// other gateways may have started again.
     milliseconds copy_interval{3'000};
+    /// Time for which further messages that the store has returned are ignored, as several gateways
+    /// may notice it.
+    milliseconds return_memory{1'000};
 };
 
 /// Reserves tokens at the gateway that currently owns a shard of the ledger, so that writes of
@@ -56,6 +59,10 @@
     std::uint64_t reserve(const std::string& workspace, tokens upper_tokens,
                           budget_keeper::reservation_handler done);
 
+    /// @brief Time after which a request of a workspace that was refused with `no_grant` may be
+    /// reserved.
+    [[nodiscard]] milliseconds retry_after(const std::string& workspace, tokens upper_tokens);
+
     /// @brief Cancels a reservation that is still waiting, without calling its handler.
     void abandon(std::uint64_t reservation);
 
@@ -93,6 +100,12 @@
         net::timer_id timer = 0;
     };
 
+    /// Time at which an owner expects tokens of a workspace.
+    struct owner_statement {
+        std::string owner;
+        milliseconds expected_at{0};
+    };
+
     /// Owner and number of a reservation.
     using settlement_key = std::pair<std::string, std::uint64_t>;
 
@@ -129,6 +142,12 @@
     void choose_owner(std::uint64_t number);
     void request_from_owner(std::uint64_t number);
     void reserve_locally(std::uint64_t number);
+    /// @brief Records when an owner that refused a reservation expects tokens.
+    void note_statement(const std::string& workspace, const peer_message& message);
+    [[nodiscard]] bool is_large_fleet() const
+    {
+        return link_.peer_count() + 1 >= least_large_fleet;
+    }
     void finish(std::uint64_t number, reservation_outcome outcome);
     void start_settlement(const std::string& owner, std::uint64_t number, verdict ran,
                           tokens prompt_tokens, tokens output_tokens);
@@ -153,6 +172,9 @@
         return number > first_number_ && number <= last_number_;
     }
     void receive_reserved(const peer_message& message);
+    /// @brief Flushes the budgets and tells the other gateways of a large fleet.
+    void store_returned();
+    void receive_store_returned(const peer_message& message);
     void receive_settle(const peer_message& message);
     /// @brief Uses another owner for the reservations that wait for a stopping one.
     void receive_leaving(const peer_message& message);
@@ -169,7 +191,11 @@
     std::map<std::string, lent_reservation> lent_;
     std::map<std::string, waiting_reservation> waiting_here_;
     std::map<std::string, ended_reservation> ended_here_;
+    /// By workspace; only of owners that refused the last reservation.
+    std::map<std::string, owner_statement> statements_;
     milliseconds copies_sent_at_{0};
+    /// When this gateway last learnt that the store had returned.
+    std::optional<milliseconds> store_returned_at_;
 };
 
 } // namespace dotterelport::gateway
--- a/include/dotterelport/gateway/budget_keeper.hpp
+++ b/include/dotterelport/gateway/budget_keeper.hpp
@@ -39,6 +39,7 @@
     void abandon(const std::string& workspace, const std::string& id);
     void settle(const std::string& workspace, const std::string& id, verdict ran,
                 tokens prompt_tokens, tokens output_tokens);
+    grant_prospect prospect(const std::string& workspace, tokens upper_tokens);
 
     /// @brief Begins a new era of the store, in which the ledger is recovered first.
     /// @param is_owner returns whether this gateway owns a shard
@@ -57,6 +58,15 @@
         on_ledger_written_ = std::move(handler);
     }
 
+    /// @brief Sets whether the fleet is large, a function that returns whether this gateway owns a
+    /// shard, and one that is called when the store has returned after an outage.
+    void follow_store(std::function<bool(std::uint32_t)> is_owner, std::function<void()> on_return);
+    void set_large_fleet(bool is_large) { health_->is_large_fleet = is_large; }
+
+    /// @brief Writes the usage of finished requests and returns idle tokens, as the store is back;
+    /// budgets with the fewest remaining tokens first.
+    void store_returned();
+
     /// @brief Returns the unused grants. Calls `done` once all changes are in the ledger.
     void drain(std::function<void()> done);
 
@@ -77,6 +87,7 @@
     object_store::store_era era_ = 0;
     milliseconds era_began_{0};
     std::function<bool(std::uint32_t)> is_owner_;
+    std::function<bool(std::uint32_t)> owns_now_;
     std::function<void(std::uint32_t)> on_ledger_written_;
     /// Newest states of shards that other gateways have sent.
     std::map<std::uint32_t, budget::ledger_copy> received_copies_;
--- a/include/dotterelport/gateway/events.hpp
+++ b/include/dotterelport/gateway/events.hpp
@@ -146,6 +146,11 @@
     953, severity::info, "evacuation_ended",
     "The backend servers of a failure domain get requests again, at first as few as cold ones."};
 
+inline constexpr log_event budgets_flushed{
+    960, severity::info, "budgets_flushed",
+    "The store has returned after an outage, noticed by this gateway or told by another one; usage "
+    "is written and idle tokens are returned at once."};
+
 } // namespace dotterelport::gateway::events
 
 #endif
--- a/include/dotterelport/gateway/peer_link.hpp
+++ b/include/dotterelport/gateway/peer_link.hpp
@@ -42,6 +42,8 @@
     server_statement,
     /// Passes on a ledger shard as the sender last knew it.
     ledger_copy,
+    /// The sender has reached the store again after an outage.
+    store_returned,
 };
 
 /// A message between gateways.
--- a/include/dotterelport/gateway/shard_keeper.hpp
+++ b/include/dotterelport/gateway/shard_keeper.hpp
@@ -8,6 +8,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 
 #include "dotterelport/base/clock.hpp"
 #include "dotterelport/base/identifiers.hpp"
@@ -15,6 +16,7 @@
 #include "dotterelport/base/tokens.hpp"
 #include "dotterelport/base/verdict.hpp"
 #include "dotterelport/budget/shard_session.hpp"
+#include "dotterelport/gateway/grant_wait.hpp"
 #include "dotterelport/net/event_loop.hpp"
 #include "dotterelport/object_store/conditional_objects.hpp"
 
@@ -54,6 +56,9 @@
     /// further one up to max_backoff. The round after the first one follows at once.
     milliseconds initial_backoff{250};
     milliseconds max_backoff{1'000};
+    /// Longest time between two calls of the store by one gateway of a large fleet while the store
+    /// is away, so that its return is noticed within that time.
+    milliseconds probe_interval{120};
     budget::demand_share sizing = default_sizing();
 
     static budget::demand_share default_sizing();
@@ -63,13 +68,24 @@
 /// retry while the store is unavailable.
 struct store_health {
     int failures = 0;
+    /// Time until which requests are refused without a call.
     milliseconds retry_at{0};
+    /// Time from which a round may find out whether the store is back; at most retry_at.
+    milliseconds probe_at{0};
+    bool is_large_fleet = false;
+    /// Called when the store answers again after two failed calls or more.
+    std::function<void()> on_return;
 
     [[nodiscard]] bool is_backing_off(milliseconds now) const
     {
         return failures > 0 && now < retry_at;
     }
-    void record_answer() { failures = 0; }
+    [[nodiscard]] bool may_probe(milliseconds now) const
+    {
+        return failures == 0 || now >= probe_at;
+    }
+    /// @return whether an outage has ended
+    bool record_answer() { return std::exchange(failures, 0) > 1; }
 
     /// @param initial_backoff backoff after the second failure, doubled after each further one
     /// @param max_backoff upper limit of the backoff
@@ -114,6 +130,9 @@
     void settle(const std::string& workspace, const std::string& id, verdict ran,
                 tokens prompt_tokens, tokens output_tokens);
 
+    /// @brief What is known of the grants when a request of a workspace is refused.
+    [[nodiscard]] grant_prospect prospect(const std::string& workspace, tokens upper_tokens) const;
+
     /// @brief Begins a new era of the store, in which the ledger is recovered first.
     void begin_era(object_store::store_era era, const recovery_times& times);
     /// @brief Takes the ledger as another gateway last knew it.
@@ -129,6 +148,13 @@
         on_ledger_written_ = std::move(handler);
     }
 
+    /// @brief Writes the usage of finished requests and returns idle tokens, as the store is back.
+    /// @param returned how many of the idle tokens
+    void flush(milliseconds delay, budget::idle_return returned);
+    /// @brief Smallest number of tokens that a used budget of this shard has left; nothing if no
+    /// budget is used.
+    [[nodiscard]] std::optional<tokens> least_remaining() const;
+
     /// @brief Returns the unused grants. Calls `done` once all changes are in the ledger.
     void drain(std::function<void()> done);
 
@@ -195,6 +221,10 @@
     bool ledger_logged_ = false;
     bool round_reached_store_ = false;
     bool ledger_written_ = false;
+    /// Rounds that flush without regard to the interval. The first may only write a batch that was
+    /// sealed during the outage.
+    int early_flushes_ = 0;
+    budget::idle_return returned_ = budget::idle_return::usual;
     recovery_times recovery_;
     std::function<void()> on_ledger_written_;
     /// Callbacks of pending store calls hold a weak pointer to it to detect that this object was
--- a/src/dotterelport/budget/shard_session.cpp
+++ b/src/dotterelport/budget/shard_session.cpp
@@ -459,7 +459,8 @@
     const bool moves = allows_lending(policy_);
     const tokens needed = budget_account.reserved + (moves ? budget_account.waiting_tokens : 0);
     const bool idle = environment_.now - budget_account.last_used > idle_limit(policy_);
-    if (draining_ || budget_account.recalled || idle || entry.total() > entry.prepaid) {
+    if (draining_ || budget_account.recalled || idle || entry.total() > entry.prepaid ||
+        environment_.returned == idle_return::all) {
         return needed;
     }
     const tokens target =
@@ -476,8 +477,10 @@
     }
     // The reserved tokens change with each request, so only the tokens for new requests are
     // compared.
-    const bool keep =
-        open_now >= needed && is_near_target(policy_, open_now - needed, target - needed);
+    const bool must_shrink =
+        environment_.returned == idle_return::above_target && open_now > target;
+    const bool keep = open_now >= needed && !must_shrink &&
+                      is_near_target(policy_, open_now - needed, target - needed);
     return keep ? open_now : std::max(target, needed);
 }
 
@@ -511,7 +514,7 @@
 
 std::optional<io_step> shard_session::plan()
 {
-    if (!ledger_.has_value() || needs_recovery()) {
+    if (!ledger_.has_value() || needs_recovery() || (environment_.must_read && !fresh_)) {
         return read_shard();
     }
     ledger_shard next = *ledger_;
--- a/src/dotterelport/ctl/event_catalogue.cpp
+++ b/src/dotterelport/ctl/event_catalogue.cpp
@@ -136,6 +136,7 @@
         gateway::server_wait_requested,
         gateway::server_statement_unreadable,
         gateway::suspects_tried,
+        gateway::budgets_flushed,
         store::feed_lost,
         store::feed_regained,
         store::feed_history_gone,
--- a/src/dotterelport/gateway/budget_broker.cpp
+++ b/src/dotterelport/gateway/budget_broker.cpp
@@ -30,6 +30,10 @@
                      [this](const peer_message& message) { receive_settle(message); });
     link_.on_message(peer_message_kind::ledger_copy,
                      [this](const peer_message& message) { receive_copy(message); });
+    link_.on_message(peer_message_kind::store_returned,
+                     [this](const peer_message& message) { receive_store_returned(message); });
+    keeper_.follow_store([this](std::uint32_t shard) { return link_.owner(shard) == link_.node(); },
+                         [this] { store_returned(); });
     // Copies at the gateways that own the shard next outlive this one.
     keeper_.on_ledger_written([this](std::uint32_t shard) { send_copy(shard); });
     link_.on_message(peer_message_kind::leaving,
@@ -69,6 +73,33 @@
     keeper_.begin_era(era, is_owner);
 }
 
+void budget_broker::store_returned()
+{
+    if (!is_large_fleet()) {
+        return;
+    }
+    const milliseconds now = steady_now();
+    const bool was_told = store_returned_at_ && now - *store_returned_at_ < settings_.return_memory;
+    log(events::budgets_flushed, {{"noticed_by", link_.node()}, {"announced", !was_told}});
+    store_returned_at_ = now;
+    if (!was_told) {
+        link_.announce(peer_message_kind::store_returned, json::array());
+    }
+    keeper_.store_returned();
+}
+
+void budget_broker::receive_store_returned(const peer_message& message)
+{
+    const milliseconds now = steady_now();
+    if (!is_large_fleet() || link_.is_leaving() ||
+        (store_returned_at_ && now - *store_returned_at_ < settings_.return_memory)) {
+        return;
+    }
+    store_returned_at_ = now;
+    log(events::budgets_flushed, {{"noticed_by", message.node}, {"announced", false}});
+    keeper_.store_returned();
+}
+
 void budget_broker::hand_over()
 {
     for (std::uint32_t shard = 0; shard < ledger_shards; ++shard) {
@@ -130,6 +161,33 @@
     return number;
 }
 
+milliseconds budget_broker::retry_after(const std::string& workspace, tokens upper_tokens)
+{
+    grant_refusal refusal{.is_large_fleet = is_large_fleet(),
+                          .is_isolated = link_.group_size() > 0 && link_.live_peers().empty(),
+                          .own = {}};
+    const auto stated = statements_.find(workspace);
+    if (stated != statements_.end() && stated->second.owner == owner_of(workspace)) {
+        refusal.stated_by_owner = stated->second.expected_at - steady_now();
+    } else {
+        refusal.own = keeper_.prospect(workspace, upper_tokens);
+    }
+    return grant_retry_after(refusal);
+}
+
+void budget_broker::note_statement(const std::string& workspace, const peer_message& message)
+{
+    constexpr std::size_t position = 3;
+    // Gateways of an earlier version do not state a time.
+    if (message.content.size() > position) {
+        const milliseconds wait{message.content.at(position).get<std::int64_t>()};
+        statements_.insert_or_assign(
+            workspace, owner_statement{.owner = message.node, .expected_at = steady_now() + wait});
+    } else {
+        statements_.erase(workspace);
+    }
+}
+
 void budget_broker::choose_owner(std::uint64_t number)
 {
     auto& item = reservations_.at(number);
@@ -175,6 +233,7 @@
 void budget_broker::reserve_locally(std::uint64_t number)
 {
     const auto& item = reservations_.at(number);
+    statements_.erase(item.workspace);
     keeper_.reserve(item.workspace, key_of(link_.node(), number), item.upper_tokens,
                     [this, number, workspace = item.workspace](reservation_outcome outcome) {
                         if (reservations_.contains(number)) {
@@ -272,8 +331,15 @@
     const auto workspace = message.content.at(1).get<std::string>();
     const auto upper_tokens = message.content.at(2).get<tokens>();
     const std::string key = key_of(message.node, number);
-    const auto answer_of = [this, number](reservation_outcome outcome) {
-        return json::array({number, static_cast<int>(outcome), keeper_.generation()});
+    const auto answer_of = [this, number, workspace, upper_tokens](reservation_outcome outcome) {
+        json answer = json::array({number, static_cast<int>(outcome), keeper_.generation()});
+        if (outcome == reservation_outcome::no_grant && is_large_fleet()) {
+            const grant_refusal refusal{.is_large_fleet = true,
+                                        .is_isolated = false,
+                                        .own = keeper_.prospect(workspace, upper_tokens)};
+            answer.push_back(grant_retry_after(refusal).count());
+        }
+        return answer;
     };
     if (lent_.contains(key)) {
         link_.send(message.node, peer_message_kind::reserved,
@@ -392,6 +458,9 @@
         reserve_locally(number);
         return;
     }
+    if (result == reservation_outcome::no_grant) {
+        note_statement(found->second.workspace, message);
+    }
     finish(number, result);
 }
 
@@ -437,6 +506,7 @@
 void budget_broker::expire()
 {
     const milliseconds now = steady_now();
+    keeper_.set_large_fleet(is_large_fleet());
     if (now - copies_sent_at_ >= settings_.copy_interval && !link_.is_leaving()) {
         copies_sent_at_ = now;
         for (std::uint32_t shard = 0; shard < ledger_shards; ++shard) {
@@ -470,7 +540,10 @@
             {"unconfirmed_settlements", settlements_.size()},
             {"lent", lent_.size()},
             {"waiting_for_others", waiting_here_.size()},
-            {"ended_for_others", ended_here_.size()}};
+            {"ended_for_others", ended_here_.size()},
+            {"store_returned_ms_ago",
+             store_returned_at_ ? json((steady_now() - *store_returned_at_).count()) : json()},
+            {"owners_without_tokens", statements_.size()}};
 }
 
 } // namespace dotterelport::gateway
--- a/src/dotterelport/gateway/budget_fixture.hpp
+++ b/src/dotterelport/gateway/budget_fixture.hpp
@@ -29,6 +29,8 @@
     std::mt19937_64 random{5};
     int writes = 0;
     int reads = 0;
+    /// Keys of the writes in their order.
+    std::vector<std::string> written;
 
     fake_objects(net::event_loop& event_loop, object_store::store& objects,
                  const object_store::store_era& store_era)
@@ -51,6 +53,7 @@
                std::function<void(const object_store::write_result&)> done) override
     {
         ++writes;
+        written.push_back(key);
         loop.schedule(delay, [this, key, value, if_version, done] {
             if (!reachable) {
                 done({});
--- a/src/dotterelport/gateway/budget_keeper.cpp
+++ b/src/dotterelport/gateway/budget_keeper.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <utility>
+#include <vector>
 
 #include "dotterelport/base/hash.hpp"
 
@@ -136,6 +137,43 @@
     shard_of(workspace).settle(workspace, id, ran, prompt_tokens, output_tokens);
 }
 
+grant_prospect budget_keeper::prospect(const std::string& workspace, tokens upper_tokens)
+{
+    return shard_of(workspace).prospect(workspace, upper_tokens);
+}
+
+void budget_keeper::follow_store(std::function<bool(std::uint32_t)> is_owner,
+                                 std::function<void()> on_return)
+{
+    owns_now_ = std::move(is_owner);
+    health_->on_return = std::move(on_return);
+}
+
+void budget_keeper::store_returned()
+{
+    // Without a delay, all shards of a gateway would wait for the store at once, and the order
+    // would have no effect.
+    constexpr milliseconds spacing{4};
+    // The next call decides whether the store answers this gateway too.
+    health_->retry_at = steady_now();
+    health_->probe_at = health_->retry_at;
+    std::vector<std::pair<tokens, std::uint32_t>> order;
+    for (const auto& [number, shard] : shards_) {
+        const auto remaining = shard->least_remaining();
+        if (remaining) {
+            order.emplace_back(*remaining, number);
+        }
+    }
+    std::sort(order.begin(), order.end());
+    milliseconds delay{0};
+    for (const auto& [remaining, number] : order) {
+        const bool is_owner = !owns_now_ || owns_now_(number);
+        shards_.at(number)->flush(delay, is_owner ? budget::idle_return::above_target
+                                                  : budget::idle_return::all);
+        delay += spacing;
+    }
+}
+
 void budget_keeper::drain(std::function<void()> done)
 {
     // `done` is called when the last shard releases its copy of the pointer.
--- a/src/dotterelport/gateway/forwarding.cpp
+++ b/src/dotterelport/gateway/forwarding.cpp
@@ -30,10 +30,6 @@
 /// registration or a grant is restored once the store is available again.
 constexpr milliseconds store_retry_after{1'000};
 
-/// Retry-After when this gateway has no sufficient grant: a retry reaches another gateway, whose
-/// grant may cover the request immediately.
-constexpr milliseconds other_gateway_retry_after{50};
-
 constexpr int bad_request = 400;
 constexpr int unauthorized = 401;
 constexpr int payment_required = 402;
@@ -252,7 +248,8 @@
         refuse(payment_required, "budget_exhausted");
         return;
     case reservation_outcome::no_grant:
-        refuse(unavailable, "no_grant", other_gateway_retry_after);
+        refuse(unavailable, "no_grant",
+               context_.budgets.retry_after(workspace_->name, request_.max_tokens()));
         return;
     }
 }
--- a/src/dotterelport/gateway/peer_link.cpp
+++ b/src/dotterelport/gateway/peer_link.cpp
@@ -10,7 +10,7 @@
 namespace dotterelport::gateway {
 namespace {
 
-constexpr int highest_kind = static_cast<int>(peer_message_kind::ledger_copy);
+constexpr int highest_kind = static_cast<int>(peer_message_kind::store_returned);
 
 bool received_within(const std::optional<milliseconds>& last_received, milliseconds limit)
 {
--- a/src/dotterelport/gateway/shard_keeper.cpp
+++ b/src/dotterelport/gateway/shard_keeper.cpp
@@ -77,6 +77,7 @@
     const int doublings = std::min(failures - 1, max_doublings);
     retry_at =
         failures == 0 ? now : now + std::min(max_backoff, initial_backoff * (1 << doublings));
+    probe_at = retry_at;
     ++failures;
 }
 
@@ -208,6 +209,17 @@
     }
 }
 
+grant_prospect shard_keeper::prospect(const std::string& workspace, tokens upper_tokens) const
+{
+    const milliseconds now = steady_now();
+    const bool is_store_away = health_->is_backing_off(now);
+    const milliseconds next =
+        is_store_away ? health_->retry_at : last_round_ + settings_.round_interval;
+    return {.is_store_away = is_store_away,
+            .is_ledger_short = lacks_capacity(workspace, upper_tokens),
+            .until_attempt = std::max(milliseconds{0}, next - now)};
+}
+
 void shard_keeper::abandon(const std::string& workspace, const std::string& id)
 {
     waiting_.remove_if([&](const waiting_reservation& item) {
@@ -272,13 +284,16 @@
         return;
     }
     const milliseconds now = steady_now();
-    if (health_->is_backing_off(now)) {
-        schedule_round(health_->retry_at - now);
+    if (!health_->may_probe(now)) {
+        schedule_round(health_->probe_at - now);
         return;
     }
     update_demand();
     last_round_ = now;
-    const bool flush = on_drained_ != nullptr || now - last_flush_ >= settings_.flush_interval;
+    // Without a call, a gateway whose grants suffice would not notice the return of the store.
+    const bool is_probe = health_->is_large_fleet && health_->failures > 0;
+    const bool flush = on_drained_ != nullptr || early_flushes_ > 0 || is_probe ||
+                       now - last_flush_ >= settings_.flush_interval;
     if (flush) {
         last_flush_ = now;
     }
@@ -286,6 +301,8 @@
                                       .platform_trouble = milliseconds{0},
                                       .failure_domains = holder_count(),
                                       .flush = flush,
+                                      .returned = returned_,
+                                      .must_read = is_probe,
                                       .may_recover = now >= recovery_.with_copy,
                                       .may_recover_unknown = now >= recovery_.without_copy});
     if (!step) {
@@ -339,12 +356,21 @@
 void shard_keeper::round_ended()
 {
     const bool complete = session_.last_outcome() == budget::round_outcome::complete;
+    bool has_returned = false;
     if (session_.last_outcome() == budget::round_outcome::unavailable) {
         log(events::ledger_unavailable,
             {{"shard", session_.shard()}, {"waiting", waiting_.size()}});
-        health_->record_failure(steady_now(), settings_.initial_backoff, settings_.max_backoff);
+        const milliseconds now = steady_now();
+        health_->record_failure(now, settings_.initial_backoff, settings_.max_backoff);
+        if (health_->is_large_fleet) {
+            health_->probe_at = std::min(health_->retry_at, now + settings_.probe_interval);
+        }
     } else if (round_reached_store_) {
-        health_->record_answer();
+        has_returned = health_->record_answer();
+    }
+    if (complete && early_flushes_ > 0) {
+        early_flushes_ = session_.holder().has_open_lines() ? early_flushes_ - 1 : 0;
+        returned_ = budget::idle_return::usual;
     }
     round_reached_store_ = false;
     if (complete && session_.ledger() != nullptr) {
@@ -359,8 +385,42 @@
         std::exchange(on_drained_, nullptr)();
         return;
     }
-    schedule_round(waiting_.empty() && !on_drained_ ? settings_.round_interval
-                                                    : settings_.min_round_interval);
+    if (complete && early_flushes_ > 0) {
+        schedule_round(milliseconds{0});
+    } else if (health_->is_large_fleet && health_->failures > 0 &&
+               session_.last_outcome() == budget::round_outcome::unavailable) {
+        // A shard that has called the store probes it again; the others wait for its result.
+        schedule_round(std::max(settings_.min_round_interval, health_->probe_at - steady_now()));
+    } else {
+        schedule_round(waiting_.empty() && !on_drained_ ? settings_.round_interval
+                                                        : settings_.min_round_interval);
+    }
+    if (has_returned && health_->on_return) {
+        health_->on_return();
+    }
+}
+
+void shard_keeper::flush(milliseconds delay, budget::idle_return returned)
+{
+    constexpr int rounds = 2;
+    early_flushes_ = rounds;
+    returned_ = returned;
+    // A round that is running ends with the next one.
+    if (!session_.in_round()) {
+        schedule_round(delay);
+    }
+}
+
+std::optional<tokens> shard_keeper::least_remaining() const
+{
+    std::optional<tokens> result;
+    const auto* ledger = session_.ledger();
+    for (const auto& account : session_.holder().accounts()) {
+        const auto* entry = ledger == nullptr ? nullptr : ledger->find(account.budget);
+        const tokens remaining = entry == nullptr ? 0 : entry->prepaid - entry->settled;
+        result = std::min(result.value_or(remaining), remaining);
+    }
+    return result;
 }
 
 void shard_keeper::log_first_ledger()
@@ -439,6 +499,8 @@
     json result = session_.dump();
     result["waiting"] = waiting_.size();
     result["holders"] = holder_count();
+    result["early_flushes"] = early_flushes_;
+    result["store_failures"] = health_->failures;
     return result;
 }
 
