--- a/include/dotterelport/gateway/events.hpp
+++ b/include/dotterelport/gateway/events.hpp
@@ -168,6 +168,10 @@
 inline constexpr log_event request_waits{
     967, severity::info, "request_waits",
     "All backend servers of a request are full; it waits at this gateway for a free slot."};
+inline constexpr log_event budgets_flushed{
+    960, severity::info, "budgets_flushed",
+    "The store has returned after an outage, noticed by this gateway or told by another one; usage "
+    "is written and idle tokens are returned at once."};
 
 } // namespace dotterelport::gateway::events
 
