--- a/src/dotterelport/gateway/settings.cpp
+++ b/src/dotterelport/gateway/settings.cpp
@@ -29,7 +29,9 @@
             "retry_share": {"type": "number", "minimum": 0},
             "retry_reserve": {"type": "number", "minimum": 0},
             "regions": {"type": "object", "additionalProperties": {"type": "string"}},
-            "evacuations": {"type": "boolean"}
+            "evacuations": {"type": "boolean"},
+            "memory_mb": {"type": "integer", "minimum": 32},
+            "max_fds": {"type": "integer", "minimum": 256}
         }
     })");
     return document;
