Limit what clients make the gateway, its operators' server and the relay hold

Nothing bounded the sum of bodies, of unread answers to pipelined requests and of connections. client_budget counts what each connection of a stream_server holds within limits derived from the new settings memory_mb and max_fds; the connection that holds most and has moved least gives way. No further request is taken from a client that has more than 64 KB to read, chunks are decoded in slices, and idle connections are closed for new ones. The operators' server keeps 64 connections and accepts bodies of up to 16 KB, and the relay closes connections without data for new ones.

Unit tests of net, object_store, process and ctl pass.

--- a/include/dotterelport/gateway/events.hpp
+++ b/include/dotterelport/gateway/events.hpp
@@ -146,6 +146,11 @@
     953, severity::info, "evacuation_ended",
     "The backend servers of a failure domain get requests again, at first as few as cold ones."};
 
+inline constexpr log_event clients_limited{
+    977, severity::warning, "clients_limited",
+    "Clients together reached the limit of bytes or of connections: requests that were not handed "
+    "on were refused, or connections closed. States how many by cause."};
+
 } // namespace dotterelport::gateway::events
 
 #endif
--- a/include/dotterelport/gateway/settings.hpp
+++ b/include/dotterelport/gateway/settings.hpp
@@ -40,6 +40,9 @@
     std::map<std::string, std::string> regions;
     /// Operators can evacuate failure domains of this deployment.
     bool evacuations = false;
+    /// Memory of the VM in MB, and number of descriptors that the process may open.
+    std::size_t memory_mb = 256;
+    std::size_t max_fds = 1'024;
 
     bool operator==(const settings&) const = default;
 };
--- a/include/dotterelport/net/http_server.hpp
+++ b/include/dotterelport/net/http_server.hpp
@@ -68,6 +68,9 @@
         std::size_t max_body_bytes = 1U << 20U;
         /// Idle keep-alive connections are closed after this time.
         milliseconds idle_timeout{30'000};
+        /// When more connections are accepted, the oldest one without a request in progress is
+        /// closed. 0 means no limit.
+        std::size_t max_connections = 0;
     };
 
     explicit http_server(event_loop& loop);
--- a/include/dotterelport/net/stream_server.hpp
+++ b/include/dotterelport/net/stream_server.hpp
@@ -10,6 +10,7 @@
 #include <string_view>
 #include <unordered_map>
 
+#include "dotterelport/net/client_budget.hpp"
 #include "dotterelport/net/endpoint.hpp"
 #include "dotterelport/net/event_loop.hpp"
 #include "dotterelport/net/http1.hpp"
@@ -18,6 +19,7 @@
 
 class stream_connection;
 class stream_server;
+class tcp_connection;
 class tcp_listener;
 
 /// One request of a client and the answer to it. Unlike http_response, it reports immediately that
@@ -91,6 +93,8 @@
         milliseconds header_timeout{3'000};
         /// Idle connections are closed after this time; also the limit for receiving a body.
         milliseconds idle_timeout{15'000};
+        /// What all connections together may make the process hold.
+        client_limits clients{};
     };
 
     using handler = std::function<void(std::shared_ptr<stream_exchange>)>;
@@ -106,6 +110,16 @@
     /// @brief Changes the limits for requests that have not begun.
     void set_options(const options& settings);
 
+    /// @brief Sets a function that is called each time that a limit of all clients together makes a
+    /// request refused or a connection closed.
+    void on_limit(std::function<void(limit_cause cause)> function)
+    {
+        on_limit_ = std::move(function);
+    }
+
+    /// @brief Number of bytes that clients make the server hold.
+    [[nodiscard]] std::size_t held_bytes() const { return budget_.used(); }
+
     /// @brief Answers with "Connection: close" from now on, so that clients reconnect
     /// elsewhere.
     void start_draining() { draining_ = true; }
@@ -123,12 +137,23 @@
     /// its callbacks may be running.
     void remove(std::uint64_t id);
 
+    void accept(std::unique_ptr<tcp_connection> connection);
+    /// @brief Closes a connection without a request in progress, for a new one.
+    /// @return false if there is none
+    bool close_one();
+    /// @brief Lets connections give way until what this one holds is within the limits.
+    /// @return false if this one has to give way itself
+    bool make_room(std::uint64_t id);
+    void report(limit_cause cause);
+
     event_loop& loop_;
     endpoint address_;
     options options_;
     handler handle_;
     std::unique_ptr<tcp_listener> listener_;
     std::unordered_map<std::uint64_t, std::unique_ptr<stream_connection>> connections_;
+    client_budget budget_;
+    std::function<void(limit_cause)> on_limit_;
     std::uint64_t last_id_ = 0;
     bool draining_ = false;
 };
--- a/include/dotterelport/object_store/events.hpp
+++ b/include/dotterelport/object_store/events.hpp
@@ -39,6 +39,9 @@
 inline constexpr log_event answer_of_earlier_era{
     888, severity::warning, "answer_of_earlier_era",
     "An answer from before the store came back from an older copy is ignored."};
+inline constexpr log_event relay_clients_limited{
+    892, severity::warning, "relay_clients_limited",
+    "The relay reached its limit of connections and closed some that were not in use."};
 
 } // namespace dotterelport::object_store::events
 
--- a/include/dotterelport/object_store/store_relay.hpp
+++ b/include/dotterelport/object_store/store_relay.hpp
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 
@@ -18,7 +19,8 @@
     struct options {
         net::endpoint listen;
         net::endpoint store;
-        /// Further connections are closed at once.
+        /// When there are more, one that has sent nothing yet, or else the one that has been
+        /// without data for longest, is closed. If all are in use, the new one is.
         std::size_t max_connections = 500;
         milliseconds connect_timeout{400};
     };
@@ -33,6 +35,9 @@
     void set_store(const net::endpoint& store) { options_.store = store; }
 
     [[nodiscard]] const net::endpoint& address() const { return listener_->address(); }
+    /// @brief Sets a function that is called with each connection closed for a new one.
+    void on_limit(std::function<void()> function) { on_limit_ = std::move(function); }
+
     [[nodiscard]] std::size_t connection_count() const { return pairs_.size(); }
 
 private:
@@ -46,10 +51,14 @@
     /// @brief Closes the router's connection normally if the store has, and all its bytes are sent.
     void finish_if_sent(std::uint64_t id);
     void close(std::uint64_t id);
+    /// @brief Closes the connection that is least likely to be needed.
+    /// @return false if all are in use
+    bool close_one();
 
     net::event_loop& loop_;
     options options_;
     std::unique_ptr<net::tcp_listener> listener_;
+    std::function<void()> on_limit_;
     std::uint64_t last_id_ = 0;
     std::map<std::uint64_t, std::shared_ptr<connection_pair>> pairs_;
 };
--- a/src/dotterelport/ctl/event_catalogue.cpp
+++ b/src/dotterelport/ctl/event_catalogue.cpp
@@ -124,6 +124,7 @@
         gateway::server_cold,
         gateway::domain_evacuated,
         gateway::evacuation_ended,
+        gateway::clients_limited,
         gateway::ledger_step,
         gateway::ledger_copy_unreadable,
         gateway::server_examined,
@@ -148,6 +149,7 @@
         store::era_changed,
         store::answer_of_earlier_era,
         store::feed_era_gone,
+        store::relay_clients_limited,
     };
     std::sort(events.begin(), events.end(),
               [](const auto& left, const auto& right) { return left.number < right.number; });
--- a/src/dotterelport/gateway/gateway.cpp
+++ b/src/dotterelport/gateway/gateway.cpp
@@ -31,6 +31,9 @@
 /// Number of gateways that is assumed before the list of gateways is known.
 constexpr std::size_t assumed_gateways = 64;
 
+/// Shortest time between two log lines about clients that exceed the limits.
+constexpr milliseconds limit_log_interval{1'000};
+
 /// Lower limit of the number of gateways that share the retry reserve.
 constexpr std::size_t min_gateways = 4;
 
@@ -72,6 +75,8 @@
     std::uint64_t last_request = 0;
     std::map<std::uint64_t, std::shared_ptr<forwarding>> requests;
     forwarding_context context;
+    std::map<net::limit_cause, std::uint64_t> limited_clients;
+    milliseconds next_limit_log{0};
     std::unique_ptr<net::stream_server> callers;
     std::unique_ptr<net::periodic_timer> checks;
 
@@ -110,13 +115,41 @@
             servers.evacuations().require_list();
         }
         callers = std::make_unique<net::stream_server>(
-            loop, current_settings.callers, net::stream_server::options{},
+            loop, current_settings.callers, net::stream_server::options{.clients = client_limits()},
             [this](std::shared_ptr<net::stream_exchange> exchange) {
                 accept(std::move(exchange));
             });
+        callers->on_limit([this](net::limit_cause cause) { client_limited(cause); });
         checks = std::make_unique<net::periodic_timer>(loop, check_interval, [this] { check(); });
     }
 
+    [[nodiscard]] net::client_limits client_limits() const
+    {
+        return net::limits_of_vm(current_settings.memory_mb, current_settings.max_fds);
+    }
+
+    /// @brief Counts a client that a limit of all clients made give way; logged by check().
+    void client_limited(net::limit_cause cause)
+    {
+        counters.record_limited_client(std::string(net::to_string(cause)));
+        ++limited_clients[cause];
+    }
+
+    /// @brief Logs the clients that gave way, at most once in a period, as there may be many.
+    void log_limited_clients()
+    {
+        if (limited_clients.empty() || steady_now() < next_limit_log) {
+            return;
+        }
+        json fields = {{"held_bytes", callers->held_bytes()},
+                       {"connections", callers->connection_count()}};
+        for (const auto& [cause, count] : std::exchange(limited_clients, {})) {
+            fields[std::string(net::to_string(cause))] = count;
+        }
+        log(events::clients_limited, fields);
+        next_limit_log = steady_now() + limit_log_interval;
+    }
+
     void set_retry_options()
     {
         // Each gateway may retry a share of its own requests and uses an equal part of the common
@@ -224,6 +257,7 @@
         for (const auto& domain : servers.evacuations().expire(steady_now())) {
             evacuation_ended(domain);
         }
+        log_limited_clients();
         broker.expire();
         statements.expire(steady_now());
         if (stopping) {
@@ -303,7 +337,8 @@
     state_->callers->set_options({.max_header_bytes = limits.max_header_bytes,
                                   .max_body_bytes = limits.max_body_bytes,
                                   .header_timeout = limits.header_timeout,
-                                  .idle_timeout = limits.idle_timeout});
+                                  .idle_timeout = limits.idle_timeout,
+                                  .clients = state_->client_limits()});
     state_->budgets.declare(*in_force);
     state_->peers.set_cache_capacity(in_force->largest_cache());
     state_->limit_registered_cold();
@@ -447,6 +482,7 @@
             {"configuration", state_->catalogue == nullptr ? 0 : state_->catalogue->version()},
             {"requests", state_->requests.size()},
             {"caller_connections", state_->callers->connection_count()},
+            {"caller_bytes", state_->callers->held_bytes()},
             {"backend_connections", state_->backends.connection_count()},
             {"servers", state_->servers.dump()},
             {"placement", state_->placement.dump(steady_now())},
--- a/src/dotterelport/gateway/metrics.cpp
+++ b/src/dotterelport/gateway/metrics.cpp
@@ -30,6 +30,11 @@
                     .Name("dotterelport_gateway_attempts_total")
                     .Help("Sends to backend servers, by service and outcome")
                     .Register(registry)),
+      limited_clients_(
+          prometheus::BuildCounter()
+              .Name("dotterelport_gateway_limited_clients_total")
+              .Help("Connections that gave way to the limits of all clients together, by cause")
+              .Register(registry)),
       first_byte_seconds_(
           prometheus::BuildHistogram()
               .Name("dotterelport_gateway_first_byte_seconds")
@@ -61,6 +66,11 @@
     abandoned_.Add({{"service", service}}).Increment();
 }
 
+void metrics::record_limited_client(const std::string& cause)
+{
+    limited_clients_.Add({{"cause", cause}}).Increment();
+}
+
 void metrics::record_attempt(const std::string& service, const std::string& outcome)
 {
     attempts_.Add({{"service", service}, {"outcome", outcome}}).Increment();
--- a/src/dotterelport/gateway/metrics.hpp
+++ b/src/dotterelport/gateway/metrics.hpp
@@ -22,6 +22,7 @@
                        milliseconds until_end);
     void record_refusal(const std::string& service, int status, const std::string& reason);
     void record_abandoned(const std::string& service);
+    void record_limited_client(const std::string& cause);
     void record_attempt(const std::string& service, const std::string& outcome);
 
 private:
@@ -29,6 +30,7 @@
     prometheus::Family<prometheus::Counter>& refusals_;
     prometheus::Family<prometheus::Counter>& abandoned_;
     prometheus::Family<prometheus::Counter>& attempts_;
+    prometheus::Family<prometheus::Counter>& limited_clients_;
     prometheus::Family<prometheus::Histogram>& first_byte_seconds_;
     prometheus::Family<prometheus::Histogram>& answer_seconds_;
 };
--- a/src/dotterelport/gateway/settings.cpp
+++ b/src/dotterelport/gateway/settings.cpp
@@ -30,8 +30,8 @@
             "retry_reserve": {"type": "number", "minimum": 0},
             "regions": {"type": "object", "additionalProperties": {"type": "string"}},
             "evacuations": {"type": "boolean"},
-            "memory_mb": {"type": "integer", "minimum": 32},
-            "max_fds": {"type": "integer", "minimum": 256}
+            "memory_mb": {"type": "number", "exclusiveMinimum": 0},
+            "max_fds": {"type": "number", "exclusiveMinimum": 0}
         }
     })");
     return document;
@@ -79,6 +79,8 @@
     result.retry_reserve = document.value("retry_reserve", result.retry_reserve);
     result.regions = document.value("regions", result.regions);
     result.evacuations = document.value("evacuations", result.evacuations);
+    result.memory_mb = document.value("memory_mb", result.memory_mb);
+    result.max_fds = document.value("max_fds", result.max_fds);
     return result;
 }
 
--- a/src/dotterelport/net/http1.cpp
+++ b/src/dotterelport/net/http1.cpp
@@ -262,7 +262,13 @@
         return 0;
     }
     if (chunks_) {
-        return feed_chunked(bytes, content);
+        // Decoding takes as much room as the bytes do, of which little may be content.
+        constexpr std::size_t slice = 8'192;
+        std::size_t decoded = 0;
+        while (state_ == state::reading && decoded < bytes.size()) {
+            decoded += feed_chunked(bytes.substr(decoded, slice), content);
+        }
+        return decoded;
     }
     if (std::holds_alternative<close_framing>(framing_)) {
         content.append(bytes);
--- a/src/dotterelport/net/http_server.cpp
+++ b/src/dotterelport/net/http_server.cpp
@@ -4,6 +4,9 @@
 #include <cctype>
 #include <cerrno>
 #include <cstring>
+#include <iterator>
+#include <list>
+#include <set>
 #include <utility>
 
 #include <h2o.h>
@@ -58,6 +61,8 @@
     h2o_req_t* request = nullptr;
     request_guard* guard = nullptr;
     std::size_t* in_progress = nullptr;
+    std::set<const h2o_socket_t*>* busy = nullptr;
+    const h2o_socket_t* socket = nullptr;
     std::function<void()> on_close;
     /// Data that was handed to h2o and is not written yet.
     std::string in_flight;
@@ -112,6 +117,7 @@
     auto* response = guard->response;
     response->request = nullptr;
     --*response->in_progress;
+    response->busy->erase(response->socket);
     auto on_close = std::exchange(response->on_close, nullptr);
     if (!response->final_sent && on_close) {
         on_close();
@@ -216,15 +222,30 @@
         impl* server;
     };
 
+    /// A connection of a client.
+    struct connection_entry {
+        impl* server;
+        h2o_socket_t* socket;
+        std::list<connection_entry>::iterator self;
+        bool closing = false;
+    };
+
     h2o_globalconf_t config{};
     h2o_context_t context{};
     h2o_accept_ctx_t accept{};
     h2o_loop_t* loop = nullptr;
     h2o_socket_t* listener = nullptr;
+    std::size_t max_connections = 0;
+    /// Connections of clients in the order in which they were accepted, with the number of requests
+    /// in progress. Kept only if they are limited.
+    std::list<connection_entry> connections;
     std::vector<route_entry> routes;
     std::size_t in_progress = 0;
+    /// Connections with a request in progress.
+    std::set<const h2o_socket_t*> busy;
 
-    impl(h2o_loop_t* event_loop, const options& settings) : loop(event_loop)
+    impl(h2o_loop_t* event_loop, const options& settings)
+        : loop(event_loop), max_connections(settings.max_connections)
     {
         h2o_config_init(&config);
         config.max_request_entity_size = settings.max_body_bytes;
@@ -261,10 +282,45 @@
             if (socket == nullptr) {
                 return;
             }
+            if (self->max_connections > 0) {
+                self->limit_connections();
+                self->follow(socket);
+            }
             h2o_accept(&self->accept, socket);
         }
     }
 
+    void follow(h2o_socket_t* socket)
+    {
+        connections.push_back({.server = this, .socket = socket, .self = {}});
+        auto& entry = connections.back();
+        entry.self = std::prev(connections.end());
+        socket->on_close.cb = [](void* data) {
+            const auto* closed = static_cast<connection_entry*>(data);
+            closed->server->connections.erase(closed->self);
+        };
+        socket->on_close.data = &entry;
+    }
+
+    /// Closes the oldest connection without a request in progress if there are too many. h2o closes
+    /// it when it reads the end.
+    void limit_connections()
+    {
+        const auto open = std::count_if(connections.begin(), connections.end(),
+                                        [](const auto& entry) { return !entry.closing; });
+        if (static_cast<std::size_t>(open) < max_connections) {
+            return;
+        }
+        const auto oldest =
+            std::find_if(connections.begin(), connections.end(), [this](const auto& entry) {
+                return !entry.closing && !busy.contains(entry.socket);
+            });
+        if (oldest != connections.end()) {
+            oldest->closing = true;
+            ::shutdown(h2o_socket_get_fd(oldest->socket), SHUT_RDWR);
+        }
+    }
+
     [[nodiscard]] const route_entry* find_route(const http_request& request) const
     {
         for (const auto& entry : routes) {
@@ -290,6 +346,9 @@
         response->impl_->guard = guard;
         response->impl_->in_progress = &in_progress;
         ++in_progress;
+        response->impl_->busy = &busy;
+        response->impl_->socket = request->conn->callbacks->get_socket(request->conn);
+        busy.insert(response->impl_->socket);
         return response;
     }
 
--- a/src/dotterelport/net/stream_connection.cpp
+++ b/src/dotterelport/net/stream_connection.cpp
@@ -12,6 +12,9 @@
 /// A connection is considered lost if its client does not acknowledge bytes for this long.
 constexpr milliseconds unacknowledged_limit{5'000};
 
+/// No further request is read from a connection whose client has more than this to read.
+constexpr std::size_t max_unread_bytes = 65'536;
+
 constexpr int continue_status = 100;
 
 } // namespace
@@ -59,15 +62,81 @@
     close();
 }
 
+void stream_connection::record_holding()
+{
+    if (closed_) {
+        return;
+    }
+    // Input buffers grow by doubling. A body that was handed on is copied for its server.
+    const std::size_t input = 2 * connection_->input().size();
+    server_.budget_.set(id_, {.releasable = input + body_.capacity() + connection_->unsent(),
+                              .pinned = exchange_ == nullptr ? 0 : 2 * exchange_->body().size(),
+                              .moved = moved_});
+}
+
+void stream_connection::find_room()
+{
+    record_holding();
+    if (!server_.make_room(id_)) {
+        give_way();
+    }
+}
+
+void stream_connection::give_way(std::optional<limit_cause> cause)
+{
+    if (closed_) {
+        return;
+    }
+    constexpr int unavailable = 503;
+    if (first_byte_time_ && !close_after_write_ && connection_->unsent() == 0) {
+        server_.report(cause.value_or(limit_cause::request_bytes));
+        reject(unavailable);
+        return;
+    }
+    server_.report(cause.value_or(limit_cause::unread_answer));
+    connection_->reset_on_close();
+    ended();
+}
+
+void stream_connection::send(std::string_view bytes)
+{
+    const bool had_unsent = connection_->unsent() > 0;
+    connection_->write(bytes);
+    if (connection_->unsent() == 0) {
+        moved_ = steady_now();
+    }
+    if (connection_->unsent() == 0 && !had_unsent) {
+        return;
+    }
+    record_holding();
+    if (!server_.make_room(id_)) {
+        // The sender is in the middle of an answer.
+        server_.loop_.post([&server = server_, id = id_] {
+            const auto found = server.connections_.find(id);
+            if (found != server.connections_.end() && server.budget_.is_over(id) &&
+                found->second->unsent() > max_unread_bytes) {
+                found->second->give_way();
+            }
+        });
+    }
+}
+
 void stream_connection::received()
 {
     if (closed_) {
         return;
     }
-    if (exchange_ != nullptr || close_after_write_) {
+    moved_ = steady_now();
+    if (close_after_write_) {
+        // Nothing more is read from this client; the end of the connection still is.
+        connection_->consume(connection_->input().size());
+        return;
+    }
+    if (exchange_ != nullptr) {
         if (connection_->input().size() > max_pipelined_bytes) {
             connection_->pause_reading();
         }
+        record_holding();
         return;
     }
     parse();
@@ -82,6 +151,10 @@
     parsing_ = true;
     while (exchange_ == nullptr && !close_after_write_ && !closed_ &&
            !connection_->input().empty()) {
+        if (connection_->unsent() > max_unread_bytes) {
+            connection_->pause_reading();
+            break;
+        }
         if (!first_byte_time_) {
             first_byte_time_ = steady_now();
             arm_timer();
@@ -92,6 +165,13 @@
         dispatch();
     }
     parsing_ = false;
+    if (!closed_ && !close_after_write_) {
+        if (first_byte_time_) {
+            find_room();
+        } else {
+            record_holding();
+        }
+    }
 }
 
 bool stream_connection::parse_head()
@@ -168,7 +248,17 @@
                              std::string(reason_phrase(status)) +
                              "\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
     close_after_write_ = true;
+    release_request();
     connection_->write(text);
+    record_holding();
+}
+
+void stream_connection::release_request()
+{
+    std::string().swap(body_);
+    body_decoder_.reset();
+    head_.reset();
+    connection_->consume(connection_->input().size());
 }
 
 void stream_connection::abort()
@@ -218,12 +308,18 @@
 
 void stream_connection::drained()
 {
+    moved_ = steady_now();
+    record_holding();
     if (close_after_write_ && exchange_ == nullptr) {
         close_after_answer();
     } else if (exchange_ != nullptr && exchange_->on_drained_) {
         // The function may end the exchange.
         const auto exchange = exchange_;
         exchange->on_drained_();
+    } else if (exchange_ == nullptr && !closed_) {
+        // Reading had paused until the client read its answers.
+        connection_->resume_reading();
+        parse();
     }
 }
 
--- a/src/dotterelport/net/stream_connection.hpp
+++ b/src/dotterelport/net/stream_connection.hpp
@@ -21,7 +21,7 @@
     stream_connection(const stream_connection&) = delete;
     stream_connection& operator=(const stream_connection&) = delete;
 
-    void send(std::string_view bytes) { connection_->write(bytes); }
+    void send(std::string_view bytes);
     /// @brief Begins an answer that the end of the connection delimits. Until it is finished, any
     /// end of the connection is a reset.
     void begin_unframed_answer();
@@ -32,6 +32,13 @@
     /// @brief Closes the connection; no more requests are read from it.
     void close();
 
+    /// @brief Gives up what the connection holds: refuses a request that was not handed on, or else
+    /// closes the connection.
+    /// @param cause by default the kind of what the connection holds
+    void give_way(std::optional<limit_cause> cause = std::nullopt);
+    /// @brief Time at which the client last sent or accepted bytes.
+    [[nodiscard]] milliseconds moved() const { return moved_; }
+
     [[nodiscard]] bool will_close() const;
     [[nodiscard]] bool has_exchange() const { return exchange_ != nullptr; }
     /// @brief Returns whether no answer is in progress and no byte of a further request has
@@ -44,6 +51,10 @@
 private:
     /// @brief Closes the connection after a complete answer.
     void close_after_answer();
+    /// @brief Records what the connection holds in the budget of the server.
+    void record_holding();
+    /// @brief Lets the client's request give way if its bytes find no room.
+    void find_room();
     void received();
     void ended();
     void drained();
@@ -53,6 +64,8 @@
     bool parse_body();
     void dispatch();
     void reject(int status);
+    /// @brief Frees what was received of a request that is refused.
+    void release_request();
     void arm_timer();
     void expire();
 
@@ -66,6 +79,7 @@
     /// Time at which the first byte of the request that is being read arrived.
     std::optional<milliseconds> first_byte_time_;
     timer_id timer_ = 0;
+    milliseconds moved_ = steady_now();
     bool close_after_write_ = false;
     bool has_unframed_answer_ = false;
     bool closed_ = false;
--- a/src/dotterelport/net/stream_server.cpp
+++ b/src/dotterelport/net/stream_server.cpp
@@ -113,14 +113,11 @@
 
 stream_server::stream_server(event_loop& loop, const endpoint& address, const options& settings,
                              handler handle)
-    : loop_(loop), options_(settings), handle_(std::move(handle))
+    : loop_(loop), options_(settings), handle_(std::move(handle)), budget_(settings.clients)
 {
     listener_ = std::make_unique<tcp_listener>(
-        loop, address, [this](std::unique_ptr<tcp_connection> connection) {
-            const std::uint64_t id = ++last_id_;
-            connections_.emplace(
-                id, std::make_unique<stream_connection>(*this, id, std::move(connection)));
-        });
+        loop, address,
+        [this](std::unique_ptr<tcp_connection> connection) { accept(std::move(connection)); });
     address_ = listener_->address();
 }
 
@@ -129,6 +126,66 @@
 void stream_server::set_options(const options& settings)
 {
     options_ = settings;
+    budget_.set_limits(settings.clients);
+}
+
+void stream_server::accept(std::unique_ptr<tcp_connection> connection)
+{
+    if (!budget_.may_accept(connections_.size()) && !close_one()) {
+        report(limit_cause::new_connection);
+        connection->write("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n"
+                          "Connection: close\r\n\r\n");
+        return;
+    }
+    const std::uint64_t id = ++last_id_;
+    connections_.emplace(id, std::make_unique<stream_connection>(*this, id, std::move(connection)));
+}
+
+bool stream_server::close_one()
+{
+    stream_connection* idle = nullptr;
+    stream_connection* slow = nullptr;
+    for (const auto& [id, connection] : connections_) {
+        if (connection->has_exchange()) {
+            continue;
+        }
+        auto*& candidate = connection->is_idle() && !connection->has_unread_bytes() ? idle : slow;
+        if (candidate == nullptr || connection->moved() < candidate->moved()) {
+            candidate = connection.get();
+        }
+    }
+    if (idle != nullptr) {
+        report(limit_cause::idle_connection);
+        idle->close();
+        return true;
+    }
+    if (slow != nullptr) {
+        slow->give_way(limit_cause::slow_request);
+        // The connection would wait for the client to read the refusal.
+        slow->close();
+        return true;
+    }
+    return false;
+}
+
+bool stream_server::make_room(std::uint64_t id)
+{
+    while (budget_.is_over(id)) {
+        const auto victim = budget_.victim(steady_now());
+        if (!victim || *victim == id) {
+            return false;
+        }
+        connections_.at(*victim)->give_way();
+        budget_.remove(*victim);
+    }
+    return true;
+}
+
+void stream_server::report(limit_cause cause)
+{
+    if (on_limit_) {
+        on_limit_(cause);
+    }
 }
 
 void stream_server::stop()
@@ -166,6 +223,7 @@
     }
     const std::shared_ptr<stream_connection> closed = std::move(found->second);
     connections_.erase(found);
+    budget_.remove(id);
     loop_.post([closed] {});
 }
 
--- a/src/dotterelport/net/stream_server_test.cpp
+++ b/src/dotterelport/net/stream_server_test.cpp
@@ -78,6 +78,38 @@
     }
 };
 
+// Guards against answers to pipelined requests that fill the memory while nobody reads them.
+TEST_CASE("No further request is taken from a client that leaves its answers unread")
+{
+    fixture net;
+    constexpr std::size_t large = std::size_t{16} << 20U;
+    net.client->pause_reading();
+    net.send("GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n");
+    REQUIRE(net.exchanges.size() == 1);
+    net.exchanges[0]->respond(200, {}, std::string(large, 'x'));
+    net.loop.run_for(100ms);
+    CHECK(net.exchanges.size() == 1);
+    net.client->resume_reading();
+    net.wait_until([&] { return net.exchanges.size() == 2; });
+    REQUIRE(net.exchanges.size() == 2);
+    CHECK(net.exchanges[1]->head().target == "/2");
+}
+
+// Guards against a body that finds no room but keeps what it has.
+TEST_CASE("A body that finds no room is refused and keeps none")
+{
+    fixture net(
+        {.clients = {.bytes = 100'000, .connections = 10, .reserve = 50'000, .small = 10'000}});
+    std::vector<limit_cause> causes;
+    net.server->on_limit([&](limit_cause cause) { causes.push_back(cause); });
+    net.send("POST /1 HTTP/1.1\r\nContent-Length: 200000\r\n\r\n" + std::string(90'000, 'x'));
+    net.wait_until([&] { return !causes.empty(); });
+    REQUIRE(causes == std::vector{limit_cause::request_bytes});
+    net.wait_until([&] { return net.end.has_value(); });
+    CHECK(net.exchanges.empty());
+    CHECK(net.server->held_bytes() == 0);
+}
+
 TEST_CASE("Requests on one connection are answered in order, also when they arrive together")
 {
     fixture net;
--- a/src/dotterelport/object_store/store_relay.cpp
+++ b/src/dotterelport/object_store/store_relay.cpp
@@ -1,5 +1,6 @@
 #include "dotterelport/object_store/store_relay.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace dotterelport::object_store {
@@ -8,6 +9,9 @@
 /// One side is not read while the other has more unsent bytes than this.
 constexpr std::size_t max_unsent_bytes = 64U << 10U;
 
+/// A connection that had data within this time is not closed for a new one.
+constexpr milliseconds min_pause{1'000};
+
 } // namespace
 
 /// A router's connection and the connection to the store to which it is forwarded.
@@ -18,6 +22,9 @@
     /// The store has closed its connection; the router's connection is closed once all data was
     /// sent to it.
     bool store_closed = false;
+    /// Whether the router has sent anything, and the time of the last data in either direction.
+    bool used = false;
+    milliseconds moved = steady_now();
 };
 
 store_relay::store_relay(net::event_loop& loop, const options& settings)
@@ -33,7 +40,9 @@
 void store_relay::accept(std::unique_ptr<net::tcp_connection> connection)
 {
     if (pairs_.size() >= options_.max_connections) {
-        return;
+        if (!close_one()) {
+            return;
+        }
     }
     const std::uint64_t id = ++last_id_;
     auto item = std::make_shared<connection_pair>();
@@ -92,6 +101,8 @@
         return;
     }
     auto& item = *found->second;
+    item.used = item.used || !item.router->input().empty();
+    item.moved = steady_now();
     if (item.store == nullptr) {
         // The bytes wait for the connection to the store.
         if (item.router->input().size() > max_unsent_bytes) {
@@ -133,6 +144,24 @@
     close(id);
 }
 
+bool store_relay::close_one()
+{
+    const auto found =
+        std::min_element(pairs_.begin(), pairs_.end(), [](const auto& left, const auto& right) {
+            return std::pair(left.second->used, left.second->moved) <
+                   std::pair(right.second->used, right.second->moved);
+        });
+    if (found == pairs_.end() ||
+        (found->second->used && steady_now() - found->second->moved < min_pause)) {
+        return false;
+    }
+    if (on_limit_) {
+        on_limit_();
+    }
+    close(found->first);
+    return true;
+}
+
 void store_relay::close(std::uint64_t id)
 {
     const auto found = pairs_.find(id);
--- a/src/dotterelport/object_store/store_relay_test.cpp
+++ b/src/dotterelport/object_store/store_relay_test.cpp
@@ -114,6 +114,29 @@
     CHECK(run.call("x").failed());
 }
 
+// Guards against silent connections that take all places, so that no router reaches the store.
+TEST_CASE("A connection that has sent nothing gives way to a new one, one in use does not")
+{
+    fixture run(2);
+    std::vector<std::unique_ptr<net::tcp_connector>> connectors;
+    std::vector<std::unique_ptr<net::tcp_connection>> silent;
+    for (int i = 0; i < 2; ++i) {
+        connectors.push_back(std::make_unique<net::tcp_connector>(
+            run.loop, run.relay->address(), 500ms,
+            [&](auto connection) { silent.push_back(std::move(connection)); }));
+        run.loop.run_for(50ms);
+    }
+    REQUIRE(run.relay->connection_count() == 2);
+    CHECK(run.call("x").status == 200);
+    CHECK(run.relay->connection_count() == 2);
+    connectors.push_back(std::make_unique<net::tcp_connector>(
+        run.loop, run.relay->address(), 500ms,
+        [&](auto connection) { silent.push_back(std::move(connection)); }));
+    run.loop.run_for(50ms);
+    CHECK(run.call("x").status == 200);
+    CHECK(run.relay->connection_count() == 2);
+}
+
 TEST_CASE("Calls that are cancelled at any moment leak no connection")
 {
     fixture run;
--- a/src/dotterelport/process/operators_server.cpp
+++ b/src/dotterelport/process/operators_server.cpp
@@ -6,8 +6,16 @@
 
 namespace dotterelport::process {
 
+namespace {
+
+/// The server is for few clients, which send no bodies.
+constexpr net::http_server::options server_options{.max_body_bytes = 16U << 10U,
+                                                   .max_connections = 64};
+
+} // namespace
+
 operators_server::operators_server(net::event_loop& loop, options settings)
-    : registry_(std::make_shared<prometheus::Registry>()), server_(loop)
+    : registry_(std::make_shared<prometheus::Registry>()), server_(loop, server_options)
 {
     server_.route("GET", "/healthz", [](const net::http_request&, const auto& response) {
         response->send(200, {{"content-type", "text/plain"}}, "ok\n");
