--- a/include/dotterelport/gateway/events.hpp
+++ b/include/dotterelport/gateway/events.hpp
@@ -172,6 +172,10 @@
     960, severity::info, "budgets_flushed",
     "The store has returned after an outage, noticed by this gateway or told by another one; usage "
     "is written and idle tokens are returned at once."};
+inline constexpr log_event clients_limited{
+    977, severity::warning, "clients_limited",
+    "Clients together reached the limit of bytes or of connections: requests that were not handed "
+    "on were refused, or connections closed. States how many by cause."};
 
 } // namespace dotterelport::gateway::events
 
--- a/include/dotterelport/gateway/settings.hpp
+++ b/include/dotterelport/gateway/settings.hpp
@@ -46,6 +46,9 @@
     /// Reject or hold requests while capacity is short, for services whose servers state their
     /// slowdown.
     bool admission = true;
+    /// Memory of the VM in MB, and number of descriptors that the process may open.
+    std::size_t memory_mb = 256;
+    std::size_t max_fds = 1'024;
 
     bool operator==(const settings&) const = default;
 };
--- a/src/dotterelport/ctl/event_catalogue.cpp
+++ b/src/dotterelport/ctl/event_catalogue.cpp
@@ -130,6 +130,7 @@
         gateway::admission_active,
         gateway::request_not_admitted,
         gateway::request_waits,
+        gateway::clients_limited,
         gateway::ledger_step,
         gateway::ledger_copy_unreadable,
         gateway::server_examined,
@@ -155,6 +156,7 @@
         store::era_changed,
         store::answer_of_earlier_era,
         store::feed_era_gone,
+        store::relay_clients_limited,
     };
     std::sort(events.begin(), events.end(),
               [](const auto& left, const auto& right) { return left.number < right.number; });
--- a/src/dotterelport/gateway/metrics.hpp
+++ b/src/dotterelport/gateway/metrics.hpp
@@ -23,6 +23,7 @@
                        milliseconds until_end);
     void record_refusal(const std::string& service, int status, const std::string& reason);
     void record_abandoned(const std::string& service);
+    void record_limited_client(const std::string& cause);
     void record_attempt(const std::string& service, const std::string& outcome);
     void record_second_send(const std::string& service, const std::string& decision);
     void set_unusable(std::size_t cold_servers, std::size_t evacuated_domains);
@@ -37,6 +38,7 @@
     prometheus::Gauge& cold_servers_;
     prometheus::Gauge& evacuated_domains_;
     prometheus::Family<prometheus::Counter>& waits_;
+    prometheus::Family<prometheus::Counter>& limited_clients_;
     prometheus::Family<prometheus::Histogram>& first_byte_seconds_;
     prometheus::Family<prometheus::Histogram>& answer_seconds_;
 };
--- a/src/dotterelport/gateway/settings.cpp
+++ b/src/dotterelport/gateway/settings.cpp
@@ -31,7 +31,9 @@
             "second_send_share": {"type": "number", "minimum": 0, "maximum": 0.2},
             "regions": {"type": "object", "additionalProperties": {"type": "string"}},
             "evacuations": {"type": "boolean"},
-            "admission": {"type": "boolean"}
+            "admission": {"type": "boolean"},
+            "memory_mb": {"type": "number", "exclusiveMinimum": 0},
+            "max_fds": {"type": "number", "exclusiveMinimum": 0}
         }
     })");
     return document;
@@ -81,6 +83,8 @@
     result.regions = document.value("regions", result.regions);
     result.evacuations = document.value("evacuations", result.evacuations);
     result.admission = document.value("admission", result.admission);
+    result.memory_mb = document.value("memory_mb", result.memory_mb);
+    result.max_fds = document.value("max_fds", result.max_fds);
     return result;
 }
 
