Mend what the review of the merged parts found

Besides: stall checks after a second send; one failed call counted as an outage of the store; changes in datagrams were unreadable for gateways of an earlier version; the cost of a waiting request was not bounded; waits at servers that are ejected or not allowed; new requests were held although their servers stay closed; a flush requested during a round was lost; Retry-After during an outage; servers beyond max_attempts after a wait.

--- a/include/dotterelport/gateway/admission.hpp
+++ b/include/dotterelport/gateway/admission.hpp
@@ -127,8 +127,11 @@
     [[nodiscard]] static milliseconds longest_wait(milliseconds held, milliseconds target_latency,
                                                    milliseconds time_left);
 
+    /// @brief Time for which all servers of a service are known to be full.
+    [[nodiscard]] milliseconds closed_for(const std::string& service, milliseconds now) const;
+
     /// @brief Rejection of a request for which there is no capacity.
-    [[nodiscard]] reject_now no_capacity();
+    [[nodiscard]] reject_now no_capacity(const std::string& service, milliseconds now);
 
     /// @brief Lets a request wait. Its place may be that of a less urgent one.
     /// @param displaced set to the request that loses its place
--- a/include/dotterelport/gateway/shard_keeper.hpp
+++ b/include/dotterelport/gateway/shard_keeper.hpp
@@ -68,6 +68,8 @@
 /// retry while the store is unavailable.
 struct store_health {
     int failures = 0;
+    /// Rounds that failed since the last answer; failures also counts rounds that are in progress.
+    int failed_rounds = 0;
     /// Time until which requests are refused without a call.
     milliseconds retry_at{0};
     /// Time from which a round may find out whether the store is back; at most retry_at.
@@ -85,7 +87,11 @@
         return failures == 0 || now >= probe_at;
     }
     /// @return whether an outage has ended
-    bool record_answer() { return std::exchange(failures, 0) > 1; }
+    bool record_answer()
+    {
+        failures = 0;
+        return std::exchange(failed_rounds, 0) > 1;
+    }
 
     /// @param initial_backoff backoff after the second failure, doubled after each further one
     /// @param max_backoff upper limit of the backoff
@@ -224,6 +230,8 @@
     /// Rounds that flush without regard to the interval. The first may only write a batch that was
     /// sealed during the outage.
     int early_flushes_ = 0;
+    /// The flush was requested during a round, which does not count as one.
+    bool flushes_after_round_ = false;
     budget::idle_return returned_ = budget::idle_return::usual;
     recovery_times recovery_;
     std::function<void()> on_ledger_written_;
--- a/src/dotterelport/gateway/admission.cpp
+++ b/src/dotterelport/gateway/admission.cpp
@@ -127,11 +127,19 @@
     return std::max(milliseconds{0}, std::min(limit - held, time_left - min_wait));
 }
 
-reject_now admission::no_capacity()
+milliseconds admission::closed_for(const std::string& service, milliseconds now) const
 {
+    const auto found = services_.find(service);
+    return found == services_.end() ? milliseconds{0}
+                                    : std::max(milliseconds{0}, found->second.closed_until - now);
+}
+
+reject_now admission::no_capacity(const std::string& service, milliseconds now)
+{
+    const double earliest_ms =
+        std::max(in_ms(closed_for(service, now)), in_ms(full_server_retry_after) / 2);
     return {.reason = "no_capacity",
-            .retry_after =
-                spread(in_ms(full_server_retry_after) / 2, in_ms(full_server_retry_after) * 3 / 2)};
+            .retry_after = spread(earliest_ms, earliest_ms + in_ms(full_server_retry_after))};
 }
 
 admission_decision admission::decide_after_refusal(const std::string& service,
@@ -150,7 +158,7 @@
     const milliseconds longest =
         longest_wait(request.held, request.target_latency, request.time_left);
     if (std::max(min_wait, earliest - now) > longest) {
-        return no_capacity();
+        return no_capacity(service, now);
     }
     return wait_for_slot{.longest = longest};
 }
--- a/src/dotterelport/gateway/budget_broker.cpp
+++ b/src/dotterelport/gateway/budget_broker.cpp
@@ -79,12 +79,13 @@
         return;
     }
     const milliseconds now = steady_now();
-    const bool was_told = store_returned_at_ && now - *store_returned_at_ < settings_.return_memory;
-    log(events::budgets_flushed, {{"noticed_by", link_.node()}, {"announced", !was_told}});
-    store_returned_at_ = now;
-    if (!was_told) {
-        link_.announce(peer_message_kind::store_returned, json::array());
+    if (store_returned_at_ && now - *store_returned_at_ < settings_.return_memory) {
+        // The flush that was requested then lasts until a round of each shard is complete.
+        return;
     }
+    log(events::budgets_flushed, {{"noticed_by", link_.node()}, {"announced", true}});
+    store_returned_at_ = now;
+    link_.announce(peer_message_kind::store_returned, json::array());
     keeper_.store_returned();
 }
 
@@ -163,7 +164,10 @@
 
 milliseconds budget_broker::retry_after(const std::string& workspace, tokens upper_tokens)
 {
-    grant_refusal refusal{.is_large_fleet = is_large_fleet(),
+    if (!is_large_fleet()) {
+        return grant_retry_after({.is_large_fleet = false, .is_isolated = false, .own = {}});
+    }
+    grant_refusal refusal{.is_large_fleet = true,
                           .is_isolated = link_.group_size() > 0 && link_.live_peers().empty(),
                           .own = {}};
     const auto stated = statements_.find(workspace);
--- a/src/dotterelport/gateway/feed_exchange.cpp
+++ b/src/dotterelport/gateway/feed_exchange.cpp
@@ -5,7 +5,9 @@
 #include <numeric>
 #include <utility>
 
+#include "dotterelport/base/error.hpp"
 #include "dotterelport/base/hash.hpp"
+#include "dotterelport/base/json_reader.hpp"
 #include "dotterelport/gateway/events.hpp"
 
 namespace dotterelport::gateway {
@@ -17,12 +19,23 @@
                         confirmation.age.count(), confirmation.era});
 }
 
+/// @brief Value of an object in a message; null if another writer has left it unreadable.
+json to_value(const object_store::typed_object& object)
+{
+    try {
+        return parse_json(object.value, object.name);
+    } catch (const format_error&) {
+        // Each gateway that receives the change logs that the object is unreadable.
+        return {};
+    }
+}
+
 json to_json(const std::string& kind, const object_store::shared_changes& changes)
 {
     json items = json::array();
     for (const auto& change : changes.changes) {
         items.push_back({change.object.name, change.object.object_version, change.removed,
-                         change.object.value});
+                         to_value(change.object)});
     }
     return json::array({kind, changes.since, changes.revision, changes.after_outage,
                         std::move(items), changes.era});
@@ -43,12 +56,6 @@
             .age = std::max(milliseconds{0}, milliseconds{item.at(3).get<std::int64_t>()})};
 }
 
-/// @brief Reads the value of an object; gateways of an earlier version send it parsed.
-std::string parse_value(const json& value)
-{
-    return value.is_string() ? value.get<std::string>() : value.dump();
-}
-
 /// @brief Size of a message about changes, without the other fields of the objects.
 std::size_t value_bytes(const object_store::shared_changes& changes)
 {
@@ -68,7 +75,7 @@
         result.changes.push_back(
             {.object = {.name = item.at(0).get<std::string>(),
                         .object_version = item.at(1).get<object_store::version>(),
-                        .value = parse_value(item.at(3))},
+                        .value = item.at(3).dump()},
              .removed = item.at(2).get<bool>()});
     }
     return result;
--- a/src/dotterelport/gateway/forwarding.cpp
+++ b/src/dotterelport/gateway/forwarding.cpp
@@ -458,8 +458,10 @@
         record_refusal(ended.server);
     }
     limit_if_restarted(ended.server, end);
-    const bool is_slow = end == attempt_end::superseded || end == attempt_end::timeout ||
-                         end == attempt_end::stalled;
+    // A later attempt that is superseded says nothing about the time at its server.
+    const bool is_overtaken =
+        end == attempt_end::superseded && attempt_ && ended.sent < attempt_->sent;
+    const bool is_slow = is_overtaken || end == attempt_end::timeout || end == attempt_end::stalled;
     if (is_slow && !ended.has_data) {
         context_.second_sends.record_start(service_, request_.prompt_tokens, now - ended.sent);
     }
--- a/src/dotterelport/gateway/forwarding_admission.cpp
+++ b/src/dotterelport/gateway/forwarding_admission.cpp
@@ -61,7 +61,16 @@
 
 bool forwarding::is_excluded_after_refusals(const std::string& server) const
 {
-    return !refused_servers_.empty() && refused_servers_.size() >= route_->max_attempts &&
+    if (refused_servers_.empty()) {
+        return false;
+    }
+    // Refused requests may be sent again to the servers that refused them.
+    const auto others = std::count_if(
+        tried_servers_.begin(), tried_servers_.end(), [this](const std::string& tried) {
+            return std::find(refused_servers_.begin(), refused_servers_.end(), tried) ==
+                   refused_servers_.end();
+        });
+    return refused_servers_.size() + static_cast<std::size_t>(others) >= route_->max_attempts &&
            std::find(refused_servers_.begin(), refused_servers_.end(), server) ==
                refused_servers_.end();
 }
@@ -95,8 +104,11 @@
                             .target_latency = route_->target_latency,
                             .time_left = time_left(),
                             .servers = {}};
-    for (const auto* server : context_.servers.available(service_)) {
-        refused.servers.push_back(server->id);
+    for (const auto* server : allowed_servers()) {
+        if (context_.placement.loads().available(server->id, steady_now()) !=
+            routing::availability::ejected) {
+            refused.servers.push_back(server->id);
+        }
     }
     const auto decision = context_.admissions.decide_after_refusal(service_, refused, steady_now());
     const auto* wait = std::get_if<wait_for_slot>(&decision);
@@ -118,7 +130,8 @@
     if (longest <= milliseconds{0}) {
         return false;
     }
-    if (!wait_for_capacity(longest)) {
+    const milliseconds closed = context_.admissions.closed_for(service_, steady_now());
+    if (closed > longest || !wait_for_capacity(longest)) {
         refuse_for_capacity();
     }
     return true;
@@ -128,11 +141,14 @@
 {
     // Work of a small request with a prompt, in tokens.
     constexpr double tokens_per_cost = 2'048;
+    // Callers state the size, and the queue passes a request over once for each unit of its cost.
+    constexpr double max_cost = 64;
     wait_ = context_.waiting.enter(
         service_,
         {.workspace = workspace_ == nullptr ? std::string() : workspace_->name,
          .priority = priority(),
-         .cost = 1 + static_cast<double>(request_.max_tokens()) / tokens_per_cost,
+         .cost =
+             std::min(max_cost, 1 + static_cast<double>(request_.max_tokens()) / tokens_per_cost),
          .bytes = exchange_->head().target.size() + exchange_->body().size(),
          .deadline = steady_now() + longest},
         [self = shared_from_this()](bool is_admitted) { self->wait_ended(is_admitted); });
@@ -174,7 +190,7 @@
 
 void forwarding::refuse_for_capacity()
 {
-    const reject_now rejection = context_.admissions.no_capacity();
+    const reject_now rejection = context_.admissions.no_capacity(service_, steady_now());
     json fields = log_fields();
     fields["reason"] = rejection.reason;
     fields["sends"] = sends_;
--- a/src/dotterelport/gateway/forwarding_answer.cpp
+++ b/src/dotterelport/gateway/forwarding_answer.cpp
@@ -366,11 +366,13 @@
 
 void forwarding::stalled()
 {
-    if (!may_repeat()) {
+    // A second send may have used up the sends.
+    if (!may_repeat() || (!second_ && sends_ >= route_->max_attempts)) {
         return;
     }
     // Without a substitute, the server is the only one that may still complete the answer.
-    if (time_until_permitted() != milliseconds{0} || !retries().can_retry() || !choose_server()) {
+    if (!second_ &&
+        (time_until_permitted() != milliseconds{0} || !retries().can_retry() || !choose_server())) {
         schedule_stall_check(substitute_check);
         return;
     }
--- a/src/dotterelport/gateway/forwarding_second.cpp
+++ b/src/dotterelport/gateway/forwarding_second.cpp
@@ -40,6 +40,10 @@
 
 void forwarding::consider_second_send()
 {
+    if (exchange_->is_abandoned()) {
+        caller_gone();
+        return;
+    }
     if (attempt_->has_data || second_ || context_.stopping ||
         context_.crashes.refused_for(suspects_) || time_until_permitted() != milliseconds{0}) {
         return;
@@ -110,9 +114,14 @@
     };
     handler.on_complete = [self, is_second, only] {
         if (is_second()) {
-            self->end_second(self->second_->answer.not_run ? attempt_end::server_refused
-                                                           : attempt_end::server_error);
-            return;
+            if (!is_usable(*self->second_)) {
+                const auto& answer = self->second_->answer;
+                self->end_second(answer.replaced  ? attempt_end::server_replaced
+                                 : answer.not_run ? attempt_end::server_refused
+                                                  : attempt_end::server_error);
+                return;
+            }
+            self->prefer_second();
         }
         only.on_complete();
     };
@@ -143,8 +152,7 @@
     log(events::second_send_answered, fields);
     std::swap(attempt_, second_);
     end_second(attempt_end::superseded);
-    // The time without progress is counted from the send to this server.
-    last_progress_ = attempt_->sent;
+    arm_stall_timer();
 }
 
 void forwarding::end_second(attempt_end end)
@@ -153,10 +161,11 @@
         return;
     }
     const auto ended = std::exchange(second_, std::nullopt);
-    const bool may_have_run =
-        end == attempt_end::superseded
-            ? context_.backends.was_sent(ended->exchange)
-            : end != attempt_end::not_connected && end != attempt_end::server_refused;
+    const bool may_have_run = end == attempt_end::superseded
+                                  ? context_.backends.was_sent(ended->exchange)
+                                  : end != attempt_end::not_connected &&
+                                        end != attempt_end::server_refused &&
+                                        end != attempt_end::server_replaced;
     may_have_run_ = may_have_run_ || may_have_run;
     context_.backends.cancel(ended->exchange);
     close_attempt(*ended, end);
@@ -176,7 +185,7 @@
     log(events::attempt_ended, fields);
     close_attempt(end);
     attempt_ = std::exchange(second_, std::nullopt);
-    last_progress_ = attempt_->sent;
+    arm_stall_timer();
     return true;
 }
 
--- a/src/dotterelport/gateway/shard_keeper.cpp
+++ b/src/dotterelport/gateway/shard_keeper.cpp
@@ -214,7 +214,7 @@
     const milliseconds now = steady_now();
     const bool is_store_away = health_->is_backing_off(now);
     const milliseconds next =
-        is_store_away ? health_->retry_at : last_round_ + settings_.round_interval;
+        is_store_away ? health_->probe_at : last_round_ + settings_.round_interval;
     return {.is_store_away = is_store_away,
             .is_ledger_short = lacks_capacity(workspace, upper_tokens),
             .until_attempt = std::max(milliseconds{0}, next - now)};
@@ -362,13 +362,15 @@
             {{"shard", session_.shard()}, {"waiting", waiting_.size()}});
         const milliseconds now = steady_now();
         health_->record_failure(now, settings_.initial_backoff, settings_.max_backoff);
+        ++health_->failed_rounds;
         if (health_->is_large_fleet) {
             health_->probe_at = std::min(health_->retry_at, now + settings_.probe_interval);
         }
     } else if (round_reached_store_) {
         has_returned = health_->record_answer();
     }
-    if (complete && early_flushes_ > 0) {
+    const bool was_flush = !std::exchange(flushes_after_round_, false);
+    if (complete && was_flush && early_flushes_ > 0) {
         early_flushes_ = session_.holder().has_open_lines() ? early_flushes_ - 1 : 0;
         returned_ = budget::idle_return::usual;
     }
@@ -405,6 +407,7 @@
     constexpr int rounds = 2;
     early_flushes_ = rounds;
     returned_ = returned;
+    flushes_after_round_ = session_.in_round();
     // A round that is running ends with the next one.
     if (!session_.in_round()) {
         schedule_round(delay);
