Send callers of an overloaded gateway to others that have room

Cause: callers reach a gateway by a hash of the client. One gateway with 0.09 of a core got 3,500 requests in 6 s and served few of them in time, while 20 others had fewer than 80 each.

Change: gateway/overload_guard (no I/O) takes the delay of a timer, the requests in progress and the loads that other gateways state in a new third element of the load message, and decides on a level: close connections after answers, refuse new requests with 503 before any work, not ready. Relief ends at once when fewer than half of the others are known to have room. Setting overload_relief; by default active only below the largest cpu_share of the fleet. stream_server::close_after_answers keeps a connection open while a further request is on it.

--- a/include/dotterelport/gateway/events.hpp
+++ b/include/dotterelport/gateway/events.hpp
@@ -146,6 +146,19 @@
     953, severity::info, "evacuation_ended",
     "The backend servers of a failure domain get requests again, at first as few as cold ones."};
 
+inline constexpr log_event relief_changed{
+    973, severity::info, "relief_changed",
+    "The gateway is short of capacity while others are not and sends callers to them, or does so "
+    "less; the fields contain the level."};
+inline constexpr log_event relief_withheld{
+    974, severity::info, "relief_withheld",
+    "The gateway is short of capacity and keeps its callers, because the other gateways are short "
+    "as well or their load is unknown."};
+inline constexpr log_event not_ready_for_load{
+    975, severity::warning, "not_ready_for_load",
+    "The gateway is not ready for a short time, because closing connections and refusing requests "
+    "did not relieve it."};
+
 } // namespace dotterelport::gateway::events
 
 #endif
--- a/include/dotterelport/gateway/peer_exchange.hpp
+++ b/include/dotterelport/gateway/peer_exchange.hpp
@@ -2,11 +2,15 @@
 #define DOTTERELPORT_GATEWAY_PEER_EXCHANGE_HPP
 
 #include <cstdint>
+#include <functional>
 #include <map>
+#include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "dotterelport/base/json.hpp"
+#include "dotterelport/gateway/overload_guard.hpp"
 #include "dotterelport/gateway/peer_link.hpp"
 #include "dotterelport/net/event_loop.hpp"
 #include "dotterelport/routing/placement.hpp"
@@ -23,6 +27,8 @@
 struct load_message {
     std::vector<routing::load_share> shares;
     std::vector<sent_prompt> prompts;
+    /// Load of the gateway itself; earlier versions do not state it.
+    std::optional<gateway_load> own_load;
 };
 
 json to_json(const load_message& message);
@@ -62,6 +68,18 @@
     /// @brief Adds a prompt to the next message.
     void add_prompt(const std::string& server, const std::vector<routing::prompt_part>& parts);
 
+    /// @brief Sets the load of this gateway that the next messages state.
+    void set_own_load(const gateway_load& load) { own_load_ = load; }
+
+    /// @brief Sets a function that is called with the load that another gateway states; nothing if
+    /// its message states none.
+    void on_gateway_load(
+        std::function<void(const std::string& node, const std::optional<gateway_load>& load)>
+            function)
+    {
+        on_gateway_load_ = std::move(function);
+    }
+
 private:
     void schedule();
     void broadcast_load();
@@ -74,6 +92,8 @@
     /// Sequence of the last message of each peer.
     std::map<std::string, std::uint64_t> last_sequence_;
     std::vector<sent_prompt> prompts_;
+    std::optional<gateway_load> own_load_;
+    std::function<void(const std::string&, const std::optional<gateway_load>&)> on_gateway_load_;
     tokens cache_capacity_ = 0;
     milliseconds last_broadcast_{0};
     bool last_was_empty_ = true;
--- a/include/dotterelport/gateway/peer_link.hpp
+++ b/include/dotterelport/gateway/peer_link.hpp
@@ -150,6 +150,8 @@
     [[nodiscard]] std::size_t peer_count() const { return peers_.size(); }
     /// @brief Number of other gateways in the group.
     [[nodiscard]] std::size_t group_size() const { return group().size(); }
+    /// @brief Returns whether another registered gateway of the fleet has a larger weight.
+    [[nodiscard]] bool has_larger_peer() const;
     [[nodiscard]] const std::string& node() const { return self_.node; }
     [[nodiscard]] const net::endpoint& own_address() const { return socket_.address(); }
     [[nodiscard]] json dump() const;
--- a/include/dotterelport/gateway/settings.hpp
+++ b/include/dotterelport/gateway/settings.hpp
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 
 #include "dotterelport/base/clock.hpp"
@@ -40,6 +41,9 @@
     std::map<std::string, std::string> regions;
     /// Operators can evacuate failure domains of this deployment.
     bool evacuations = false;
+    /// Callers are sent to other gateways while this one is short of capacity and others are not;
+    /// absent: if another gateway has a larger processor share.
+    std::optional<bool> overload_relief = std::nullopt;
 
     bool operator==(const settings&) const = default;
 };
--- a/include/dotterelport/net/stream_server.hpp
+++ b/include/dotterelport/net/stream_server.hpp
@@ -109,6 +109,10 @@
     /// @brief Answers with "Connection: close" from now on, so that clients reconnect
     /// elsewhere.
     void start_draining() { draining_ = true; }
+    /// @brief Sets whether connections are closed after their next answer, which says
+    /// "Connection: close". Requests that have arrived on a connection are answered before it is
+    /// closed.
+    void close_after_answers(bool enabled) { closes_after_answers_ = enabled; }
     /// @brief Closes the listening socket and the idle connections. Requests that have already
     /// arrived are still handled.
     void stop();
@@ -131,6 +135,7 @@
     std::unordered_map<std::uint64_t, std::unique_ptr<stream_connection>> connections_;
     std::uint64_t last_id_ = 0;
     bool draining_ = false;
+    bool closes_after_answers_ = false;
 };
 
 } // namespace dotterelport::net
--- a/src/dotterelport/gateway/decisions_test.cpp
+++ b/src/dotterelport/gateway/decisions_test.cpp
@@ -307,6 +307,7 @@
         {"store", 7},
         {"relay_port", 0},
         {"grace_s", -1},
+        {"overload_relief", "yes"},
     }));
     json changed = valid;
     changed[field] = value;
--- a/src/dotterelport/gateway/forwarding.cpp
+++ b/src/dotterelport/gateway/forwarding.cpp
@@ -1,13 +1,12 @@
 #include "forwarding.hpp"
 
 #include <algorithm>
-#include <array>
-#include <cstdio>
 #include <utility>
 
 #include "dotterelport/base/hash.hpp"
 #include "dotterelport/gateway/events.hpp"
 #include "dotterelport/routing/urgency.hpp"
+#include "retry_after.hpp"
 
 namespace dotterelport::gateway {
 namespace {
@@ -42,14 +41,6 @@
 constexpr int unavailable = 503;
 constexpr int gateway_timeout = 504;
 
-std::string format_seconds(milliseconds duration)
-{
-    std::array<char, 32> text{};
-    const int size = std::snprintf(text.data(), text.size(), "%.3f",
-                                   std::chrono::duration<double>(duration).count());
-    return {text.data(), static_cast<std::size_t>(size)};
-}
-
 /// @brief Parts that other requests share, all but the last, and the content.
 std::vector<request::suspect> suspects_of(const caller_request& request,
                                           const net::http1_request_head& head,
--- a/src/dotterelport/gateway/gateway.cpp
+++ b/src/dotterelport/gateway/gateway.cpp
@@ -1,13 +1,17 @@
 #include "dotterelport/gateway/gateway.hpp"
 
 #include <algorithm>
+#include <random>
 #include <string>
+#include <string_view>
 #include <utility>
 
 #include "dotterelport/gateway/events.hpp"
 #include "dotterelport/gateway/feed_exchange.hpp"
+#include "dotterelport/gateway/overload_guard.hpp"
 #include "dotterelport/process/operators_server.hpp"
 #include "forwarding.hpp"
+#include "retry_after.hpp"
 
 namespace dotterelport::gateway {
 namespace {
@@ -21,6 +25,18 @@
 /// Interval of the drain checks and of expiring registrations and reservations.
 constexpr milliseconds check_interval{100};
 
+/// Interval of the timer whose delay is observed; not shorter than the longest wait of the event
+/// loop, so that it causes no further iterations of an idle process.
+constexpr milliseconds load_sample_interval{50};
+
+/// Limits of the Retry-After of requests that are refused because this gateway is short of
+/// capacity: another gateway serves them at once, and the spread keeps callers from returning
+/// together.
+constexpr milliseconds min_relief_retry_after{10};
+constexpr milliseconds max_relief_retry_after{50};
+
+constexpr int unavailable = 503;
+
 /// Share of the fleet's retry reserve that the gateways use; the remainder compensates for a wrong
 /// count of gateways.
 constexpr double retry_reserve_used = 0.6;
@@ -58,6 +74,7 @@
     budget_broker broker;
     crash_watch crashes;
     server_statements statements;
+    overload_guard guard;
     process::operators_server operators;
     metrics counters;
     std::map<std::string, request::retry_budget> retries;
@@ -74,6 +91,9 @@
     forwarding_context context;
     std::unique_ptr<net::stream_server> callers;
     std::unique_ptr<net::periodic_timer> checks;
+    /// Time at which the next load sample is due.
+    milliseconds sample_due{0};
+    std::unique_ptr<net::periodic_timer> load_samples;
 
     state(net::event_loop& event_loop, const settings& configured, const protocol& wire,
           object_store::conditional_objects& objects, const incarnation& self,
@@ -82,7 +102,7 @@
           link(loop, describe(configured)), peers(loop, link, placement), feeds(loop, link),
           servers({}, [this](const backend_server& server) { server_removed(server); }),
           budgets(loop, objects, self), broker(loop, link, budgets), crashes(loop, link, objects),
-          statements(link, servers),
+          statements(link, servers), guard(configured.cpu_share),
           operators(loop, {.address = configured.operators,
                            .not_ready_reason = [this] { return not_ready_reason(); },
                            .dump = std::move(dump)}),
@@ -115,6 +135,13 @@
                 accept(std::move(exchange));
             });
         checks = std::make_unique<net::periodic_timer>(loop, check_interval, [this] { check(); });
+        peers.on_gateway_load(
+            [this](const std::string& node, const std::optional<gateway_load>& load) {
+                guard.record_other(node, load, steady_now());
+            });
+        sample_due = steady_now() + load_sample_interval;
+        load_samples = std::make_unique<net::periodic_timer>(loop, load_sample_interval,
+                                                             [this] { sample_load(); });
     }
 
     void set_retry_options()
@@ -144,7 +171,10 @@
         if (!servers.has_list()) {
             return "no list of backend servers";
         }
-        return servers.evacuations().is_known() ? "" : "no list of evacuations";
+        if (!servers.evacuations().is_known()) {
+            return "no list of evacuations";
+        }
+        return guard.level() == relief_level::not_ready ? "short of capacity" : "";
     }
 
     void log_readiness()
@@ -209,8 +239,64 @@
         }
     }
 
+    [[nodiscard]] bool is_relief_active() const
+    {
+        return !stopping && current_settings.overload_relief.value_or(link.has_larger_peer());
+    }
+
+    void sample_load()
+    {
+        const milliseconds now = steady_now();
+        const milliseconds delay = std::max(milliseconds{0}, now - sample_due);
+        sample_due = now + load_sample_interval;
+        const relief_level before = guard.level();
+        const bool was_withholding = guard.is_withholding();
+        guard.set_active(is_relief_active());
+        guard.record(
+            {.delay = delay, .requests = requests.size(), .other_gateways = link.group_size()},
+            now);
+        const gateway_load load = guard.own_load();
+        peers.set_own_load(load);
+        counters.record_load(load.delay, static_cast<int>(guard.level()));
+        callers->close_after_answers(guard.level() != relief_level::normal);
+        if (guard.level() != before) {
+            json fields = guard.dump();
+            fields["before"] = to_string(before);
+            fields["requests"] = requests.size();
+            log(guard.level() == relief_level::not_ready ? events::not_ready_for_load
+                                                         : events::relief_changed,
+                fields);
+        }
+        if (guard.is_withholding() && !was_withholding) {
+            log(events::relief_withheld, guard.dump());
+        }
+    }
+
+    /// @brief Refuses a request before any work is done for it.
+    void refuse_for_load(net::stream_exchange& exchange)
+    {
+        constexpr std::string_view reason = "gateway_overloaded";
+        std::uniform_int_distribution<std::int64_t> choose(min_relief_retry_after.count(),
+                                                           max_relief_retry_after.count());
+        const milliseconds retry_after{choose(random)};
+        log(events::request_refused, {{"request", context.wire.decode_request(exchange.head()).id},
+                                      {"after_ms", (steady_now() - exchange.received()).count()},
+                                      {"status", unavailable},
+                                      {"reason", reason},
+                                      {"retry_after_ms", retry_after.count()}});
+        counters.record_refusal("", unavailable, std::string(reason));
+        exchange.respond(
+            unavailable,
+            {{"Content-Type", "application/json"}, {"Retry-After", format_seconds(retry_after)}},
+            json{{"error", reason}}.dump());
+    }
+
     void accept(std::shared_ptr<net::stream_exchange> exchange)
     {
+        if (guard.refuses()) {
+            refuse_for_load(*exchange);
+            return;
+        }
         const std::uint64_t id = ++last_request;
         const auto request = std::make_shared<forwarding>(context, std::move(exchange), catalogue,
                                                           [this, id] { requests.erase(id); });
@@ -411,6 +497,7 @@
     state_->current_settings.grace = new_settings.grace;
     state_->current_settings.retry_share = new_settings.retry_share;
     state_->current_settings.retry_reserve = new_settings.retry_reserve;
+    state_->current_settings.overload_relief = new_settings.overload_relief;
     state_->set_retry_options();
     log(events::settings_reloaded, {{"grace_ms", new_settings.grace.count()},
                                     {"retry_share", new_settings.retry_share},
@@ -456,7 +543,8 @@
             {"budgets", state_->budgets.dump()},
             {"crashes", state_->crashes.dump()},
             {"limits", state_->statements.dump()},
-            {"evacuations", state_->servers.evacuations().dump()}};
+            {"evacuations", state_->servers.evacuations().dump()},
+            {"overload", state_->guard.dump()}};
 }
 
 } // namespace dotterelport::gateway
--- a/src/dotterelport/gateway/metrics.cpp
+++ b/src/dotterelport/gateway/metrics.cpp
@@ -38,7 +38,17 @@
       answer_seconds_(prometheus::BuildHistogram()
                           .Name("dotterelport_gateway_answer_seconds")
                           .Help("Time from the receipt of a request to the end of its answer")
-                          .Register(registry))
+                          .Register(registry)),
+      loop_delay_seconds_(prometheus::BuildGauge()
+                              .Name("dotterelport_gateway_loop_delay_seconds")
+                              .Help("Usual time between when a timer was due and when it ran")
+                              .Register(registry)
+                              .Add({})),
+      relief_level_(prometheus::BuildGauge()
+                        .Name("dotterelport_gateway_relief_level")
+                        .Help("0 normal, 1 closes connections, 2 refuses requests, 3 not ready")
+                        .Register(registry)
+                        .Add({}))
 {}
 
 void metrics::record_answer(const std::string& service, int status, milliseconds until_first,
@@ -61,6 +71,12 @@
     abandoned_.Add({{"service", service}}).Increment();
 }
 
+void metrics::record_load(milliseconds loop_delay, int relief_level)
+{
+    loop_delay_seconds_.Set(seconds(loop_delay));
+    relief_level_.Set(relief_level);
+}
+
 void metrics::record_attempt(const std::string& service, const std::string& outcome)
 {
     attempts_.Add({{"service", service}, {"outcome", outcome}}).Increment();
--- a/src/dotterelport/gateway/metrics.hpp
+++ b/src/dotterelport/gateway/metrics.hpp
@@ -23,6 +23,7 @@
     void record_refusal(const std::string& service, int status, const std::string& reason);
     void record_abandoned(const std::string& service);
     void record_attempt(const std::string& service, const std::string& outcome);
+    void record_load(milliseconds loop_delay, int relief_level);
 
 private:
     prometheus::Family<prometheus::Counter>& answers_;
@@ -31,6 +32,8 @@
     prometheus::Family<prometheus::Counter>& attempts_;
     prometheus::Family<prometheus::Histogram>& first_byte_seconds_;
     prometheus::Family<prometheus::Histogram>& answer_seconds_;
+    prometheus::Gauge& loop_delay_seconds_;
+    prometheus::Gauge& relief_level_;
 };
 
 } // namespace dotterelport::gateway
--- a/src/dotterelport/gateway/peer_exchange.cpp
+++ b/src/dotterelport/gateway/peer_exchange.cpp
@@ -29,7 +29,11 @@
         }
         prompts.push_back({prompt.server, std::move(parts)});
     }
-    return json::array({std::move(shares), std::move(prompts)});
+    json result = json::array({std::move(shares), std::move(prompts)});
+    if (message.own_load) {
+        result.push_back(to_json(*message.own_load));
+    }
+    return result;
 }
 
 load_message parse_load_message(const json& document)
@@ -49,6 +53,10 @@
         }
         result.prompts.push_back(std::move(prompt));
     }
+    constexpr std::size_t own_load_index = 2;
+    if (document.size() > own_load_index) {
+        result.own_load = parse_gateway_load(document.at(own_load_index));
+    }
     return result;
 }
 
@@ -91,7 +99,8 @@
     }
     const milliseconds now = steady_now();
     load_message message{.shares = placement_.own_load_shares(now),
-                         .prompts = std::exchange(prompts_, {})};
+                         .prompts = std::exchange(prompts_, {}),
+                         .own_load = own_load_};
     const bool is_empty = message.shares.empty() && message.prompts.empty();
     if (is_empty && last_was_empty_ && now - last_broadcast_ < settings_.refresh_interval) {
         return;
@@ -113,6 +122,9 @@
     }
     last_sequence = message.sequence;
     placement_.record_peer_load_shares(message.node, load.shares, steady_now());
+    if (on_gateway_load_) {
+        on_gateway_load_(message.node, load.own_load);
+    }
 }
 
 } // namespace dotterelport::gateway
--- a/src/dotterelport/gateway/peer_link.cpp
+++ b/src/dotterelport/gateway/peer_link.cpp
@@ -190,6 +190,13 @@
     return result;
 }
 
+bool peer_link::has_larger_peer() const
+{
+    return std::any_of(peers_.begin(), peers_.end(), [this](const auto& item) {
+        return item.second.description.weight > self_.weight;
+    });
+}
+
 bool peer_link::is_live(const std::string& node) const
 {
     const auto found = peers_.find(node);
--- a/src/dotterelport/gateway/settings.cpp
+++ b/src/dotterelport/gateway/settings.cpp
@@ -29,7 +29,8 @@
             "retry_share": {"type": "number", "minimum": 0},
             "retry_reserve": {"type": "number", "minimum": 0},
             "regions": {"type": "object", "additionalProperties": {"type": "string"}},
-            "evacuations": {"type": "boolean"}
+            "evacuations": {"type": "boolean"},
+            "overload_relief": {"type": "boolean"}
         }
     })");
     return document;
@@ -77,6 +78,9 @@
     result.retry_reserve = document.value("retry_reserve", result.retry_reserve);
     result.regions = document.value("regions", result.regions);
     result.evacuations = document.value("evacuations", result.evacuations);
+    if (document.contains("overload_relief")) {
+        result.overload_relief = document.at("overload_relief").get<bool>();
+    }
     return result;
 }
 
--- a/src/dotterelport/net/stream_connection.cpp
+++ b/src/dotterelport/net/stream_connection.cpp
@@ -36,7 +36,14 @@
 bool stream_connection::will_close() const
 {
     return server_.draining_ || exchange_->head().minor_version == 0 ||
-           header_contains_token(exchange_->head().headers, "connection", "close");
+           header_contains_token(exchange_->head().headers, "connection", "close") ||
+           closes_for_server();
+}
+
+bool stream_connection::closes_for_server() const
+{
+    return server_.closes_after_answers_ && connection_->input().empty() &&
+           !connection_->has_unread_bytes();
 }
 
 void stream_connection::arm_timer()
--- a/src/dotterelport/net/stream_connection.hpp
+++ b/src/dotterelport/net/stream_connection.hpp
@@ -33,6 +33,9 @@
     void close();
 
     [[nodiscard]] bool will_close() const;
+    /// @brief Returns whether the server closes connections after their answers and no further
+    /// request has arrived on this one. Closing it then would lose that request.
+    [[nodiscard]] bool closes_for_server() const;
     [[nodiscard]] bool has_exchange() const { return exchange_ != nullptr; }
     /// @brief Returns whether no answer is in progress and no byte of a further request has
     /// arrived.
--- a/src/dotterelport/net/stream_server_test.cpp
+++ b/src/dotterelport/net/stream_server_test.cpp
@@ -267,6 +267,68 @@
     }
 }
 
+// A request that is on the connection when it is closed would be lost: its client cannot know
+// whether it was executed.
+TEST_CASE("A connection is closed after an answer only once the requests on it are answered")
+{
+    const bool in_kernel = GENERATE(true, false);
+    fixture net;
+    const std::string second = "GET /2 HTTP/1.1\r\n\r\n";
+    const kernel_client client(net.server->address());
+    client.send("GET /1 HTTP/1.1\r\n\r\n" + (in_kernel ? "" : second));
+    net.wait_until([&] { return net.exchanges.size() == 1; });
+    REQUIRE(net.exchanges.size() == 1);
+    if (in_kernel) {
+        client.send(second);
+    }
+    net.server->close_after_answers(true);
+    net.exchanges[0]->respond(200, {}, "one");
+    net.wait_until([&] { return net.exchanges.size() == 2; });
+    REQUIRE(net.exchanges.size() == 2);
+    const std::string first_answer = client.received();
+    CHECK(first_answer.ends_with("one"));
+    CHECK(first_answer.find("Connection: close") == std::string::npos);
+    net.exchanges[1]->respond(200, {}, "two");
+    // The connection of the fixture's own client stays open.
+    net.wait_until([&] { return net.server->connection_count() == 1; });
+    const std::string second_answer = client.received();
+    CHECK(second_answer.ends_with("two"));
+    CHECK(second_answer.find("Connection: close") != std::string::npos);
+    CHECK(net.server->connection_count() == 1);
+}
+
+// A client may send its next request before it has read that the connection closes.
+TEST_CASE("A request that arrives during the last answer of a connection is answered as well")
+{
+    fixture net;
+    const kernel_client client(net.server->address());
+    client.send("GET /1 HTTP/1.1\r\n\r\n");
+    net.wait_until([&] { return net.exchanges.size() == 1; });
+    REQUIRE(net.exchanges.size() == 1);
+    net.server->close_after_answers(true);
+    net.exchanges[0]->start(200, {});
+    client.send("GET /2 HTTP/1.1\r\n\r\n");
+    net.exchanges[0]->finish();
+    net.wait_until([&] { return net.exchanges.size() == 2; });
+    REQUIRE(net.exchanges.size() == 2);
+    net.exchanges[1]->respond(200, {}, "two");
+    net.loop.run_for(50ms);
+    CHECK(client.received().ends_with("two"));
+    CHECK(net.server->connection_count() == 1);
+}
+
+TEST_CASE("Connections are kept again once the server no longer closes them")
+{
+    fixture net;
+    net.server->close_after_answers(true);
+    net.server->close_after_answers(false);
+    net.send("GET / HTTP/1.1\r\n\r\n");
+    net.exchanges.at(0)->respond(200, {}, "x");
+    net.loop.run_for(50ms);
+    CHECK(net.received.find("Connection: close") == std::string::npos);
+    CHECK(net.server->connection_count() == 1);
+}
+
 TEST_CASE("A client that has left is noticed before the loop reads that")
 {
     fixture net;
