--- a/include/dotterelport/gateway/settings.hpp
+++ b/include/dotterelport/gateway/settings.hpp
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 
 #include "dotterelport/base/clock.hpp"
@@ -49,6 +50,9 @@
     /// Memory of the VM in MB, and number of descriptors that the process may open.
     std::size_t memory_mb = 256;
     std::size_t max_fds = 1'024;
+    /// Callers are sent to other gateways while this one is short of capacity and others are not;
+    /// absent: if another gateway has a larger processor share.
+    std::optional<bool> overload_relief = std::nullopt;
 
     bool operator==(const settings&) const = default;
 };
--- a/src/dotterelport/gateway/decisions_test.cpp
+++ b/src/dotterelport/gateway/decisions_test.cpp
@@ -312,6 +312,7 @@
         {"relay_port", 0},
         {"grace_s", -1},
         {"admission", 1},
+        {"overload_relief", "yes"},
     }));
     json changed = valid;
     changed[field] = value;
--- a/src/dotterelport/gateway/forwarding_admission.cpp
+++ b/src/dotterelport/gateway/forwarding_admission.cpp
@@ -104,7 +104,7 @@
                             .target_latency = route_->target_latency,
                             .time_left = time_left(),
                             .servers = {}};
-    for (const auto* server : allowed_servers()) {
+    for (const auto* server : context_.servers.available(service_)) {
         if (context_.placement.loads().available(server->id, steady_now()) !=
             routing::availability::ejected) {
             refused.servers.push_back(server->id);
--- a/src/dotterelport/gateway/settings.cpp
+++ b/src/dotterelport/gateway/settings.cpp
@@ -33,7 +33,8 @@
             "evacuations": {"type": "boolean"},
             "admission": {"type": "boolean"},
             "memory_mb": {"type": "number", "exclusiveMinimum": 0},
-            "max_fds": {"type": "number", "exclusiveMinimum": 0}
+            "max_fds": {"type": "number", "exclusiveMinimum": 0},
+            "overload_relief": {"type": "boolean"}
         }
     })");
     return document;
@@ -85,6 +86,9 @@
     result.admission = document.value("admission", result.admission);
     result.memory_mb = document.value("memory_mb", result.memory_mb);
     result.max_fds = document.value("max_fds", result.max_fds);
+    if (document.contains("overload_relief")) {
+        result.overload_relief = document.at("overload_relief").get<bool>();
+    }
     return result;
 }
 
