--- a/include/dotterelport/routing/placement.hpp
+++ b/include/dotterelport/routing/placement.hpp
@@ -109,8 +109,8 @@
     std::string router;
     /// Requests of other routers that may be on their way to a server, unseen. 2 gave the shortest
     /// times in a replay of 25 routers, but moved prompts away from the engines that have their
-    /// shared parts cached: on a whole day of 31 routers, 2.8 instead of 1.9 million tokens of shared
-    /// parts were read again.
+    /// shared parts cached: on a whole day of 31 routers, 2.8 instead of 1.9 million tokens of
+    /// shared parts were read again.
     double unseen_requests = 1.0;
     load_settings load = default_load();
 
