Name the rest of a server's cold time without a word of the platform, and lint with a current build directory

scripts/lint.sh configured only a missing build directory, so that a new test failed in the linter with the definitions of an older configuration.

--- a/include/dotterelport/gateway/protocol.hpp
+++ b/include/dotterelport/gateway/protocol.hpp
@@ -58,7 +58,7 @@
     /// Time for which it accepts no requests from this gateway; only with a refusal.
     std::optional<milliseconds> retry_after = std::nullopt;
     /// Time for which it accepts few requests because it has just started.
-    std::optional<milliseconds> cold_remaining = std::nullopt;
+    std::optional<milliseconds> cold_time_left = std::nullopt;
     /// A statement cannot be parsed.
     bool unreadable = false;
 };
--- a/include/dotterelport/gateway/server_directory.hpp
+++ b/include/dotterelport/gateway/server_directory.hpp
@@ -35,7 +35,7 @@
     std::uint64_t sequence = 0;
     /// Time for which the server accepts few requests because it has just started, counted from
     /// when it wrote the registration.
-    milliseconds cold_remaining{0};
+    milliseconds cold_time_left{0};
 
     bool operator==(const backend_server&) const = default;
 };
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -8,7 +8,7 @@
     mapfile -t files < <(git ls-files '*.cpp' '*.hpp')
 fi
 clang-format --dry-run --Werror "${files[@]}"
-[ -f build/compile_commands.json ] ||
-    cmake -S . -B build -G Ninja -DCMAKE_BUILD_TYPE=Release -DCMAKE_EXPORT_COMPILE_COMMANDS=ON >/dev/null
+# Also with an existing build directory, which may lack new sources and definitions.
+cmake -S . -B build -G Ninja -DCMAKE_BUILD_TYPE=Release -DCMAKE_EXPORT_COMPILE_COMMANDS=ON >/dev/null
 printf '%s\n' "${files[@]}" | { grep '\.cpp$' || true; } |
     xargs -r -P "$(nproc)" -n 2 clang-tidy -p build --quiet
--- a/src/dotterelport/gateway/forwarding_answer.cpp
+++ b/src/dotterelport/gateway/forwarding_answer.cpp
@@ -90,7 +90,7 @@
         context_.statements.received(attempt_->server, attempt_->server_started_ms,
                                      answer.statement);
         const auto* definition = catalogue_->find_service(service_);
-        const auto cold = answer.statement.cold_remaining.value_or(milliseconds{0});
+        const auto cold = answer.statement.cold_time_left.value_or(milliseconds{0});
         if (definition != nullptr && definition->cold_rate > 0 && cold > milliseconds{0}) {
             context_.statements.limit_cold(attempt_->server, definition->cold_rate, cold, "stated");
         }
--- a/src/dotterelport/gateway/gateway.cpp
+++ b/src/dotterelport/gateway/gateway.cpp
@@ -263,9 +263,9 @@
     void limit_registered_cold()
     {
         for (const auto* server : servers.matching([](const backend_server& item) {
-                 return item.cold_remaining > milliseconds{0};
+                 return item.cold_time_left > milliseconds{0};
              })) {
-            limit_cold(*server, server->cold_remaining, "registered");
+            limit_cold(*server, server->cold_time_left, "registered");
         }
     }
 
@@ -469,7 +469,7 @@
                                      {"draining", server.draining}});
     }
     state_->servers.update(server, steady_now());
-    state_->limit_cold(server, server.cold_remaining, "registered");
+    state_->limit_cold(server, server.cold_time_left, "registered");
 }
 
 void gateway::remove_server(const std::string& id, bool after_outage)
