--- a/src/dotterelport/gateway/budget_broker.cpp
+++ b/src/dotterelport/gateway/budget_broker.cpp
@@ -75,7 +75,7 @@
 
 void budget_broker::store_returned()
 {
-    if (!is_large_fleet()) {
+    if (!is_large_fleet() || !settings_.flushes_on_return) {
         return;
     }
     const milliseconds now = steady_now();
@@ -92,7 +92,7 @@
 void budget_broker::receive_store_returned(const peer_message& message)
 {
     const milliseconds now = steady_now();
-    if (!is_large_fleet() || link_.is_leaving() ||
+    if (!is_large_fleet() || !settings_.flushes_on_return || link_.is_leaving() ||
         (store_returned_at_ && now - *store_returned_at_ < settings_.return_memory)) {
         return;
     }
--- a/src/dotterelport/gateway/budget_fixture.hpp
+++ b/src/dotterelport/gateway/budget_fixture.hpp
@@ -91,7 +91,8 @@
          const std::string& name, const peer_link_settings& settings, std::uint64_t epoch)
         : objects(loop, store, era),
           link(loop, {.node = name, .address = {"127.0.0.1", 0}, .failure_domain = "a"}, settings),
-          keeper(loop, objects, {.node = name, .epoch = epoch}), broker(loop, link, keeper)
+          keeper(loop, objects, {.node = name, .epoch = epoch}),
+          broker(loop, link, keeper, {.flushes_on_return = true})
     {}
 };
 
