--- a/src/dotterelport/gateway/budget_broker.cpp
+++ b/src/dotterelport/gateway/budget_broker.cpp
@@ -527,7 +527,7 @@
 void budget_broker::expire()
 {
     const milliseconds now = steady_now();
-    keeper_.set_large_fleet(is_large_fleet() && settings_.flushes_on_return);
+    keeper_.set_large_fleet(is_large_fleet());
     if (now - copies_sent_at_ >= settings_.copy_interval && !link_.is_leaving()) {
         copies_sent_at_ = now;
         for (std::uint32_t shard = 0; shard < ledger_shards; ++shard) {
