Count the capacity of collected answers, not their length

Cause: the budget of buffered answers counted the bytes that had arrived.

Change: buffer_share::append counts the new capacity before it allocates, and allocates no more than the answer may hold. The HTTP client and the answers that a gateway collects use it.

--- a/include/dotterelport/net/buffer_budget.hpp
+++ b/include/dotterelport/net/buffer_budget.hpp
@@ -2,6 +2,8 @@
 #define DOTTERELPORT_NET_BUFFER_BUDGET_HPP
 
 #include <cstddef>
+#include <string>
+#include <string_view>
 
 namespace dotterelport::net {
 
@@ -45,6 +47,11 @@
     /// @return false if it may not hold so many; the share is unchanged then
     bool resize(std::size_t bytes);
 
+    /// @brief Appends to a text that is all that the answer holds. Its capacity counts, which can
+    /// be twice its length.
+    /// @return false if the answer may not hold so much; text and share are unchanged then
+    bool append(std::string& text, std::string_view data);
+
 private:
     buffer_budget* budget_;
     std::size_t bytes_ = 0;
--- a/src/dotterelport/gateway/forwarding_answer.cpp
+++ b/src/dotterelport/gateway/forwarding_answer.cpp
@@ -144,9 +144,7 @@
 
 void forwarding::buffer_body(std::string_view data)
 {
-    if (attempt_->held->resize(attempt_->body.size() + data.size())) {
-        attempt_->body.append(data);
-    } else {
+    if (!attempt_->held->append(attempt_->body, data)) {
         context_.backends.cancel(attempt_->exchange);
         attempt_failed(verdict::may_have_run, attempt_end::too_large);
     }
--- a/src/dotterelport/net/buffer_budget.cpp
+++ b/src/dotterelport/net/buffer_budget.cpp
@@ -1,6 +1,7 @@
 #include "dotterelport/net/buffer_budget.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace dotterelport::net {
 
@@ -25,4 +26,23 @@
     return true;
 }
 
+bool buffer_share::append(std::string& text, std::string_view data)
+{
+    const std::size_t size = text.size() + data.size();
+    if (size > text.capacity()) {
+        const std::size_t capacity =
+            std::max(size, std::min(text.capacity() * 2, budget_->limit()));
+        if (!resize(capacity)) {
+            return false;
+        }
+        // reserve() of a text with content may allocate twice its old capacity.
+        std::string grown;
+        grown.reserve(capacity);
+        grown.append(text);
+        text = std::move(grown);
+    }
+    text.append(data);
+    return true;
+}
+
 } // namespace dotterelport::net
--- a/src/dotterelport/net/http_client.cpp
+++ b/src/dotterelport/net/http_client.cpp
@@ -216,8 +216,7 @@
         answer->headers = headers;
     };
     handler.on_data = [this, state, finish](std::string_view data) {
-        if (state->share.resize(state->answer.body.size() + data.size())) {
-            state->answer.body.append(data);
+        if (state->share.append(state->answer.body, data)) {
             return;
         }
         cancel(state->exchange);
