Recover a ledger only from a state that has all writes

Cause: 1.5 s after the return any gateway recovered the ledger from the newest state that it knew itself. A gateway that is neither owner nor standby may have read it long ago, and no copies are sent to it.

Change: a copy states whether it comes from the last writer, the owner or a standby. Other states are used only after 3 s, and tokens that may have been used since are withheld as without any copy.

--- a/include/dotterelport/budget/shard_session.hpp
+++ b/include/dotterelport/budget/shard_session.hpp
@@ -68,8 +68,11 @@
     /// Whether a ledger that the store has lost a part of may be written from the newest copy that
     /// is known: the other holders had the time to send theirs.
     bool may_recover = true;
-    /// The same without a copy that is newer than the store's.
+    /// The same without a copy that has all writes. Tokens that may have been used since are
+    /// withheld then.
     bool may_recover_unknown = true;
+    /// Whether this holder is one of those that receive a copy after each write.
+    bool receives_copies = true;
 };
 
 /// A ledger shard as a holder last read or wrote it.
@@ -77,6 +80,9 @@
     object_store::store_era era = 0;
     object_store::version ledger_version = 0;
     ledger_shard ledger;
+    /// Whether it comes from a holder that wrote the ledger last or receives a copy after each
+    /// write. Other holders may have read the ledger long ago.
+    bool has_all_writes = true;
 
     /// @brief Returns whether it was written after another state of the ledger.
     [[nodiscard]] bool is_newer_than(object_store::store_era other_era,
@@ -84,6 +90,14 @@
     {
         return era != other_era ? era > other_era : ledger_version > other_version;
     }
+
+    /// @brief Returns whether it is newer than another copy, or the same with all writes.
+    [[nodiscard]] bool is_better_than(const ledger_copy& other) const
+    {
+        return is_newer_than(other.era, other.ledger_version) ||
+               (era == other.era && ledger_version == other.ledger_version && has_all_writes &&
+                !other.has_all_writes);
+    }
 };
 
 /// Coordinates one holder incarnation with one shard: decides which objects to read and write, and
@@ -112,7 +126,8 @@
     /// @brief Takes the ledger as another holder last knew it.
     void add_copy(ledger_copy copy);
     /// @brief Newest state of the ledger that is known; nothing before the first read.
-    [[nodiscard]] std::optional<ledger_copy> newest_copy() const;
+    /// @param receives_copies whether this holder receives a copy after each write
+    [[nodiscard]] std::optional<ledger_copy> newest_copy(bool receives_copies) const;
     /// @brief Returns whether the ledger was not read or recovered yet in this era.
     [[nodiscard]] bool needs_recovery() const { return current_era_ != era_; }
 
--- a/include/dotterelport/gateway/budget_broker.hpp
+++ b/include/dotterelport/gateway/budget_broker.hpp
@@ -164,7 +164,11 @@
     void send_settlement(const settlement_key& key);
 
     /// @brief Sends the newest known state of a shard to the gateways that own it, or own it next.
-    void send_copy(std::uint32_t shard);
+    /// @param has_all_writes whether the state read or written by this gateway has all writes of
+    /// the ledger; a received one states that itself
+    void send_copy(std::uint32_t shard, bool has_all_writes);
+    /// @brief Returns whether other gateways send a copy to this one after each write of a shard.
+    [[nodiscard]] bool receives_copies(std::uint32_t shard) const;
 
     void receive_copy(const peer_message& message);
     void receive_reserve(const peer_message& message);
--- a/include/dotterelport/gateway/budget_keeper.hpp
+++ b/include/dotterelport/gateway/budget_keeper.hpp
@@ -43,14 +43,18 @@
 
     /// @brief Begins a new era of the store, in which the ledger is recovered first.
     /// @param is_owner returns whether this gateway owns a shard
-    void begin_era(object_store::store_era era, std::function<bool(std::uint32_t)> is_owner);
+    /// @param receives_copies returns whether it receives a copy of a shard after each write
+    void begin_era(object_store::store_era era, std::function<bool(std::uint32_t)> is_owner,
+                   std::function<bool(std::uint32_t)> receives_copies);
 
     /// @brief Takes a ledger shard as another gateway last knew it, and recovers the shard if the
     /// store is in a newer era: its owner may be gone.
     void add_copy(std::uint32_t shard, budget::ledger_copy copy);
 
     /// @brief Newest known state of a shard that this gateway used or received a copy of.
-    [[nodiscard]] std::optional<budget::ledger_copy> newest_copy(std::uint32_t shard) const;
+    /// @param receives_copies whether this gateway receives a copy after each write
+    [[nodiscard]] std::optional<budget::ledger_copy> newest_copy(std::uint32_t shard,
+                                                                 bool receives_copies) const;
 
     /// @brief Sets a function that is called when this gateway has written a ledger shard.
     void on_ledger_written(std::function<void(std::uint32_t)> handler)
@@ -87,6 +91,7 @@
     object_store::store_era era_ = 0;
     milliseconds era_began_{0};
     std::function<bool(std::uint32_t)> is_owner_;
+    std::function<bool(std::uint32_t)> receives_copies_;
     std::function<bool(std::uint32_t)> owns_now_;
     std::function<void(std::uint32_t)> on_ledger_written_;
     /// Newest states of shards that other gateways have sent.
--- a/include/dotterelport/gateway/peer_link.hpp
+++ b/include/dotterelport/gateway/peer_link.hpp
@@ -135,6 +135,9 @@
     /// @brief Gateways that would own a shard, one after the other, if this one did not exist.
     [[nodiscard]] std::vector<std::string> standbys(std::uint32_t shard, std::size_t count) const;
 
+    /// @brief Returns whether this gateway owns a shard or is one of the owner's standbys.
+    [[nodiscard]] bool is_owner_or_standby(std::uint32_t shard, std::size_t standby_count) const;
+
     /// @brief Place of this gateway in the ranking of a shard among all gateways, reachable or not;
     /// 0 for the first. Gateways that know the same fleet have different places.
     [[nodiscard]] std::size_t position(std::uint32_t shard) const
--- a/include/dotterelport/gateway/shard_keeper.hpp
+++ b/include/dotterelport/gateway/shard_keeper.hpp
@@ -102,6 +102,8 @@
 struct recovery_times {
     milliseconds with_copy{0};
     milliseconds without_copy{0};
+    /// Whether this gateway receives a copy of the ledger after each write.
+    bool receives_copies = true;
 };
 
 /// Manages the grants of this router in one shard of the ledger: reserves the maximum that a
@@ -144,9 +146,9 @@
     /// @brief Takes the ledger as another gateway last knew it.
     void add_copy(budget::ledger_copy copy);
     /// @brief Newest known state of the ledger; nothing before the first read.
-    [[nodiscard]] std::optional<budget::ledger_copy> newest_copy() const
+    [[nodiscard]] std::optional<budget::ledger_copy> newest_copy(bool receives_copies) const
     {
-        return session_.newest_copy();
+        return session_.newest_copy(receives_copies);
     }
     /// @brief Sets a function that is called when this gateway has written the ledger.
     void on_ledger_written(std::function<void()> handler)
--- a/src/dotterelport/budget/shard_session.cpp
+++ b/src/dotterelport/budget/shard_session.cpp
@@ -47,19 +47,24 @@
 
 void shard_session::add_copy(ledger_copy copy)
 {
-    if (!received_copy_ ||
-        copy.is_newer_than(received_copy_->era, received_copy_->ledger_version)) {
+    if (!received_copy_ || copy.is_better_than(*received_copy_)) {
         received_copy_ = std::move(copy);
     }
 }
 
-std::optional<ledger_copy> shard_session::newest_copy() const
+std::optional<ledger_copy> shard_session::newest_copy(bool receives_copies) const
 {
     if (!ledger_ ||
         (received_copy_ && received_copy_->is_newer_than(ledger_era_, ledger_version_))) {
         return received_copy_;
     }
-    return ledger_copy{.era = ledger_era_, .ledger_version = ledger_version_, .ledger = *ledger_};
+    const bool is_received = received_copy_ && received_copy_->has_all_writes &&
+                             received_copy_->era == ledger_era_ &&
+                             received_copy_->ledger_version == ledger_version_;
+    return ledger_copy{.era = ledger_era_,
+                       .ledger_version = ledger_version_,
+                       .ledger = *ledger_,
+                       .has_all_writes = receives_copies || is_received};
 }
 
 const ledger_shard* shard_session::ledger() const
@@ -243,7 +248,7 @@
     if (stored.is_closed(self_)) {
         return close();
     }
-    const auto copy = newest_copy();
+    const auto copy = newest_copy(environment_.receives_copies);
     const bool is_new = !found && !copy;
     // A ledger that states no era was written before the store stated one.
     const bool is_of_no_era = stored.era() == 0 && !copy;
@@ -257,12 +262,14 @@
         const bool is_copy_newer = copy && copy->is_newer_than(base.era(), ledger_version);
         const bool is_copy_equal =
             copy && copy->era == base.era() && copy->ledger_version == ledger_version;
+        const bool is_known = copy && copy->has_all_writes && (is_copy_newer || is_copy_equal);
+        if (!is_known && !environment_.may_recover_unknown) {
+            return finish(round_outcome::recovering);
+        }
         if (is_copy_newer) {
             base = copy->ledger;
-        } else if (!is_copy_equal) {
-            if (!environment_.may_recover_unknown) {
-                return finish(round_outcome::recovering);
-            }
+        }
+        if (!is_known) {
             base.withhold_unknown(self_);
         }
         log(events::ledger_recovered, {{"shard", shard_},
@@ -270,7 +277,8 @@
                                        {"stored_version", ledger_version},
                                        {"copy_era", copy ? copy->era : 0},
                                        {"copy_version", copy ? copy->ledger_version : 0},
-                                       {"used_copy", is_copy_newer}});
+                                       {"used_copy", is_copy_newer},
+                                       {"has_all_writes", is_known}});
     }
     base.set_era(era_);
     bool changed = !is_current || is_of_no_era;
--- a/src/dotterelport/gateway/budget_broker.cpp
+++ b/src/dotterelport/gateway/budget_broker.cpp
@@ -35,7 +35,7 @@
     keeper_.follow_store([this](std::uint32_t shard) { return link_.owner(shard) == link_.node(); },
                          [this] { store_returned(); });
     // Copies at the gateways that own the shard next outlive this one.
-    keeper_.on_ledger_written([this](std::uint32_t shard) { send_copy(shard); });
+    keeper_.on_ledger_written([this](std::uint32_t shard) { send_copy(shard, true); });
     link_.on_message(peer_message_kind::leaving,
                      [this](const peer_message& message) { receive_leaving(message); });
     link_.on_message(peer_message_kind::settled, [this](const peer_message& message) {
@@ -67,10 +67,16 @@
     };
     for (std::uint32_t shard = 0; shard < ledger_shards; ++shard) {
         for (int i = 0; i < messages_per_copy && !is_owner(shard); ++i) {
-            send_copy(shard);
+            send_copy(shard, receives_copies(shard));
         }
     }
-    keeper_.begin_era(era, is_owner);
+    keeper_.begin_era(era, is_owner,
+                      [this](std::uint32_t shard) { return receives_copies(shard); });
+}
+
+bool budget_broker::receives_copies(std::uint32_t shard) const
+{
+    return link_.is_owner_or_standby(shard, settings_.copies);
 }
 
 void budget_broker::store_returned()
@@ -104,19 +110,19 @@
 void budget_broker::hand_over()
 {
     for (std::uint32_t shard = 0; shard < ledger_shards; ++shard) {
-        send_copy(shard);
+        send_copy(shard, receives_copies(shard));
     }
 }
 
-void budget_broker::send_copy(std::uint32_t shard)
+void budget_broker::send_copy(std::uint32_t shard, bool has_all_writes)
 {
-    const auto copy = keeper_.newest_copy(shard);
+    const auto copy = keeper_.newest_copy(shard, has_all_writes);
     // A store that states no era does not come back from an older copy.
     if (!copy || copy->era == 0) {
         return;
     }
-    const json content =
-        json::array({shard, copy->era, copy->ledger_version, to_json(copy->ledger)});
+    const json content = json::array(
+        {shard, copy->era, copy->ledger_version, to_json(copy->ledger), copy->has_all_writes});
     for (const auto& node : link_.standbys(shard, settings_.copies)) {
         link_.send(node, peer_message_kind::ledger_copy, content);
     }
@@ -124,6 +130,7 @@
 
 void budget_broker::receive_copy(const peer_message& message)
 {
+    constexpr std::size_t position = 4;
     const auto shard = message.content.at(0).get<std::uint32_t>();
     if (shard >= ledger_shards) {
         log(events::ledger_copy_unreadable, {{"node", message.node}, {"shard", shard}});
@@ -133,7 +140,10 @@
         keeper_.add_copy(shard,
                          {.era = message.content.at(1).get<object_store::store_era>(),
                           .ledger_version = message.content.at(2).get<object_store::version>(),
-                          .ledger = budget::parse_ledger_shard(message.content.at(3).dump())});
+                          .ledger = budget::parse_ledger_shard(message.content.at(3).dump()),
+                          // Gateways of an earlier version do not state it.
+                          .has_all_writes = message.content.size() <= position ||
+                                            message.content.at(position).get<bool>()});
     } catch (const format_error& failure) {
         log(events::ledger_copy_unreadable, {{"node", message.node}, {"error", failure.what()}});
     }
@@ -532,7 +542,7 @@
         copies_sent_at_ = now;
         for (std::uint32_t shard = 0; shard < ledger_shards; ++shard) {
             if (link_.owner(shard) == link_.node()) {
-                send_copy(shard);
+                send_copy(shard, receives_copies(shard));
             }
         }
     }
--- a/src/dotterelport/gateway/budget_keeper.cpp
+++ b/src/dotterelport/gateway/budget_keeper.cpp
@@ -75,15 +75,18 @@
     const milliseconds with_copy =
         era_began_ + (is_owner ? settings_.recovery_delay : settings_.recovery_delay_others);
     return {.with_copy = with_copy,
-            .without_copy = std::max(with_copy, era_began_ + settings_.recovery_delay_unknown)};
+            .without_copy = std::max(with_copy, era_began_ + settings_.recovery_delay_unknown),
+            .receives_copies = !receives_copies_ || receives_copies_(shard)};
 }
 
 void budget_keeper::begin_era(object_store::store_era era,
-                              std::function<bool(std::uint32_t)> is_owner)
+                              std::function<bool(std::uint32_t)> is_owner,
+                              std::function<bool(std::uint32_t)> receives_copies)
 {
     era_ = era;
     era_began_ = steady_now();
     is_owner_ = std::move(is_owner);
+    receives_copies_ = std::move(receives_copies);
     for (const auto& [number, shard] : shards_) {
         shard->begin_era(era, recovery_of(number));
     }
@@ -97,8 +100,7 @@
 void budget_keeper::add_copy(std::uint32_t shard, budget::ledger_copy copy)
 {
     const auto known = received_copies_.find(shard);
-    if (known != received_copies_.end() &&
-        !copy.is_newer_than(known->second.era, known->second.ledger_version)) {
+    if (known != received_copies_.end() && !copy.is_better_than(known->second)) {
         return;
     }
     const auto& added = received_copies_.insert_or_assign(shard, std::move(copy)).first->second;
@@ -110,11 +112,12 @@
     }
 }
 
-std::optional<budget::ledger_copy> budget_keeper::newest_copy(std::uint32_t shard) const
+std::optional<budget::ledger_copy> budget_keeper::newest_copy(std::uint32_t shard,
+                                                              bool receives_copies) const
 {
     const auto active = shards_.find(shard);
     if (active != shards_.end()) {
-        return active->second->newest_copy();
+        return active->second->newest_copy(receives_copies);
     }
     const auto received = received_copies_.find(shard);
     return received == received_copies_.end() ? std::nullopt : std::optional(received->second);
--- a/src/dotterelport/gateway/budgets_test.cpp
+++ b/src/dotterelport/gateway/budgets_test.cpp
@@ -542,6 +542,55 @@
     CHECK_FALSE(entry->stopped);
 }
 
+// Guards against a gateway that read the ledger long ago and recovers it from that state, before
+// those that have the last one: what was used since would be granted again.
+TEST_CASE("A gateway with an old state of the ledger does not recover it as the newest one")
+{
+    const bool are_all_others_killed = GENERATE(false, true);
+    CAPTURE(are_all_others_killed);
+    constexpr int gateways = 10;
+    restored_fixture budgets(gateways);
+    const auto shard = ledger_shard_of("w");
+    budgets.save_copy();
+    std::size_t last = 0;
+    for (std::size_t i = 0; i < budgets.nodes.size(); ++i) {
+        if (budgets.nodes[i]->link.position(shard) == gateways - 1) {
+            last = i;
+        }
+    }
+    auto& outsider = *budgets.nodes[last];
+    outsider.keeper.reserve("w", "own", 1'000, [](reservation_outcome /*outcome*/) {});
+    budgets.run_for(500ms);
+    outsider.keeper.settle("w", "own", verdict::ran, 1'000, 0);
+    budgets.used += 1'000;
+    budgets.run_for(flush_time);
+    auto& owner = *budgets.nodes[budgets.owner()];
+    REQUIRE(&owner != &outsider);
+    for (int i = 0; i < 14; ++i) {
+        REQUIRE(budgets.use(owner, 5'000));
+        budgets.run_for(100ms);
+    }
+    budgets.run_for(500ms);
+    for (std::size_t i = 0; i < budgets.nodes.size(); ++i) {
+        const std::size_t position = budgets.nodes[i]->link.position(shard);
+        if (position == 0 || (are_all_others_killed && i != last)) {
+            budgets.nodes[i].reset();
+        }
+    }
+    budgets.store = budgets.copy;
+    ++budgets.era;
+    outsider.broker.begin_era(budgets.era);
+    budgets.run_for(600ms);
+    for (auto& item : budgets.nodes) {
+        if (item != nullptr && item.get() != &outsider) {
+            item->broker.begin_era(budgets.era);
+        }
+    }
+    budgets.run_for(restored_fixture::recovery_time);
+    budgets.use_up();
+    CHECK(budgets.used <= restored_fixture::prepaid);
+}
+
 TEST_CASE("Bills that the store has lost are written again, each once")
 {
     restored_fixture budgets(1);
--- a/src/dotterelport/gateway/peer_link.cpp
+++ b/src/dotterelport/gateway/peer_link.cpp
@@ -239,6 +239,22 @@
     return result;
 }
 
+bool peer_link::is_owner_or_standby(std::uint32_t shard, std::size_t standby_count) const
+{
+    std::set<std::string> ahead;
+    while (ahead.size() <= standby_count) {
+        const std::string next =
+            ranking_.owner(shard, owner_candidates(), [&](const std::string& node) {
+                return !ahead.contains(node) && (node == self_.node || is_available(node));
+            });
+        if (next == self_.node || next.empty()) {
+            return next == self_.node;
+        }
+        ahead.insert(next);
+    }
+    return false;
+}
+
 std::size_t peer_link::owner_candidates() const
 {
     const bool is_one_group = group().size() == peers_.size();
--- a/src/dotterelport/gateway/shard_keeper.cpp
+++ b/src/dotterelport/gateway/shard_keeper.cpp
@@ -304,7 +304,8 @@
                                       .returned = returned_,
                                       .must_read = is_probe,
                                       .may_recover = now >= recovery_.with_copy,
-                                      .may_recover_unknown = now >= recovery_.without_copy});
+                                      .may_recover_unknown = now >= recovery_.without_copy,
+                                      .receives_copies = recovery_.receives_copies});
     if (!step) {
         round_ended();
         return;
