Send callers of a gateway with a full network link to others that have room

Cause: relief looked at the delay of the event loop only.

Change: gateway/link_delay takes the delay of the link from the response times of the owners of budgets; the guard uses the longer one of the two delays.

--- a/include/dotterelport/gateway/budget_broker.hpp
+++ b/include/dotterelport/gateway/budget_broker.hpp
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "dotterelport/gateway/budget_keeper.hpp"
+#include "dotterelport/gateway/link_delay.hpp"
 #include "dotterelport/gateway/peer_link.hpp"
 
 namespace dotterelport::gateway {
@@ -92,6 +93,10 @@
     /// not confirmed settlements that this gateway sent.
     [[nodiscard]] bool is_busy() const { return !lent_.empty() || !settlements_.empty(); }
 
+    /// @brief Delay of the own network link, as owners' response times show it; 0 while no other
+    /// gateway is heard, as the link may be cut.
+    [[nodiscard]] milliseconds network_delay() const;
+
     [[nodiscard]] json dump() const;
 
 private:
@@ -210,6 +215,8 @@
     milliseconds copies_sent_at_{0};
     /// When this gateway last learnt that the store had returned.
     std::optional<milliseconds> store_returned_at_;
+    /// Response times of owners.
+    link_delay link_delay_;
     /// Owners' timeouts since the last answer of one.
     int timeouts_ = 0;
     /// Time from which an owner is asked all the same.
--- a/include/dotterelport/gateway/overload_guard.hpp
+++ b/include/dotterelport/gateway/overload_guard.hpp
@@ -28,7 +28,7 @@
 
 /// Load of a gateway as it states it to the other gateways.
 struct gateway_load {
-    /// Usual delay of its event loop.
+    /// Usual delay of its event loop or of its network link, whichever is longer.
     milliseconds delay{0};
     std::size_t requests = 0;
     /// Its share of a processor, in cores.
@@ -46,7 +46,8 @@
 
 /// One observation of the own gateway.
 struct load_sample {
-    /// Time between when a timer was due and when it ran.
+    /// Time between when a timer was due and when it ran, or the delay of the network link if that
+    /// is longer.
     milliseconds delay{0};
     /// Requests in progress.
     std::size_t requests = 0;
--- a/src/dotterelport/gateway/budget_broker.cpp
+++ b/src/dotterelport/gateway/budget_broker.cpp
@@ -244,6 +244,7 @@
         if (!item.owner_waits) {
             log(events::owner_silent, {{"owner", item.owner}, {"workspace", item.workspace}});
             link_.mark_silent(item.owner);
+            link_delay_.record(item.owner, timeout, steady_now());
             if (++timeouts_ == settings_.max_timeouts) {
                 ask_at_ = steady_now() + settings_.ask_interval;
             }
@@ -474,6 +475,10 @@
     if (!found->second.waiting) {
         return;
     }
+    if (!found->second.owner_waits) {
+        const milliseconds now = steady_now();
+        link_delay_.record(message.node, now - found->second.requested_at, now);
+    }
     found->second.owner_waits = outcome == waiting_for_grant;
     if (outcome < 0 || outcome > last_outcome) {
         return;
@@ -565,6 +570,11 @@
     }
 }
 
+milliseconds budget_broker::network_delay() const
+{
+    return link_.live_peers().empty() ? milliseconds{0} : link_delay_.current(steady_now());
+}
+
 json budget_broker::dump() const
 {
     return {{"reservations", reservations_.size()},
@@ -574,7 +584,8 @@
             {"ended_for_others", ended_here_.size()},
             {"store_returned_ms_ago",
              store_returned_at_ ? json((steady_now() - *store_returned_at_).count()) : json()},
-            {"owners_without_tokens", statements_.size()}};
+            {"owners_without_tokens", statements_.size()},
+            {"network_delay_ms", network_delay().count()}};
 }
 
 } // namespace dotterelport::gateway
--- a/src/dotterelport/gateway/gateway.cpp
+++ b/src/dotterelport/gateway/gateway.cpp
@@ -300,9 +300,10 @@
         const relief_level before = guard.level();
         const bool was_withholding = guard.is_withholding();
         guard.set_active(is_relief_active());
-        guard.record(
-            {.delay = delay, .requests = requests.size(), .other_gateways = link.group_size()},
-            now);
+        guard.record({.delay = std::max(delay, broker.network_delay()),
+                      .requests = requests.size(),
+                      .other_gateways = link.group_size()},
+                     now);
         const gateway_load load = guard.own_load();
         peers.set_own_load(load);
         counters.record_load(load.delay, static_cast<int>(guard.level()));
--- a/src/dotterelport/gateway/metrics.cpp
+++ b/src/dotterelport/gateway/metrics.cpp
@@ -62,11 +62,12 @@
                           .Name("dotterelport_gateway_answer_seconds")
                           .Help("Time from the receipt of a request to the end of its answer")
                           .Register(registry)),
-      loop_delay_seconds_(prometheus::BuildGauge()
-                              .Name("dotterelport_gateway_loop_delay_seconds")
-                              .Help("Usual time between when a timer was due and when it ran")
-                              .Register(registry)
-                              .Add({})),
+      delay_seconds_(
+          prometheus::BuildGauge()
+              .Name("dotterelport_gateway_delay_seconds")
+              .Help("Usual delay of the event loop or of the network link, the longer one")
+              .Register(registry)
+              .Add({})),
       relief_level_(prometheus::BuildGauge()
                         .Name("dotterelport_gateway_relief_level")
                         .Help("0 normal, 1 closes connections, 2 refuses requests, 3 not ready")
@@ -104,9 +105,9 @@
     limited_clients_.Add({{"cause", cause}}).Increment();
 }
 
-void metrics::record_load(milliseconds loop_delay, int relief_level)
+void metrics::record_load(milliseconds delay, int relief_level)
 {
-    loop_delay_seconds_.Set(seconds(loop_delay));
+    delay_seconds_.Set(seconds(delay));
     relief_level_.Set(relief_level);
 }
 
--- a/src/dotterelport/gateway/metrics.hpp
+++ b/src/dotterelport/gateway/metrics.hpp
@@ -28,7 +28,7 @@
     void record_second_send(const std::string& service, const std::string& decision);
     void set_unusable(std::size_t cold_servers, std::size_t evacuated_domains);
     void record_wait(const std::string& service);
-    void record_load(milliseconds loop_delay, int relief_level);
+    void record_load(milliseconds delay, int relief_level);
 
 private:
     prometheus::Family<prometheus::Counter>& answers_;
@@ -42,7 +42,7 @@
     prometheus::Family<prometheus::Counter>& limited_clients_;
     prometheus::Family<prometheus::Histogram>& first_byte_seconds_;
     prometheus::Family<prometheus::Histogram>& answer_seconds_;
-    prometheus::Gauge& loop_delay_seconds_;
+    prometheus::Gauge& delay_seconds_;
     prometheus::Gauge& relief_level_;
 };
 
