Recover a ledger only by gateways that still receive its copies

Cause: whether a gateway's state of a ledger has all writes was decided by its present rank, when the first answer of the new era came. A gateway that no longer hears those ahead of it (they are dead, it is cut off, or the whole network was away until then) takes itself for the owner, and recovered the ledger from an old state after 0.7 s. A received copy counted as complete for ever.

Change: gateways that were heard in the last 7 s still count in the rank for this purpose; a gateway that hears fewer than half of those that it heard in the last minute does not count as one that receives copies; a received copy is complete only at such a gateway, or if it was received in the new era. Owner and rank are read in each round, not once.

--- a/include/dotterelport/budget/shard_session.hpp
+++ b/include/dotterelport/budget/shard_session.hpp
@@ -83,6 +83,16 @@
     /// Whether it comes from a holder that wrote the ledger last or receives a copy after each
     /// write. Other holders may have read the ledger long ago.
     bool has_all_writes = true;
+    /// Era of the store in which this holder received it.
+    object_store::store_era received_in = 0;
+
+    /// @brief Returns whether it has all writes still. A holder that receives no copies any more
+    /// missed later writes, unless others sent it after the store came back.
+    [[nodiscard]] bool is_complete(object_store::store_era current_era, bool receives_copies) const
+    {
+        return has_all_writes &&
+               (receives_copies || (era < current_era && received_in == current_era));
+    }
 
     /// @brief Returns whether it was written after another state of the ledger.
     [[nodiscard]] bool is_newer_than(object_store::store_era other_era,
@@ -91,12 +101,13 @@
         return era != other_era ? era > other_era : ledger_version > other_version;
     }
 
-    /// @brief Returns whether it is newer than another copy, or the same with all writes.
+    /// @brief Returns whether it is newer than another copy, or the same with all writes or
+    /// received in a later era.
     [[nodiscard]] bool is_better_than(const ledger_copy& other) const
     {
         return is_newer_than(other.era, other.ledger_version) ||
                (era == other.era && ledger_version == other.ledger_version && has_all_writes &&
-                !other.has_all_writes);
+                (!other.has_all_writes || received_in > other.received_in));
     }
 };
 
--- a/include/dotterelport/gateway/peer_link.hpp
+++ b/include/dotterelport/gateway/peer_link.hpp
@@ -86,6 +86,13 @@
     milliseconds silent_after{700};
     /// Time for which a gateway that announced its stop owns nothing; longer than a stop takes.
     milliseconds leaving_time{10'000};
+    /// Time without a message for which a gateway still counts as one that may get the copies of a
+    /// ledger. Its successor gets them every 3 s, and one of them may be lost.
+    milliseconds absent_after{7'000};
+    /// Time for which a gateway that was heard counts as part of the fleet. A gateway that hears
+    /// fewer than half of them is more likely cut off than left alone. Longer than usual
+    /// disconnections, and short enough to forget gateways that were removed.
+    milliseconds contact_memory{60'000};
     /// Time for which a gateway that did not answer is considered unreachable; doubled after each
     /// further failure up to max_suspicion.
     milliseconds first_suspicion{1'000};
@@ -135,9 +142,14 @@
     /// @brief Gateways that would own a shard, one after the other, if this one did not exist.
     [[nodiscard]] std::vector<std::string> standbys(std::uint32_t shard, std::size_t count) const;
 
-    /// @brief Returns whether this gateway owns a shard or is one of the owner's standbys.
+    /// @brief Returns whether this gateway owns a shard or is one of the owner's standbys, and has
+    /// been for longer than the interval at which copies are sent.
     [[nodiscard]] bool is_owner_or_standby(std::uint32_t shard, std::size_t standby_count) const;
 
+    /// @brief Returns whether this gateway hears at least half of the gateways of its group that it
+    /// heard within the last minute.
+    [[nodiscard]] bool hears_most() const;
+
     /// @brief Place of this gateway in the ranking of a shard among all gateways, reachable or not;
     /// 0 for the first. Gateways that know the same fleet have different places.
     [[nodiscard]] std::size_t position(std::uint32_t shard) const
--- a/include/dotterelport/gateway/shard_keeper.hpp
+++ b/include/dotterelport/gateway/shard_keeper.hpp
@@ -142,7 +142,9 @@
     [[nodiscard]] grant_prospect prospect(const std::string& workspace, tokens upper_tokens) const;
 
     /// @brief Begins a new era of the store, in which the ledger is recovered first.
-    void begin_era(object_store::store_era era, const recovery_times& times);
+    /// @param times called in each round, as a gateway may hear the others only after the first
+    /// answer of the store
+    void begin_era(object_store::store_era era, std::function<recovery_times()> times);
     /// @brief Takes the ledger as another gateway last knew it.
     void add_copy(budget::ledger_copy copy);
     /// @brief Newest known state of the ledger; nothing before the first read.
@@ -235,7 +237,7 @@
     /// The flush was requested during a round, which does not count as one.
     bool flushes_after_round_ = false;
     budget::idle_return returned_ = budget::idle_return::usual;
-    recovery_times recovery_;
+    std::function<recovery_times()> recovery_;
     std::function<void()> on_ledger_written_;
     /// Callbacks of pending store calls hold a weak pointer to it to detect that this object was
     /// destroyed.
--- a/src/dotterelport/budget/shard_session.cpp
+++ b/src/dotterelport/budget/shard_session.cpp
@@ -54,12 +54,16 @@
 
 std::optional<ledger_copy> shard_session::newest_copy(bool receives_copies) const
 {
+    const bool is_complete = received_copy_ && received_copy_->is_complete(era_, receives_copies);
     if (!ledger_ ||
         (received_copy_ && received_copy_->is_newer_than(ledger_era_, ledger_version_))) {
-        return received_copy_;
+        auto result = received_copy_;
+        if (result) {
+            result->has_all_writes = is_complete;
+        }
+        return result;
     }
-    const bool is_received = received_copy_ && received_copy_->has_all_writes &&
-                             received_copy_->era == ledger_era_ &&
+    const bool is_received = is_complete && received_copy_->era == ledger_era_ &&
                              received_copy_->ledger_version == ledger_version_;
     return ledger_copy{.era = ledger_era_,
                        .ledger_version = ledger_version_,
--- a/src/dotterelport/gateway/budget_broker.cpp
+++ b/src/dotterelport/gateway/budget_broker.cpp
@@ -76,7 +76,7 @@
 
 bool budget_broker::receives_copies(std::uint32_t shard) const
 {
-    return link_.is_owner_or_standby(shard, settings_.copies);
+    return link_.hears_most() && link_.is_owner_or_standby(shard, settings_.copies);
 }
 
 void budget_broker::store_returned()
--- a/src/dotterelport/gateway/budget_keeper.cpp
+++ b/src/dotterelport/gateway/budget_keeper.cpp
@@ -64,7 +64,7 @@
         if (copy != received_copies_.end()) {
             shard->add_copy(copy->second);
         }
-        shard->begin_era(era_, recovery_of(number));
+        shard->begin_era(era_, [this, number] { return recovery_of(number); });
     }
     return *shard;
 }
@@ -87,8 +87,8 @@
     era_began_ = steady_now();
     is_owner_ = std::move(is_owner);
     receives_copies_ = std::move(receives_copies);
-    for (const auto& [number, shard] : shards_) {
-        shard->begin_era(era, recovery_of(number));
+    for (const auto& item : shards_) {
+        item.second->begin_era(era, [this, number = item.first] { return recovery_of(number); });
     }
     for (const auto& [number, copy] : received_copies_) {
         if (copy.era < era) {
@@ -99,6 +99,7 @@
 
 void budget_keeper::add_copy(std::uint32_t shard, budget::ledger_copy copy)
 {
+    copy.received_in = era_;
     const auto known = received_copies_.find(shard);
     if (known != received_copies_.end() && !copy.is_better_than(known->second)) {
         return;
@@ -120,7 +121,12 @@
         return active->second->newest_copy(receives_copies);
     }
     const auto received = received_copies_.find(shard);
-    return received == received_copies_.end() ? std::nullopt : std::optional(received->second);
+    if (received == received_copies_.end()) {
+        return std::nullopt;
+    }
+    auto result = received->second;
+    result.has_all_writes = result.is_complete(era_, receives_copies);
+    return result;
 }
 
 void budget_keeper::reserve(const std::string& workspace, const std::string& id,
--- a/src/dotterelport/gateway/budgets_test.cpp
+++ b/src/dotterelport/gateway/budgets_test.cpp
@@ -466,6 +466,34 @@
         return std::nullopt;
     }
 
+    /// Number of the living gateway at a place in the ranking of the workspace's shard.
+    std::size_t at_position(std::size_t position)
+    {
+        const auto found = std::find_if(nodes.begin(), nodes.end(), [&](const auto& item) {
+            return item != nullptr && item->link.position(ledger_shard_of("w")) == position;
+        });
+        REQUIRE(found != nodes.end());
+        return static_cast<std::size_t>(found - nodes.begin());
+    }
+
+    /// Loses all messages between a gateway and the others from now on.
+    void cut_off(std::size_t number)
+    {
+        // Nothing listens at the discard port.
+        const net::endpoint nowhere{"127.0.0.1", 9};
+        for (std::size_t i = 0; i < nodes.size(); ++i) {
+            if (nodes[i] == nullptr || i == number) {
+                continue;
+            }
+            auto description = description_of(*nodes[i]);
+            description.address = nowhere;
+            nodes[number]->link.set_peer(description);
+            description = description_of(*nodes[number]);
+            description.address = nowhere;
+            nodes[i]->link.set_peer(description);
+        }
+    }
+
     /// Number of the gateway that owns the workspace's shard.
     std::size_t owner()
     {
@@ -591,6 +619,120 @@
     CHECK(budgets.used <= restored_fixture::prepaid);
 }
 
+// Guards against a gateway that takes its old state of the ledger for one with all writes, because
+// it no longer hears those that are ahead of it: they are dead, or it is cut off from them.
+TEST_CASE("A gateway that has just become an owner does not recover an old state of the ledger")
+{
+    const int gateways = GENERATE(5, 7, 10);
+    const bool is_cut_off = GENERATE(false, true);
+    CAPTURE(gateways, is_cut_off);
+    restored_fixture budgets(gateways);
+    const auto shard = ledger_shard_of("w");
+    budgets.save_copy();
+    const std::size_t last = budgets.at_position(static_cast<std::size_t>(gateways) - 1);
+    auto& outsider = *budgets.nodes[last];
+    outsider.keeper.reserve("w", "own", 1'000, [](reservation_outcome /*outcome*/) {});
+    budgets.run_for(500ms);
+    outsider.keeper.settle("w", "own", verdict::ran, 1'000, 0);
+    budgets.used += 1'000;
+    budgets.run_for(flush_time);
+    const std::size_t first = budgets.at_position(0);
+    for (int i = 0; i < 14; ++i) {
+        REQUIRE(budgets.use(*budgets.nodes[first], 5'000));
+        budgets.run_for(100ms);
+    }
+    budgets.run_for(500ms);
+    if (is_cut_off) {
+        budgets.cut_off(last);
+    } else {
+        for (std::size_t i = 0; i < budgets.nodes.size(); ++i) {
+            if (i != last) {
+                budgets.nodes[i].reset();
+            }
+        }
+    }
+    budgets.run_for(1s);
+    REQUIRE(outsider.link.owner(shard) == outsider.link.node());
+    budgets.nodes[first].reset();
+    budgets.restore_copy();
+    budgets.run_for(restored_fixture::recovery_time);
+    budgets.use_up();
+    CHECK(budgets.used <= restored_fixture::prepaid);
+}
+
+// Guards against a gateway of a small fleet that is cut off from the others, gets no copies, and
+// recovers the ledger from its old state as if it were the owner.
+TEST_CASE("A standby that got no copies does not recover an old state of the ledger")
+{
+    constexpr int gateways = 3;
+    restored_fixture budgets(gateways);
+    const auto shard = ledger_shard_of("w");
+    const std::size_t first = budgets.at_position(0);
+    const std::size_t last = budgets.at_position(gateways - 1);
+    REQUIRE(budgets.use(*budgets.nodes[first], 1'000));
+    budgets.run_for(flush_time);
+    budgets.save_copy();
+    REQUIRE(budgets.use(*budgets.nodes[first], 1'000));
+    budgets.run_for(flush_time);
+    budgets.cut_off(last);
+    for (int i = 0; i < 14; ++i) {
+        REQUIRE(budgets.use(*budgets.nodes[first], 5'000));
+        budgets.run_for(100ms);
+    }
+    budgets.run_for(500ms);
+    auto& outsider = *budgets.nodes[last];
+    REQUIRE(outsider.link.owner(shard) == outsider.link.node());
+    budgets.nodes[first].reset();
+    budgets.store = budgets.copy;
+    ++budgets.era;
+    outsider.broker.begin_era(budgets.era);
+    budgets.run_for(100ms);
+    budgets.nodes[budgets.at_position(1)]->broker.begin_era(budgets.era);
+    budgets.run_for(restored_fixture::recovery_time);
+    budgets.use_up();
+    CHECK(budgets.used <= restored_fixture::prepaid);
+}
+
+// Guards against gateways that decide by what they heard when the store's first answer came: after
+// an outage of the whole network, each of them takes itself for the owner then.
+TEST_CASE("A ledger is recovered by those that know it after all gateways were cut off")
+{
+    constexpr int gateways = 10;
+    restored_fixture budgets(gateways);
+    const auto shard = ledger_shard_of("w");
+    budgets.save_copy();
+    const std::size_t last = budgets.at_position(gateways - 1);
+    auto& outsider = *budgets.nodes[last];
+    outsider.keeper.reserve("w", "own", 1'000, [](reservation_outcome /*outcome*/) {});
+    budgets.run_for(500ms);
+    outsider.keeper.settle("w", "own", verdict::ran, 1'000, 0);
+    budgets.used += 1'000;
+    budgets.run_for(flush_time);
+    const std::size_t first = budgets.at_position(0);
+    for (int i = 0; i < 14; ++i) {
+        REQUIRE(budgets.use(*budgets.nodes[first], 5'000));
+        budgets.run_for(100ms);
+    }
+    budgets.run_for(flush_time);
+    // No gateway hears another one.
+    budgets.loop.run_for(8s);
+    REQUIRE(outsider.link.owner(shard) == outsider.link.node());
+    budgets.nodes[first].reset();
+    budgets.store = budgets.copy;
+    ++budgets.era;
+    outsider.broker.begin_era(budgets.era);
+    budgets.run_for(100ms);
+    for (auto& item : budgets.nodes) {
+        if (item != nullptr && item.get() != &outsider) {
+            item->broker.begin_era(budgets.era);
+        }
+    }
+    budgets.run_for(restored_fixture::recovery_time);
+    budgets.use_up();
+    CHECK(budgets.used <= restored_fixture::prepaid);
+    CHECK(budgets.used > restored_fixture::prepaid * 9 / 10);
+}
+
 TEST_CASE("Bills that the store has lost are written again, each once")
 {
     restored_fixture budgets(1);
--- a/src/dotterelport/gateway/peer_link.cpp
+++ b/src/dotterelport/gateway/peer_link.cpp
@@ -245,7 +245,9 @@
     while (ahead.size() <= standby_count) {
         const std::string next =
             ranking_.owner(shard, owner_candidates(), [&](const std::string& node) {
-                return !ahead.contains(node) && (node == self_.node || is_available(node));
+                return !ahead.contains(node) &&
+                       (node == self_.node || is_available(node) ||
+                        received_within(peers_.at(node).last_received, settings_.absent_after));
             });
         if (next == self_.node || next.empty()) {
             return next == self_.node;
@@ -255,6 +257,17 @@
     return false;
 }
 
+bool peer_link::hears_most() const
+{
+    const auto count_heard_within = [this](milliseconds limit) {
+        return std::count_if(group().begin(), group().end(), [&](const std::string& node) {
+            return received_within(peers_.at(node).last_received, limit);
+        });
+    };
+    return 2 * count_heard_within(settings_.silent_after) >=
+           count_heard_within(settings_.contact_memory);
+}
+
 std::size_t peer_link::owner_candidates() const
 {
     const bool is_one_group = group().size() == peers_.size();
--- a/src/dotterelport/gateway/shard_keeper.cpp
+++ b/src/dotterelport/gateway/shard_keeper.cpp
@@ -98,9 +98,9 @@
     }
 }
 
-void shard_keeper::begin_era(object_store::store_era era, const recovery_times& times)
+void shard_keeper::begin_era(object_store::store_era era, std::function<recovery_times()> times)
 {
-    recovery_ = times;
+    recovery_ = std::move(times);
     session_.observe_era(era);
     if (session_.needs_recovery() && !session_.in_round()) {
         schedule_round(settings_.min_round_interval);
@@ -297,15 +297,16 @@
     if (flush) {
         last_flush_ = now;
     }
+    const recovery_times recovery = recovery_ ? recovery_() : recovery_times{};
     const auto step = session_.start({.now = now,
                                       .platform_trouble = milliseconds{0},
                                       .failure_domains = holder_count(),
                                       .flush = flush,
                                       .returned = returned_,
                                       .must_read = is_probe,
-                                      .may_recover = now >= recovery_.with_copy,
-                                      .may_recover_unknown = now >= recovery_.without_copy,
-                                      .receives_copies = recovery_.receives_copies});
+                                      .may_recover = now >= recovery.with_copy,
+                                      .may_recover_unknown = now >= recovery.without_copy,
+                                      .receives_copies = recovery.receives_copies});
     if (!step) {
         round_ended();
         return;
