Send the newest ledger to gateways that know an old one

Cause: when the owner and its standbys are cut off from the store but not from their peers, another gateway notices the new era first, and after 3 s withholds most of the budget although they know all that was used.

Change: a gateway that receives a copy without all writes, which others send when an era begins, answers it with its own copy if that is better and has all writes.

--- a/src/dotterelport/gateway/budget_broker.cpp
+++ b/src/dotterelport/gateway/budget_broker.cpp
@@ -12,6 +12,12 @@
 /// Answer to a reserve message that is not an outcome: the owner waits for a larger grant.
 constexpr int waiting_for_grant = 3;
 
+json copy_message(std::uint32_t shard, const budget::ledger_copy& copy)
+{
+    return json::array(
+        {shard, copy.era, copy.ledger_version, to_json(copy.ledger), copy.has_all_writes});
+}
+
 } // namespace
 
 budget_broker::budget_broker(net::event_loop& loop, peer_link& link, budget_keeper& keeper,
@@ -121,8 +127,7 @@
     if (!copy || copy->era == 0) {
         return;
     }
-    const json content = json::array(
-        {shard, copy->era, copy->ledger_version, to_json(copy->ledger), copy->has_all_writes});
+    const json content = copy_message(shard, *copy);
     for (const auto& node : link_.standbys(shard, settings_.copies)) {
         link_.send(node, peer_message_kind::ledger_copy, content);
     }
@@ -137,13 +142,23 @@
         return;
     }
     try {
-        keeper_.add_copy(shard,
-                         {.era = message.content.at(1).get<object_store::store_era>(),
-                          .ledger_version = message.content.at(2).get<object_store::version>(),
-                          .ledger = budget::parse_ledger_shard(message.content.at(3).dump()),
-                          // Gateways of an earlier version do not state it.
-                          .has_all_writes = message.content.size() <= position ||
-                                            message.content.at(position).get<bool>()});
+        const budget::ledger_copy copy{
+            .era = message.content.at(1).get<object_store::store_era>(),
+            .ledger_version = message.content.at(2).get<object_store::version>(),
+            .ledger = budget::parse_ledger_shard(message.content.at(3).dump()),
+            // Gateways of an earlier version do not state it.
+            .has_all_writes =
+                message.content.size() <= position || message.content.at(position).get<bool>()};
+        keeper_.add_copy(shard, copy);
+        if (copy.has_all_writes) {
+            return;
+        }
+        // The sender would withhold tokens if it recovered the ledger first, which it does if the
+        // gateways that know it are cut off from the store.
+        const auto newest = keeper_.newest_copy(shard, receives_copies(shard));
+        if (newest && newest->is_better_than(copy) && newest->has_all_writes) {
+            link_.send(message.node, peer_message_kind::ledger_copy, copy_message(shard, *newest));
+        }
     } catch (const format_error& failure) {
         log(events::ledger_copy_unreadable, {{"node", message.node}, {"error", failure.what()}});
     }
--- a/src/dotterelport/gateway/budgets_test.cpp
+++ b/src/dotterelport/gateway/budgets_test.cpp
@@ -693,6 +693,42 @@
     CHECK(budgets.used <= restored_fixture::prepaid);
 }
 
+// Guards against tokens that a gateway withholds although gateways that it reaches know the ledger:
+// those are cut off from the store, and it reads the ledger first.
+TEST_CASE("A gateway with an old state of the ledger gets the newest one from those it reaches")
+{
+    constexpr int gateways = 10;
+    constexpr std::size_t cut_off = 4;
+    restored_fixture budgets(gateways);
+    budgets.save_copy();
+    auto& outsider = *budgets.nodes[budgets.at_position(gateways - 1)];
+    outsider.keeper.reserve("w", "own", 1'000, [](reservation_outcome /*outcome*/) {});
+    budgets.run_for(500ms);
+    outsider.keeper.settle("w", "own", verdict::ran, 1'000, 0);
+    budgets.used += 1'000;
+    budgets.run_for(flush_time);
+    auto& owner = *budgets.nodes[budgets.owner()];
+    for (int i = 0; i < 10; ++i) {
+        REQUIRE(budgets.use(owner, 5'000));
+        budgets.run_for(100ms);
+    }
+    budgets.run_for(flush_time);
+    for (std::size_t position = 0; position < cut_off; ++position) {
+        budgets.nodes[budgets.at_position(position)]->objects.reachable = false;
+    }
+    budgets.restore_copy();
+    budgets.run_for(restored_fixture::recovery_time);
+    for (std::size_t position = 0; position < cut_off; ++position) {
+        auto& item = *budgets.nodes[budgets.at_position(position)];
+        item.objects.reachable = true;
+        item.broker.begin_era(budgets.era);
+    }
+    budgets.run_for(restored_fixture::recovery_time);
+    budgets.use_up();
+    CHECK(budgets.used <= restored_fixture::prepaid);
+    CHECK(budgets.used > restored_fixture::prepaid * 9 / 10);
+}
+
 // Guards against gateways that decide by what they heard when the store's first answer came: after
 // an outage of the whole network, each of them takes itself for the owner then.
 TEST_CASE("A ledger is recovered by those that know it after all gateways were cut off")
