Displace a waiting request only if the new one gets its place

Cause: a request that did not fit into the bounds of the waiting requests displaced a less urgent one before it was known whether that made room for it. With large bodies both were rejected, and each further attempt rejected one more.

Change: admission::push checks the bounds without the displaced request first.

--- a/include/dotterelport/gateway/admission.hpp
+++ b/include/dotterelport/gateway/admission.hpp
@@ -134,7 +134,7 @@
     [[nodiscard]] reject_now no_capacity(const std::string& service, milliseconds now);
 
     /// @brief Lets a request wait. Its place may be that of a less urgent one.
-    /// @param displaced set to the request that loses its place
+    /// @param displaced set to the request that loses its place, only if the new one gets it
     /// @return false if too many requests wait
     bool push(const std::string& service, const waiting_request& request,
               std::optional<std::uint64_t>& displaced);
@@ -171,6 +171,9 @@
     /// @brief Actual time to start relative to the expected one; nothing without recent evidence.
     [[nodiscard]] static std::optional<double> start_ratio(const service_state& service,
                                                            milliseconds now);
+    /// @brief Returns whether a request may wait beside a number of others.
+    /// @param bytes of all of them
+    [[nodiscard]] bool fits(std::size_t others, std::size_t bytes) const;
     void count_removed(const waiting_request& request);
     [[nodiscard]] milliseconds spread(double from_ms, double to_ms);
 
--- a/include/dotterelport/gateway/waiting_queue.hpp
+++ b/include/dotterelport/gateway/waiting_queue.hpp
@@ -53,7 +53,7 @@
     /// @brief Request that a more urgent one may displace: of the least urgent priority, the one
     /// with the latest deadline of the workspace with most requests.
     /// @return nothing if no waiting request is less urgent than the given priority
-    [[nodiscard]] std::optional<std::uint64_t> displaceable(int priority) const;
+    [[nodiscard]] const waiting_request* displaceable(int priority) const;
     [[nodiscard]] std::size_t size() const { return locations_.size(); }
     [[nodiscard]] bool empty() const { return locations_.empty(); }
 
--- a/src/dotterelport/gateway/admission.cpp
+++ b/src/dotterelport/gateway/admission.cpp
@@ -222,17 +222,15 @@
         return false;
     }
     auto& queue = found->second.queue;
-    const auto fits = [&] {
-        return waiting_ < limits_.requests && waiting_bytes_ + request.bytes <= limits_.bytes;
-    };
-    if (!fits()) {
-        displaced = queue.displaceable(request.priority);
-        if (displaced) {
-            count_removed(*queue.remove(*displaced));
-        }
-        if (!fits()) {
+    if (!fits(waiting_, waiting_bytes_ + request.bytes)) {
+        const waiting_request* less_urgent = queue.displaceable(request.priority);
+        // A request is not rejected for one that gets no place either.
+        if (less_urgent == nullptr ||
+            !fits(waiting_ - 1, waiting_bytes_ - less_urgent->bytes + request.bytes)) {
             return false;
         }
+        displaced = less_urgent->id;
+        count_removed(*queue.remove(*displaced));
     }
     queue.push(request);
     ++waiting_;
@@ -240,6 +238,11 @@
     return true;
 }
 
+bool admission::fits(std::size_t others, std::size_t bytes) const
+{
+    return others < limits_.requests && bytes <= limits_.bytes;
+}
+
 void admission::count_removed(const waiting_request& request)
 {
     --waiting_;
--- a/src/dotterelport/gateway/admission_test.cpp
+++ b/src/dotterelport/gateway/admission_test.cpp
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 
+#include <map>
 #include <memory>
 #include <random>
 #include <set>
@@ -278,5 +279,98 @@
     CHECK(run.target.push("s", waiting(5), displaced));
 }
 
+// Guards against waiting requests that are rejected for one that gets no place either.
+TEST_CASE("A request that does not fit into the place of another one displaces none")
+{
+    active_admission run({.requests = 100, .bytes = 2'500, .workspace_requests = 9});
+    std::optional<std::uint64_t> displaced;
+    CHECK(run.target.push("s", waiting(1), displaced));
+    CHECK(run.target.push("s", waiting(2), displaced));
+    waiting_request large = waiting(3, "other", 0);
+    large.bytes = 2'000;
+    CHECK_FALSE(run.target.push("s", large, displaced));
+    CHECK_FALSE(displaced);
+    CHECK(run.target.dump(0ms).at("waiting") == 2);
+    CHECK(run.target.dump(0ms).at("waiting_bytes") == 2'000);
+    large.bytes = 1'500;
+    CHECK(run.target.push("s", large, displaced));
+    CHECK(displaced == 2);
+    CHECK(run.target.dump(0ms).at("waiting_bytes") == 2'500);
+}
+
+// Guards against a displaced request of the same or a more urgent priority, against one that is
+// about to be sent, and against places and bytes that are counted twice or not given back.
+TEST_CASE("Displaced requests are less urgent, wait until then, and give back their bytes")
+{
+    std::mt19937_64 random(GENERATE(1, 2, 3, 4, 5));
+    const auto below = [&](std::uint64_t end) { return random() % end; };
+    const waiting_limits limits{.requests = 8, .bytes = 6'000, .workspace_requests = 5};
+    active_admission run(limits);
+    std::map<std::uint64_t, waiting_request> expected;
+    std::size_t displacements = 0;
+    for (std::uint64_t id = 1; id <= 2'000; ++id) {
+        waiting_request next = waiting(id, std::string(1, static_cast<char>('a' + below(3))),
+                                       static_cast<int>(below(3)),
+                                       milliseconds{static_cast<std::int64_t>(id + below(40))});
+        next.bytes = 1 + below(2'000);
+        std::optional<std::uint64_t> displaced;
+        const bool is_waiting = run.target.push("s", next, displaced);
+        if (displaced) {
+            ++displacements;
+            REQUIRE(is_waiting);
+            REQUIRE(expected.contains(*displaced));
+            CHECK(expected.at(*displaced).priority > next.priority);
+            expected.erase(*displaced);
+        }
+        if (is_waiting) {
+            expected.emplace(id, next);
+        }
+        if (below(10) == 0 && !expected.empty()) {
+            run.target.remove("s", expected.begin()->first);
+            expected.erase(expected.begin());
+        }
+        if (below(12) == 0) {
+            for (const auto& item : run.target.take_ended(milliseconds{static_cast<int>(id)})) {
+                REQUIRE(expected.erase(item.id) == 1);
+            }
+        }
+        std::size_t bytes = 0;
+        for (const auto& [number, item] : expected) {
+            bytes += item.bytes;
+        }
+        const json dump = run.target.dump(0ms);
+        REQUIRE(dump.at("waiting") == expected.size());
+        REQUIRE(dump.at("waiting_bytes") == bytes);
+        REQUIRE(bytes <= limits.bytes);
+        REQUIRE(expected.size() <= limits.requests);
+    }
+    CHECK(displacements > 20);
+}
+
+// Guards against a workspace that takes the places of others by sending more, and against one that
+// takes those of less urgent ones beyond its bound.
+TEST_CASE("A workspace displaces no request of its priority, and others only up to its bound")
+{
+    active_admission run({.requests = 8, .bytes = 1U << 20U, .workspace_requests = 4});
+    std::optional<std::uint64_t> displaced;
+    std::uint64_t id = 0;
+    for (const std::string workspace : {"a", "b"}) {
+        for (int i = 0; i < 4; ++i) {
+            REQUIRE(run.target.push("s", waiting(++id, workspace), displaced));
+        }
+    }
+    for (int i = 0; i < 20; ++i) {
+        CHECK_FALSE(run.target.push("s", waiting(++id, "c"), displaced));
+    }
+    CHECK_FALSE(displaced);
+    int displacements = 0;
+    for (int i = 0; i < 20; ++i) {
+        displaced.reset();
+        run.target.push("s", waiting(++id, "urgent", 0), displaced);
+        displacements += displaced ? 1 : 0;
+    }
+    CHECK(displacements == 4);
+}
+
 } // namespace
 } // namespace dotterelport::gateway
--- a/src/dotterelport/gateway/waiting_queue.cpp
+++ b/src/dotterelport/gateway/waiting_queue.cpp
@@ -115,17 +115,17 @@
     return result;
 }
 
-std::optional<std::uint64_t> waiting_queue::displaceable(int priority) const
+const waiting_request* waiting_queue::displaceable(int priority) const
 {
     if (levels_.empty() || levels_.rbegin()->first <= priority) {
-        return std::nullopt;
+        return nullptr;
     }
     const auto& flows = levels_.rbegin()->second.flows;
     const auto largest =
         std::max_element(flows.begin(), flows.end(), [](const auto& left, const auto& right) {
             return left.second.requests.size() < right.second.requests.size();
         });
-    return largest->second.requests.rbegin()->first.second;
+    return &largest->second.requests.rbegin()->second;
 }
 
 } // namespace dotterelport::gateway
--- a/src/dotterelport/gateway/waiting_queue_test.cpp
+++ b/src/dotterelport/gateway/waiting_queue_test.cpp
@@ -118,7 +118,9 @@
     queue.push(request(2, "b", 1, 200ms));
     queue.push(request(3, "b", 1, 300ms));
     CHECK_FALSE(queue.displaceable(1));
-    CHECK(queue.displaceable(0) == 3);
+    const waiting_request* displaceable = queue.displaceable(0);
+    REQUIRE(displaceable != nullptr);
+    CHECK(displaceable->id == 3);
 }
 
 } // namespace
