Begin a stream's answer with its first event, not with a comment

Cause: received_data() and the handler of a second send took any bytes of a stream for the first part of its answer. A keep-alive comment ended the comparison of the two attempts, was recorded as the time to the first part (second_send, admission, placement), and was written to the caller, so that a request that had received nothing could only be broken off.

Change: only a complete event that is not a comment does so. Comments before the first event are not passed on. The second attempt has its own event stream, which replaces that of the request when the request continues there. A second attempt that ends without an event no longer replaces the first one.

Answers that are collected (routes without streams) still begin with any data.

--- a/src/dotterelport/gateway/forwarding.hpp
+++ b/src/dotterelport/gateway/forwarding.hpp
@@ -108,8 +108,11 @@
         /// Memory of events that the caller has not read yet.
         std::unique_ptr<net::buffer_share> unsent;
         bool is_streamed = false;
-        /// A part of the answer's body has arrived.
+        /// A part of the answer's body has arrived; of a stream, an event that is not only a
+        /// comment.
         bool has_data = false;
+        /// What the second attempt has received of a stream, until the request continues with it.
+        event_stream events;
         std::uint64_t events_before = 0;
         double expected_start_ms = 0;
     };
@@ -147,6 +150,9 @@
     [[nodiscard]] static bool is_usable(const attempt& value);
     /// @brief Continues with the second attempt only, which answers first.
     void prefer_second();
+    /// @brief Handles a part of the second attempt's answer, which decides which attempt continues
+    /// only with the first event.
+    void received_second_events(std::string_view data);
     /// @brief Gives up the second attempt.
     void end_second(attempt_end end);
     /// @brief Continues with the second attempt after the first has failed.
@@ -183,6 +189,11 @@
 
     bool received_head(const net::http1_answer_head& head);
     void received_data(std::string_view data);
+    /// @brief Passes on what became complete of a stream.
+    /// @param events_before number of events before the last part of the answer
+    void received_events(std::string_view events, std::uint64_t events_before);
+    /// @brief Records the time to the first part of the answer and ends the other attempt.
+    void received_first_data();
     void received_all();
     void received_failure(net::backend_failure failure);
     /// @brief Reports an attempt whose server ended the connection before the first event.
--- a/src/dotterelport/gateway/forwarding_answer.cpp
+++ b/src/dotterelport/gateway/forwarding_answer.cpp
@@ -114,26 +114,40 @@
 
 void forwarding::received_data(std::string_view data)
 {
-    context_.placement.answered(attempt_->server, attempt_->id, steady_now());
-    if (!attempt_->has_data) {
-        attempt_->has_data = true;
-        context_.second_sends.record_start(service_, request_.prompt_tokens,
-                                           steady_now() - attempt_->sent);
-        record_start();
-        if (is_usable(*attempt_)) {
-            end_second(attempt_end::superseded);
-        }
-    }
     if (!attempt_->is_streamed) {
+        received_first_data();
         buffer_body(data);
         return;
     }
     const std::uint64_t events_before = events_.events();
-    write_events(events_.append(data));
+    received_events(events_.append(data), events_before);
+}
+
+void forwarding::received_first_data()
+{
+    context_.placement.answered(attempt_->server, attempt_->id, steady_now());
+    if (std::exchange(attempt_->has_data, true)) {
+        return;
+    }
+    context_.second_sends.record_start(service_, request_.prompt_tokens,
+                                       steady_now() - attempt_->sent);
+    record_start();
+    if (is_usable(*attempt_)) {
+        end_second(attempt_end::superseded);
+    }
+}
+
+void forwarding::received_events(std::string_view events, std::uint64_t events_before)
+{
     if (events_.events() > events_before) {
+        received_first_data();
         last_progress_ = steady_now();
         context_.placement.produced(attempt_->server, attempt_->id, delivered_tokens());
     }
+    // Servers send comments before they begin to answer.
+    if (events_.events() > 0) {
+        write_events(events);
+    }
     if (events_.is_overlong() || !attempt_->held->resize(events_.incomplete_bytes())) {
         context_.backends.cancel(attempt_->exchange);
         attempt_failed(verdict::may_have_run, attempt_end::malformed);
--- a/src/dotterelport/gateway/forwarding_second.cpp
+++ b/src/dotterelport/gateway/forwarding_second.cpp
@@ -80,12 +80,17 @@
 template<typename Function> auto forwarding::as_only_attempt(Function function)
 {
     std::swap(attempt_, second_);
+    std::swap(events_, attempt_->events);
+    const auto swap_back = [this] {
+        std::swap(events_, attempt_->events);
+        std::swap(attempt_, second_);
+    };
     if constexpr (std::is_void_v<decltype(function())>) {
         function();
-        std::swap(attempt_, second_);
+        swap_back();
     } else {
         const auto result = function();
-        std::swap(attempt_, second_);
+        swap_back();
         return result;
     }
 }
@@ -108,6 +113,10 @@
             if (!is_usable(*self->second_)) {
                 return;
             }
+            if (self->second_->is_streamed) {
+                self->received_second_events(data);
+                return;
+            }
             self->prefer_second();
         }
         only.on_data(data);
@@ -121,6 +130,16 @@
                                                   : attempt_end::server_error);
                 return;
             }
+            if (self->second_->is_streamed && self->as_only_attempt([&] {
+                    const bool is_lost = self->ends_early();
+                    if (is_lost) {
+                        self->report_lost_attempt();
+                    }
+                    return is_lost;
+                })) {
+                self->end_second(attempt_end::truncated);
+                return;
+            }
             self->prefer_second();
         }
         only.on_complete();
@@ -144,6 +163,20 @@
     return handler;
 }
 
+void forwarding::received_second_events(std::string_view data)
+{
+    const std::string events = second_->events.append(data);
+    if (second_->events.events() > 0) {
+        prefer_second();
+        received_events(events, 0);
+        return;
+    }
+    if (second_->events.is_overlong() ||
+        !second_->held->resize(second_->events.incomplete_bytes())) {
+        end_second(attempt_end::malformed);
+    }
+}
+
 void forwarding::prefer_second()
 {
     json fields = log_fields();
@@ -151,6 +184,7 @@
     fields["server"] = second_->server;
     log(events::second_send_answered, fields);
     std::swap(attempt_, second_);
+    events_ = std::move(attempt_->events);
     end_second(attempt_end::superseded);
     arm_stall_timer();
 }
@@ -185,6 +219,7 @@
     log(events::attempt_ended, fields);
     close_attempt(end);
     attempt_ = std::exchange(second_, std::nullopt);
+    events_ = std::move(attempt_->events);
     arm_stall_timer();
     return true;
 }
