Let a stream that has begun wait for a server that continues it

Cause: when the server of a resumable stream failed and the other ones were full (engines_full, or a refusal with X-Not-Executed), the decision was break_off, and only requests without output could wait. The stream was cut at once, although a place is expected within the pause that callers accept.

Change: such a stream waits in the queue of the new requests, for at most target_itl_ms of its route since the failure was noticed, and continues where a server has room. It is cut at once if the route states no pause, if all servers stay full for longer, or if no retry is left. Waiting streams are not displaced, and a stop order does not end their wait. The time limit cuts them; it must not answer them with an error.

--- a/include/dotterelport/gateway/admission.hpp
+++ b/include/dotterelport/gateway/admission.hpp
@@ -113,6 +113,9 @@
     [[nodiscard]] bool may_have_full_servers(const std::string& service) const;
     [[nodiscard]] bool is_full(const std::string& service, const std::string& server,
                                milliseconds now) const;
+    /// @brief Time for which a server counts as full; 0 if it does not.
+    [[nodiscard]] milliseconds full_for(const std::string& service, const std::string& server,
+                                        milliseconds now) const;
 
     /// @brief Decides whether a request that full servers refused waits for a free slot. If all
     /// servers are full, new requests have to wait from now on.
--- a/include/dotterelport/gateway/events.hpp
+++ b/include/dotterelport/gateway/events.hpp
@@ -155,8 +155,8 @@
     "The second backend server answers first; the request is cancelled at the first one."};
 inline constexpr log_event engines_full{
     970, severity::warning, "engines_full",
-    "A request was refused because the requests that run on the model engines leave none of them "
-    "enough memory for it."};
+    "The requests that run on the model engines leave none of them enough memory for a request; it "
+    "is refused, or waits if its answer has begun."};
 inline constexpr log_event admission_active{
     965, severity::info, "admission_active",
     "A backend server of a service has stated its slowdown for the first time; from now on, this "
@@ -167,7 +167,8 @@
     "servers stay full; the fields contain what was expected."};
 inline constexpr log_event request_waits{
     967, severity::info, "request_waits",
-    "All backend servers of a request are full; it waits at this gateway for a free slot."};
+    "All backend servers of a request are full; it waits at this gateway for a free slot. A stream "
+    "that has begun waits until one of them has room to continue it."};
 inline constexpr log_event budgets_flushed{
     960, severity::info, "budgets_flushed",
     "The store has returned after an outage, noticed by this gateway or told by another one; usage "
--- a/include/dotterelport/gateway/waiting_queue.hpp
+++ b/include/dotterelport/gateway/waiting_queue.hpp
@@ -27,6 +27,8 @@
     std::size_t bytes = 0;
     /// Latest time at which it may be sent.
     milliseconds deadline{0};
+    /// Its answer has begun, so that it can no longer be rejected as not executed.
+    bool has_begun = false;
 };
 
 /// Queue of waiting requests. The most urgent ones are served first, without starving the others.
@@ -51,8 +53,9 @@
     /// @brief Number of waiting requests of a workspace.
     [[nodiscard]] std::size_t count(const std::string& workspace) const;
     /// @brief Request that a more urgent one may displace: of the least urgent priority, the one
-    /// with the latest deadline of the workspace with most requests.
-    /// @return nothing if no waiting request is less urgent than the given priority
+    /// with the latest deadline of the workspace with most requests, without those whose answers
+    /// have begun.
+    /// @return null if no such request is less urgent than the given priority
     [[nodiscard]] const waiting_request* displaceable(int priority) const;
     [[nodiscard]] std::size_t size() const { return locations_.size(); }
     [[nodiscard]] bool empty() const { return locations_.empty(); }
--- a/src/dotterelport/gateway/admission.cpp
+++ b/src/dotterelport/gateway/admission.cpp
@@ -197,13 +197,20 @@
 
 bool admission::is_full(const std::string& service, const std::string& server,
                         milliseconds now) const
+{
+    return full_for(service, server, now) > milliseconds{0};
+}
+
+milliseconds admission::full_for(const std::string& service, const std::string& server,
+                                 milliseconds now) const
 {
     const auto found = services_.find(service);
     if (found == services_.end()) {
-        return false;
+        return milliseconds{0};
     }
     const auto until = found->second.full_until.find(server);
-    return until != found->second.full_until.end() && now < until->second;
+    return until == found->second.full_until.end() ? milliseconds{0}
+                                                   : std::max(milliseconds{0}, until->second - now);
 }
 
 bool admission::is_short(const std::string& service, milliseconds now) const
--- a/src/dotterelport/gateway/forwarding.cpp
+++ b/src/dotterelport/gateway/forwarding.cpp
@@ -516,7 +516,8 @@
         close_attempt(end);
         clear_attempt();
     }
-    if (std::holds_alternative<refuse_not_run>(decision) && wait_after(end)) {
+    if ((std::holds_alternative<refuse_not_run>(decision) && wait_after(end)) ||
+        (std::holds_alternative<break_off>(decision) && wait_to_continue(end))) {
         return;
     }
     execute(decision, end, fields);
@@ -528,9 +529,7 @@
         events_.resume();
         dispatch();
     } else if (std::holds_alternative<break_off>(decision)) {
-        log(events::request_cut, fields);
-        exchange_->abort();
-        finish();
+        cut(fields);
     } else if (std::holds_alternative<refuse_not_run>(decision) && !may_have_run_) {
         refuse(unavailable, to_string(end), retry_after(end));
     } else {
@@ -540,6 +539,13 @@
     }
 }
 
+void forwarding::cut(const json& fields)
+{
+    log(events::request_cut, fields);
+    exchange_->abort();
+    finish();
+}
+
 milliseconds forwarding::retry_after(attempt_end end) const
 {
     switch (end) {
@@ -561,7 +567,11 @@
         return;
     }
     if (!attempt_) {
-        if (may_have_run_) {
+        if (exchange_->is_started()) {
+            json fields = log_fields();
+            fields["reason"] = to_string(attempt_end::timeout);
+            cut(fields);
+        } else if (may_have_run_) {
             refuse(gateway_timeout, "timeout");
         } else {
             refuse(unavailable, reserving_ ? "no_grant" : "timeout", store_retry_after);
--- a/src/dotterelport/gateway/forwarding.hpp
+++ b/src/dotterelport/gateway/forwarding.hpp
@@ -174,8 +174,23 @@
     /// @brief Keeps a new request while all servers are full, or ends it if too many wait.
     /// @return false if the request is to be sent now
     bool wait_if_short();
+    /// @brief Keeps a stream that has begun until a server has room to continue it, for the longest
+    /// pause that its callers accept.
+    /// @return false if it is to be broken off
+    bool wait_to_continue(attempt_end end);
+    /// @brief Continues a stream that has waited, or lets it wait on, or breaks it off.
+    void continue_stream();
+    /// @brief Time until a server that may continue the stream is expected to accept requests;
+    /// nothing if there is no such server.
+    [[nodiscard]] std::optional<milliseconds> time_until_continued() const;
+    /// @brief Lets the refused request be sent again to the servers that refused it: they have not
+    /// run it.
+    void allow_refused_servers();
     /// @return false if too many requests wait
     bool wait_for_capacity(milliseconds longest);
+    /// @return false if too many requests wait
+    bool enter_queue(milliseconds until);
+    void record_wait(milliseconds longest) const;
     void wait_ended(bool is_admitted);
     void refuse_for_capacity();
     /// @brief Excludes full servers if there is another one.
@@ -232,6 +247,10 @@
     void stalled();
     void caller_gone();
 
+    /// @brief Breaks off an answer that has begun.
+    /// @param fields of the log line
+    void cut(const json& fields);
+
     /// @brief Carries out the decision made after an attempt.
     void execute(const attempt_decision& decision, attempt_end end, const json& fields);
     [[nodiscard]] milliseconds retry_after(attempt_end end) const;
@@ -279,6 +298,10 @@
     std::uint64_t wait_ = 0;
     /// The request has waited and may be sent.
     bool was_admitted_ = false;
+    /// Time until which a stream whose server failed may wait for another one.
+    std::optional<milliseconds> continue_until_;
+    /// A retry was taken from the budget for a send that was not made.
+    bool has_retry_ = false;
     std::uint32_t sends_ = 0;
     std::uint32_t failed_connects_ = 0;
     bool may_have_run_ = false;
--- a/src/dotterelport/gateway/forwarding_admission.cpp
+++ b/src/dotterelport/gateway/forwarding_admission.cpp
@@ -12,6 +12,9 @@
 constexpr int unavailable = 503;
 constexpr int first_server_error = 500;
 
+/// Shortest wait of a stream for a server that continues it, the interval of the checks.
+constexpr milliseconds min_continue_wait{20};
+
 } // namespace
 
 int forwarding::priority() const
@@ -137,7 +140,98 @@
     return true;
 }
 
+bool forwarding::wait_to_continue(attempt_end end)
+{
+    const bool was_refused = end == attempt_end::server_refused;
+    const bool is_full = was_refused || end == attempt_end::engines_full ||
+                         ((end == attempt_end::no_server || end == attempt_end::servers_limited) &&
+                          !refused_servers_.empty());
+    if (!is_full || !may_repeat() || (was_refused && !retries().can_retry())) {
+        return false;
+    }
+    allow_refused_servers();
+    // The time before the failure was noticed does not count: after a stall, nothing would be left,
+    // and a stream that continues late serves its caller better than one that is cut.
+    if (!continue_until_) {
+        continue_until_ = steady_now() + route_->longest_pause;
+    }
+    const milliseconds until = std::min(*continue_until_, deadline_);
+    const auto earliest = time_until_continued();
+    if (!earliest || std::max(min_continue_wait, *earliest) > until - steady_now()) {
+        return false;
+    }
+    has_retry_ = !was_refused;
+    if (!enter_queue(until)) {
+        return false;
+    }
+    record_wait(until - steady_now());
+    return true;
+}
+
+std::optional<milliseconds> forwarding::time_until_continued() const
+{
+    std::optional<milliseconds> shortest;
+    for (const auto* server : allowed_servers()) {
+        if (std::find(tried_servers_.begin(), tried_servers_.end(), server->id) ==
+            tried_servers_.end()) {
+            const milliseconds time =
+                std::max(context_.admissions.full_for(service_, server->id, steady_now()),
+                         context_.statements.time_until_permitted(server->id));
+            shortest = std::min(shortest.value_or(time), time);
+        }
+    }
+    return shortest;
+}
+
+void forwarding::continue_stream()
+{
+    const milliseconds now = steady_now();
+    const auto choice = choose_server();
+    if (choice && !context_.admissions.is_full(service_, choice->server, now)) {
+        if (std::exchange(has_retry_, false) || retries().try_retry()) {
+            events_.resume();
+            dispatch();
+            return;
+        }
+    } else {
+        const milliseconds until = std::min(continue_until_.value_or(now), deadline_);
+        if (now < until && enter_queue(until)) {
+            return;
+        }
+    }
+    json fields = log_fields();
+    fields["reason"] = "no_capacity";
+    fields["sends"] = sends_;
+    cut(fields);
+}
+
+void forwarding::allow_refused_servers()
+{
+    std::erase_if(tried_servers_, [this](const std::string& server) {
+        return std::find(refused_servers_.begin(), refused_servers_.end(), server) !=
+               refused_servers_.end();
+    });
+}
+
 bool forwarding::wait_for_capacity(milliseconds longest)
+{
+    if (!enter_queue(steady_now() + longest)) {
+        return false;
+    }
+    record_wait(longest);
+    return true;
+}
+
+void forwarding::record_wait(milliseconds longest) const
+{
+    json fields = log_fields();
+    fields["sends"] = sends_;
+    fields["longest_ms"] = longest.count();
+    log(events::request_waits, fields);
+    context_.counters.record_wait(service_);
+}
+
+bool forwarding::enter_queue(milliseconds until)
 {
     // Work of a small request with a prompt, in tokens.
     constexpr double tokens_per_cost = 2'048;
@@ -150,17 +244,10 @@
          .cost =
              std::min(max_cost, 1 + static_cast<double>(request_.max_tokens()) / tokens_per_cost),
          .bytes = exchange_->head().target.size() + exchange_->body().size(),
-         .deadline = steady_now() + longest},
+         .deadline = until,
+         .has_begun = exchange_->is_started()},
         [self = shared_from_this()](bool is_admitted) { self->wait_ended(is_admitted); });
-    if (wait_ == 0) {
-        return false;
-    }
-    json fields = log_fields();
-    fields["sends"] = sends_;
-    fields["longest_ms"] = longest.count();
-    log(events::request_waits, fields);
-    context_.counters.record_wait(service_);
-    return true;
+    return wait_ != 0;
 }
 
 void forwarding::wait_ended(bool is_admitted)
@@ -170,6 +257,10 @@
     if (finished_) {
         return;
     }
+    if (exchange_->is_started()) {
+        continue_stream();
+        return;
+    }
     if (context_.stopping) {
         const bool others_serve = !context_.link.live_peers().empty();
         refuse(unavailable, "stopping",
@@ -180,11 +271,7 @@
         refuse_for_capacity();
         return;
     }
-    // A server that refused the request has not run it, so the request may be sent there again.
-    std::erase_if(tried_servers_, [this](const std::string& server) {
-        return std::find(refused_servers_.begin(), refused_servers_.end(), server) !=
-               refused_servers_.end();
-    });
+    allow_refused_servers();
     dispatch();
 }
 
--- a/src/dotterelport/gateway/forwarding_answer.cpp
+++ b/src/dotterelport/gateway/forwarding_answer.cpp
@@ -142,6 +142,7 @@
     if (events_.events() > events_before) {
         received_first_data();
         last_progress_ = steady_now();
+        continue_until_.reset();
         context_.placement.produced(attempt_->server, attempt_->id, delivered_tokens());
     }
     // Servers send comments before they begin to answer.
--- a/src/dotterelport/gateway/waiting_queue.cpp
+++ b/src/dotterelport/gateway/waiting_queue.cpp
@@ -117,15 +117,26 @@
 
 const waiting_request* waiting_queue::displaceable(int priority) const
 {
-    if (levels_.empty() || levels_.rbegin()->first <= priority) {
-        return nullptr;
+    for (auto item = levels_.rbegin(); item != levels_.rend() && item->first > priority; ++item) {
+        const waiting_request* chosen = nullptr;
+        std::size_t largest = 0;
+        for (const auto& [workspace, flow] : item->second.flows) {
+            if (flow.requests.size() <= largest) {
+                continue;
+            }
+            const auto last =
+                std::find_if(flow.requests.rbegin(), flow.requests.rend(),
+                             [](const auto& waiting) { return !waiting.second.has_begun; });
+            if (last != flow.requests.rend()) {
+                chosen = &last->second;
+                largest = flow.requests.size();
+            }
+        }
+        if (chosen != nullptr) {
+            return chosen;
+        }
     }
-    const auto& flows = levels_.rbegin()->second.flows;
-    const auto largest =
-        std::max_element(flows.begin(), flows.end(), [](const auto& left, const auto& right) {
-            return left.second.requests.size() < right.second.requests.size();
-        });
-    return &largest->second.requests.rbegin()->second;
+    return nullptr;
 }
 
 } // namespace dotterelport::gateway
--- a/src/dotterelport/gateway/waiting_queue_test.cpp
+++ b/src/dotterelport/gateway/waiting_queue_test.cpp
@@ -121,6 +121,16 @@
     const waiting_request* displaceable = queue.displaceable(0);
     REQUIRE(displaceable != nullptr);
     CHECK(displaceable->id == 3);
+
+    // A stream that has begun is not rejected for a new request.
+    waiting_request begun = request(4, "b", 2, 400ms);
+    begun.has_begun = true;
+    queue.push(begun);
+    begun.id = 5;
+    begun.priority = 1;
+    queue.push(begun);
+    CHECK(queue.displaceable(0)->id == 3);
+    CHECK(queue.displaceable(1) == nullptr);
 }
 
 } // namespace
