--- a/src/dotterelport/gateway/admission.cpp
+++ b/src/dotterelport/gateway/admission.cpp
@@ -197,13 +197,20 @@
 
 bool admission::is_full(const std::string& service, const std::string& server,
                         milliseconds now) const
+{
+    return full_for(service, server, now) > milliseconds{0};
+}
+
+milliseconds admission::full_for(const std::string& service, const std::string& server,
+                                 milliseconds now) const
 {
     const auto found = services_.find(service);
     if (found == services_.end()) {
-        return false;
+        return milliseconds{0};
     }
     const auto until = found->second.full_until.find(server);
-    return until != found->second.full_until.end() && now < until->second;
+    return until == found->second.full_until.end() ? milliseconds{0}
+                                                   : std::max(milliseconds{0}, until->second - now);
 }
 
 bool admission::is_short(const std::string& service, milliseconds now) const
@@ -222,17 +229,15 @@
         return false;
     }
     auto& queue = found->second.queue;
-    const auto fits = [&] {
-        return waiting_ < limits_.requests && waiting_bytes_ + request.bytes <= limits_.bytes;
-    };
-    if (!fits()) {
-        displaced = queue.displaceable(request.priority);
-        if (displaced) {
-            count_removed(*queue.remove(*displaced));
-        }
-        if (!fits()) {
+    if (!fits(waiting_, waiting_bytes_ + request.bytes)) {
+        const waiting_request* less_urgent = queue.displaceable(request.priority);
+        // A request is not rejected for one that gets no place either.
+        if (less_urgent == nullptr ||
+            !fits(waiting_ - 1, waiting_bytes_ - less_urgent->bytes + request.bytes)) {
             return false;
         }
+        displaced = less_urgent->id;
+        count_removed(*queue.remove(*displaced));
     }
     queue.push(request);
     ++waiting_;
@@ -240,6 +245,11 @@
     return true;
 }
 
+bool admission::fits(std::size_t others, std::size_t bytes) const
+{
+    return others < limits_.requests && bytes <= limits_.bytes;
+}
+
 void admission::count_removed(const waiting_request& request)
 {
     --waiting_;
--- a/src/dotterelport/gateway/forwarding.hpp
+++ b/src/dotterelport/gateway/forwarding.hpp
@@ -108,8 +108,11 @@
         /// Memory of events that the caller has not read yet.
         std::unique_ptr<net::buffer_share> unsent;
         bool is_streamed = false;
-        /// A part of the answer's body has arrived.
+        /// A part of the answer's body has arrived; of a stream, an event that is not only a
+        /// comment.
         bool has_data = false;
+        /// What the second attempt has received of a stream, until the request continues with it.
+        event_stream events;
         std::uint64_t events_before = 0;
         double expected_start_ms = 0;
     };
@@ -147,6 +150,9 @@
     [[nodiscard]] static bool is_usable(const attempt& value);
     /// @brief Continues with the second attempt only, which answers first.
     void prefer_second();
+    /// @brief Handles a part of the second attempt's answer, which decides which attempt continues
+    /// only with the first event.
+    void received_second_events(std::string_view data);
     /// @brief Gives up the second attempt.
     void end_second(attempt_end end);
     /// @brief Continues with the second attempt after the first has failed.
@@ -168,8 +174,23 @@
     /// @brief Keeps a new request while all servers are full, or ends it if too many wait.
     /// @return false if the request is to be sent now
     bool wait_if_short();
+    /// @brief Keeps a stream that has begun until a server has room to continue it, for the longest
+    /// pause that its callers accept.
+    /// @return false if it is to be broken off
+    bool wait_to_continue(attempt_end end);
+    /// @brief Continues a stream that has waited, or lets it wait on, or breaks it off.
+    void continue_stream();
+    /// @brief Time until a server that may continue the stream is expected to accept requests;
+    /// nothing if there is no such server.
+    [[nodiscard]] std::optional<milliseconds> time_until_continued() const;
+    /// @brief Lets the refused request be sent again to the servers that refused it: they have not
+    /// run it.
+    void allow_refused_servers();
     /// @return false if too many requests wait
     bool wait_for_capacity(milliseconds longest);
+    /// @return false if too many requests wait
+    bool enter_queue(milliseconds until);
+    void record_wait(milliseconds longest) const;
     void wait_ended(bool is_admitted);
     void refuse_for_capacity();
     /// @brief Excludes full servers if there is another one.
@@ -183,6 +204,11 @@
 
     bool received_head(const net::http1_answer_head& head);
     void received_data(std::string_view data);
+    /// @brief Passes on what became complete of a stream.
+    /// @param events_before number of events before the last part of the answer
+    void received_events(std::string_view events, std::uint64_t events_before);
+    /// @brief Records the time to the first part of the answer and ends the other attempt.
+    void received_first_data();
     void received_all();
     void received_failure(net::backend_failure failure);
     /// @brief Reports an attempt whose server ended the connection before the first event.
@@ -221,6 +247,10 @@
     void stalled();
     void caller_gone();
 
+    /// @brief Breaks off an answer that has begun.
+    /// @param fields of the log line
+    void cut(const json& fields);
+
     /// @brief Carries out the decision made after an attempt.
     void execute(const attempt_decision& decision, attempt_end end, const json& fields);
     [[nodiscard]] milliseconds retry_after(attempt_end end) const;
@@ -268,6 +298,10 @@
     std::uint64_t wait_ = 0;
     /// The request has waited and may be sent.
     bool was_admitted_ = false;
+    /// Time until which a stream whose server failed may wait for another one.
+    std::optional<milliseconds> continue_until_;
+    /// A retry was taken from the budget for a send that was not made.
+    bool has_retry_ = false;
     std::uint32_t sends_ = 0;
     std::uint32_t failed_connects_ = 0;
     bool may_have_run_ = false;
