--- a/include/dotterelport/budget/grant_holder.hpp
+++ b/include/dotterelport/budget/grant_holder.hpp
@@ -51,6 +51,12 @@
             least_amount.has_value() && *least_amount < amount ? *least_amount : amount;
         return usable - accounted - reserved;
     }
+
+    /// @brief Returns whether a new request with this upper bound can be reserved.
+    [[nodiscard]] bool covers(tokens upper_tokens) const
+    {
+        return upper_tokens >= 0 && available() >= upper_tokens;
+    }
 };
 
 /// A reservation, or a finished request that the holder remembers.
--- a/include/dotterelport/gateway/admission.hpp
+++ b/include/dotterelport/gateway/admission.hpp
@@ -67,6 +67,33 @@
     milliseconds target_latency{0};
 };
 
+/// Estimate of when a request starts at the server chosen for it.
+struct start_assessment {
+    double likely_ms = 0;
+    /// A rejection is justified only if this is later than the limit.
+    double optimistic_ms = 0;
+    /// Time left, or less if a more urgent request was rejected lately.
+    milliseconds limit{0};
+
+    [[nodiscard]] bool is_too_late() const
+    {
+        return optimistic_ms > static_cast<double>(limit.count());
+    }
+};
+
+/// Times between which the Retry-After of a rejection is chosen.
+struct retry_range {
+    double from_ms = 0;
+    double to_ms = 0;
+};
+
+/// Whether a request may wait.
+struct waiting_place {
+    bool is_free = false;
+    /// Less urgent request that loses its place.
+    std::optional<std::uint64_t> displaces;
+};
+
 /// Send the request to the chosen server.
 struct send_now {};
 
@@ -105,6 +132,14 @@
     admission_decision decide(const std::string& service, const admission_request& request,
                               milliseconds now);
 
+    /// @brief Estimates when a request starts, without any record of it; nothing without recent
+    /// evidence, in which case decide() sends it.
+    [[nodiscard]] std::optional<start_assessment> assess_start(const std::string& service,
+                                                               const admission_request& request,
+                                                               milliseconds now) const;
+    /// @brief Retry-After of a request that would start too late.
+    [[nodiscard]] static retry_range too_late_retry(const start_assessment& assessment);
+
     /// @brief Records that a server is full, until one of its requests is expected to have ended.
     void server_full(const std::string& service, const full_server& refusal, milliseconds now);
     /// @brief Records that a server answered a request, which frees a slot.
@@ -130,9 +165,14 @@
     /// @brief Time for which all servers of a service are known to be full.
     [[nodiscard]] milliseconds closed_for(const std::string& service, milliseconds now) const;
 
+    /// @brief Retry-After of a request for which there is no capacity.
+    [[nodiscard]] retry_range no_capacity_retry(const std::string& service, milliseconds now) const;
     /// @brief Rejection of a request for which there is no capacity.
     [[nodiscard]] reject_now no_capacity(const std::string& service, milliseconds now);
 
+    /// @brief Finds a place for a request to wait.
+    [[nodiscard]] waiting_place find_place(const std::string& service,
+                                           const waiting_request& request) const;
     /// @brief Lets a request wait. Its place may be that of a less urgent one.
     /// @param displaced set to the request that loses its place
     /// @return false if too many requests wait
@@ -172,7 +212,7 @@
     [[nodiscard]] static std::optional<double> start_ratio(const service_state& service,
                                                            milliseconds now);
     void count_removed(const waiting_request& request);
-    [[nodiscard]] milliseconds spread(double from_ms, double to_ms);
+    [[nodiscard]] milliseconds spread(const retry_range& range);
 
     bool is_enabled_;
     std::mt19937_64& random_;
--- a/include/dotterelport/gateway/budget_broker.hpp
+++ b/include/dotterelport/gateway/budget_broker.hpp
@@ -50,6 +50,17 @@
     milliseconds return_memory{1'000};
 };
 
+/// How a request for tokens that arrives now is handled.
+struct broker_forecast {
+    /// Gateway that is asked; empty if this one reserves the tokens.
+    std::string owner;
+    /// At this gateway; nothing if another one is asked, whose answer is not known.
+    std::optional<reservation_forecast> own;
+    /// Retry-After of a refusal with `no_grant`; nothing if none is expected. If an owner is asked,
+    /// it refused the last request, and this is what it stated.
+    std::optional<milliseconds> retry_after;
+};
+
 /// Reserves tokens at the gateway that currently owns a shard of the ledger, so that writes of
 /// different gateways rarely conflict. Gateways that can reach each other choose the same owner by
 /// rendezvous hashing; a gateway that cannot reach the owner uses its own grants. Tokens are only
@@ -71,6 +82,9 @@
     /// reserved.
     [[nodiscard]] milliseconds retry_after(const std::string& workspace, tokens upper_tokens);
 
+    /// @brief What reserve() would do now. Asks no owner.
+    [[nodiscard]] broker_forecast forecast(const std::string& workspace, tokens upper_tokens) const;
+
     /// @brief Cancels a reservation that is still waiting, without calling its handler.
     void abandon(std::uint64_t reservation);
 
@@ -145,8 +159,23 @@
     };
 
     [[nodiscard]] std::string owner_of(const std::string& workspace) const;
-    /// @brief Returns whether owners are not asked, as they did not answer lately.
+    /// @brief Returns whether owners are not asked, as they did not answer lately. Sets the time of
+    /// the next attempt to ask one.
     [[nodiscard]] bool is_unheard();
+    [[nodiscard]] bool has_too_many_timeouts() const
+    {
+        return is_large_fleet() && timeouts_ >= settings_.max_timeouts;
+    }
+    /// @brief Returns whether a request for tokens is handled here, whatever its number.
+    /// @param is_unheard whether owners are not asked
+    [[nodiscard]] bool is_reserved_here(const std::string& owner, bool is_unheard) const
+    {
+        return owner == link_.node() || is_unheard;
+    }
+    /// @brief When the owner of a workspace's shard expects tokens, if it refused the last request.
+    [[nodiscard]] const owner_statement* statement_of(const std::string& workspace) const;
+    /// @brief Circumstances of a refusal, without what the owner or this gateway knows.
+    [[nodiscard]] grant_refusal unexplained_refusal() const;
     [[nodiscard]] std::string key_of(const std::string& node, std::uint64_t number) const;
     /// @brief Asks the current owner, or reserves here if that is this gateway.
     void choose_owner(std::uint64_t number);
--- a/include/dotterelport/gateway/budget_keeper.hpp
+++ b/include/dotterelport/gateway/budget_keeper.hpp
@@ -41,6 +41,13 @@
                 tokens prompt_tokens, tokens output_tokens);
     grant_prospect prospect(const std::string& workspace, tokens upper_tokens);
 
+    /// @brief What reserve() would do now.
+    [[nodiscard]] reservation_forecast forecast(const std::string& workspace,
+                                                tokens upper_tokens) const;
+    /// @brief As prospect(); nothing if this router has not used the shard.
+    [[nodiscard]] std::optional<grant_prospect> known_prospect(const std::string& workspace,
+                                                               tokens upper_tokens) const;
+
     /// @brief Begins a new era of the store, in which the ledger is recovered first.
     /// @param is_owner returns whether this gateway owns a shard
     /// @param receives_copies returns whether it receives a copy of a shard after each write
--- a/include/dotterelport/gateway/server_directory.hpp
+++ b/include/dotterelport/gateway/server_directory.hpp
@@ -116,6 +116,9 @@
     [[nodiscard]] bool is_available(const std::string& id) const;
 
     [[nodiscard]] std::size_t size() const { return servers_.size(); }
+    /// @brief Why a registered server gets no new requests; empty if it gets them.
+    [[nodiscard]] std::string_view unavailable_reason(const backend_server& server) const;
+
     /// @brief Number of removed servers that are remembered.
     [[nodiscard]] std::size_t removed_count() const { return removed_.size(); }
     [[nodiscard]] bool has_list() const { return has_list_; }
@@ -146,7 +149,10 @@
     void distrust(const backend_server& server, milliseconds now);
     void forget(const std::string& id, milliseconds now);
     void remember(const backend_server& server, milliseconds now);
-    [[nodiscard]] bool accepts_requests(const backend_server& server) const;
+    [[nodiscard]] bool accepts_requests(const backend_server& server) const
+    {
+        return unavailable_reason(server).empty();
+    }
 
     options options_;
     domain_evacuations evacuations_;
--- a/include/dotterelport/gateway/shard_keeper.hpp
+++ b/include/dotterelport/gateway/shard_keeper.hpp
@@ -34,6 +34,18 @@
 /// @brief Name of an outcome for logs.
 std::string_view to_string(reservation_outcome value);
 
+/// What becomes of a request for tokens that arrives now.
+enum class reservation_forecast {
+    reserved,
+    exhausted,
+    no_grant,
+    /// It waits until a larger grant is obtained, at most for shard_keeper_settings::grant_wait.
+    waits,
+};
+
+/// @brief Name of a forecast for operators.
+std::string_view to_string(reservation_forecast value);
+
 struct shard_keeper_settings {
     /// Interval between rounds, which adapt the grants to the demand.
     milliseconds round_interval{500};
@@ -130,6 +142,10 @@
     void reserve(const std::string& workspace, const std::string& id, tokens upper_tokens,
                  reservation_handler done);
 
+    /// @brief What reserve() would do now.
+    [[nodiscard]] reservation_forecast forecast(const std::string& workspace,
+                                                tokens upper_tokens) const;
+
     /// @brief Cancels a reservation that is still waiting, without calling its handler.
     void abandon(const std::string& workspace, const std::string& id);
 
@@ -187,6 +203,9 @@
     };
 
     reservation_outcome try_reserve(const request_key& key, tokens upper_tokens);
+    /// @brief What becomes of a request that the grant does not cover.
+    [[nodiscard]] reservation_forecast forecast_without_grant(const std::string& workspace,
+                                                              tokens upper_tokens) const;
     /// @brief Returns whether a recent read showed that the ledger cannot grant enough for a
     /// request.
     [[nodiscard]] bool lacks_capacity(const std::string& workspace, tokens upper_tokens) const;
--- a/include/dotterelport/gateway/waiting_queue.hpp
+++ b/include/dotterelport/gateway/waiting_queue.hpp
@@ -45,6 +45,9 @@
     /// @return the request; nothing if it does not wait
     std::optional<waiting_request> remove(std::uint64_t id);
 
+    /// @brief Finds a waiting request.
+    [[nodiscard]] const waiting_request* find(std::uint64_t id) const;
+
     /// @brief Removes and returns the requests whose deadline has passed.
     std::vector<waiting_request> take_expired(milliseconds now);
 
--- a/include/dotterelport/routing/placement.hpp
+++ b/include/dotterelport/routing/placement.hpp
@@ -139,6 +139,57 @@
     tokens cached_tokens = 0;
 };
 
+/// Parts of the expected time to the first part of the answer, in ms. Their sum is the expected
+/// start, except for the rounding of the additions.
+struct placement_terms {
+    /// Model engines: prompts that wait at the server, and the uncached part of this one.
+    double prefill = 0;
+    /// Model engines: delay by the requests that run.
+    double running = 0;
+    /// Model engines: penalty for delaying the events of other streams.
+    double stream_delay = 0;
+    /// Other servers: requests that run or wait.
+    double queue = 0;
+    /// The server's requests take much longer than those of most servers.
+    double slow_server = 0;
+    /// The server states that work takes longer than usual, or is expected to.
+    double slowdown = 0;
+    /// A request has waited for its answer longer than all of this.
+    double unresponsive = 0;
+    double failures = 0;
+    double other_domain = 0;
+};
+
+/// What is known of a candidate for a request.
+struct placement_assessment {
+    const placement_candidate* candidate = nullptr;
+    /// The request must not be sent to it.
+    bool is_excluded = false;
+    /// Its requests and the prompt together exceed its memory.
+    bool is_out_of_memory = false;
+    /// It fails, and is used only if all others do.
+    bool is_ejected = false;
+    /// Share of the memory that is in use with the request and its whole output; 0 if the memory is
+    /// not limited.
+    double memory_share = 0;
+    /// The memory suffices for the request and for those that other routers may have sent. Servers
+    /// without enough are used only if all are.
+    bool is_memory_safe = true;
+    placement_terms terms;
+    double expected_start_ms = 0;
+    /// Penalties for a server that suits other requests better, beside the expected start.
+    double shared_parts_ms = 0;
+    double separation_ms = 0;
+    double cost_ms = 0;
+    /// Cost with this router's share of the uncertainty about what other routers have sent; the
+    /// server with the smallest is chosen.
+    double compared_ms = 0;
+    std::optional<milliseconds> last_sent;
+    tokens cached_tokens = 0;
+
+    [[nodiscard]] bool is_usable() const { return !is_excluded && !is_out_of_memory; }
+};
+
 /// Chooses backend servers by the expected time to the first part of the answer. The estimate
 /// counts uncached prompt tokens, tokens that already wait for prefill at the server, running
 /// requests and failures. It suits workloads in which many prompts share long parts: a server that
@@ -150,11 +201,13 @@
 public:
     explicit placement(const placement_settings& settings = {});
 
+    /// @param assessments if given, receives an entry for each candidate; they refer to the
+    /// candidates
     /// @return nothing if there are no candidates, or if all are excluded or have too little memory
     /// left for the request
     [[nodiscard]] std::optional<placement_choice>
     choose(const placement_request& request, std::span<const placement_candidate> candidates,
-           milliseconds now) const;
+           milliseconds now, std::vector<placement_assessment>* assessments = nullptr) const;
 
     /// @brief Records that a request is sent. Must be followed by one of finished(), failed(),
     /// unreachable() and cancelled().
@@ -206,6 +259,9 @@
         milliseconds updated{0};
     };
 
+    /// What is computed once for all candidates.
+    struct choice_basis;
+
     struct peer_load_shares {
         milliseconds received{0};
         std::vector<load_share> shares;
@@ -242,9 +298,15 @@
                                            double prefill_tokens, double running) const;
     [[nodiscard]] double separation_cost(const placement_candidate& candidate, bool is_reserved,
                                          tokens prompt) const;
+    /// @param terms set to the parts of the result
     [[nodiscard]] double cost(const placement_request& request,
                               const placement_candidate& candidate, const load_estimate& load,
-                              double uncached, double median_ms_per_unit, milliseconds now) const;
+                              double uncached, double median_ms_per_unit, milliseconds now,
+                              placement_terms& terms) const;
+    [[nodiscard]] placement_assessment assess(const placement_request& request,
+                                              const placement_candidate& candidate,
+                                              const load_estimate& load, std::size_t index,
+                                              const choice_basis& basis, milliseconds now) const;
     [[nodiscard]] static double median_ms_per_unit(std::span<const load_estimate> loads);
 
     placement_settings settings_;
--- a/src/dotterelport/budget/grant_holder.cpp
+++ b/src/dotterelport/budget/grant_holder.cpp
@@ -78,7 +78,7 @@
     const std::uint32_t index = account_index(request.budget);
     auto& budget_account = accounts_[index];
     budget_account.largest_request = std::max(budget_account.largest_request, request.upper_tokens);
-    if (request.upper_tokens < 0 || budget_account.available() < request.upper_tokens) {
+    if (!budget_account.covers(request.upper_tokens)) {
         return reserve_outcome::insufficient_tokens;
     }
     budget_account.reserved += request.upper_tokens;
--- a/src/dotterelport/gateway/admission.cpp
+++ b/src/dotterelport/gateway/admission.cpp
@@ -85,38 +85,57 @@
     state.last_observation = now;
 }
 
-milliseconds admission::spread(double from_ms, double to_ms)
+milliseconds admission::spread(const retry_range& range)
 {
-    const double value = std::uniform_real_distribution<double>(from_ms, to_ms)(random_);
+    const double value =
+        std::uniform_real_distribution<double>(range.from_ms, range.to_ms)(random_);
     return std::max(min_retry_after, milliseconds{static_cast<std::int64_t>(value)});
 }
 
-admission_decision admission::decide(const std::string& service, const admission_request& request,
-                                     milliseconds now)
+std::optional<start_assessment> admission::assess_start(const std::string& service,
+                                                        const admission_request& request,
+                                                        milliseconds now) const
 {
     const auto found = services_.find(service);
     const auto ratio = found == services_.end() ? std::nullopt : start_ratio(found->second, now);
     if (!ratio) {
-        return send_now{};
-    }
-    const double likely_ms = request.expected_start_ms * *ratio;
-    const double optimistic_ms = likely_ms * optimistic_share;
-    auto& rejections = found->second.rejections;
-    if (optimistic_ms > in_ms(request.time_limit)) {
-        rejections[request.priority] = {.time_limit = request.time_limit, .at = now};
+        return std::nullopt;
     }
-    milliseconds limit = request.time_left;
-    for (const auto& [priority, last] : rejections) {
+    start_assessment result{.likely_ms = request.expected_start_ms * *ratio,
+                            .optimistic_ms = 0,
+                            .limit = request.time_left};
+    result.optimistic_ms = result.likely_ms * optimistic_share;
+    for (const auto& [priority, last] : found->second.rejections) {
         // A less urgent request with a longer time limit must not take the place that a more urgent
         // one could not wait for.
         if (priority < request.priority && now - last.at <= rejection_memory) {
-            limit = std::min(limit, last.time_limit);
+            result.limit = std::min(result.limit, last.time_limit);
         }
     }
-    if (optimistic_ms <= in_ms(limit)) {
+    return result;
+}
+
+retry_range admission::too_late_retry(const start_assessment& assessment)
+{
+    return {.from_ms = assessment.optimistic_ms, .to_ms = assessment.likely_ms};
+}
+
+admission_decision admission::decide(const std::string& service, const admission_request& request,
+                                     milliseconds now)
+{
+    const auto assessment = assess_start(service, request, now);
+    if (!assessment) {
+        return send_now{};
+    }
+    if (assessment->optimistic_ms > in_ms(request.time_limit)) {
+        services_.find(service)->second.rejections[request.priority] = {
+            .time_limit = request.time_limit, .at = now};
+    }
+    if (!assessment->is_too_late()) {
         return send_now{};
     }
-    return reject_now{.reason = "starts_too_late", .retry_after = spread(optimistic_ms, likely_ms)};
+    return reject_now{.reason = "starts_too_late",
+                      .retry_after = spread(too_late_retry(*assessment))};
 }
 
 milliseconds admission::longest_wait(milliseconds held, milliseconds target_latency,
@@ -134,12 +153,16 @@
                                     : std::max(milliseconds{0}, found->second.closed_until - now);
 }
 
-reject_now admission::no_capacity(const std::string& service, milliseconds now)
+retry_range admission::no_capacity_retry(const std::string& service, milliseconds now) const
 {
     const double earliest_ms =
         std::max(in_ms(closed_for(service, now)), in_ms(full_server_retry_after) / 2);
-    return {.reason = "no_capacity",
-            .retry_after = spread(earliest_ms, earliest_ms + in_ms(full_server_retry_after))};
+    return {.from_ms = earliest_ms, .to_ms = earliest_ms + in_ms(full_server_retry_after)};
+}
+
+reject_now admission::no_capacity(const std::string& service, milliseconds now)
+{
+    return {.reason = "no_capacity", .retry_after = spread(no_capacity_retry(service, now))};
 }
 
 admission_decision admission::decide_after_refusal(const std::string& service,
@@ -213,28 +236,40 @@
                                         (found->second.is_short && !found->second.queue.empty()));
 }
 
-bool admission::push(const std::string& service, const waiting_request& request,
-                     std::optional<std::uint64_t>& displaced)
+waiting_place admission::find_place(const std::string& service,
+                                    const waiting_request& request) const
 {
     const auto found = services_.find(service);
     if (found == services_.end() ||
         found->second.queue.count(request.workspace) >= limits_.workspace_requests) {
-        return false;
+        return {};
     }
-    auto& queue = found->second.queue;
-    const auto fits = [&] {
-        return waiting_ < limits_.requests && waiting_bytes_ + request.bytes <= limits_.bytes;
-    };
-    if (!fits()) {
-        displaced = queue.displaceable(request.priority);
-        if (displaced) {
-            count_removed(*queue.remove(*displaced));
-        }
-        if (!fits()) {
-            return false;
-        }
+    const auto& queue = found->second.queue;
+    if (waiting_ < limits_.requests && waiting_bytes_ + request.bytes <= limits_.bytes) {
+        return {.is_free = true, .displaces = std::nullopt};
+    }
+    const auto displaced = queue.displaceable(request.priority);
+    if (!displaced) {
+        return {};
+    }
+    const std::size_t freed = queue.find(*displaced)->bytes;
+    return {.is_free = waiting_ - 1 < limits_.requests &&
+                       waiting_bytes_ - freed + request.bytes <= limits_.bytes,
+            .displaces = displaced};
+}
+
+bool admission::push(const std::string& service, const waiting_request& request,
+                     std::optional<std::uint64_t>& displaced)
+{
+    const waiting_place place = find_place(service, request);
+    if (place.displaces) {
+        displaced = place.displaces;
+        remove(service, *displaced);
+    }
+    if (!place.is_free) {
+        return false;
     }
-    queue.push(request);
+    services_.find(service)->second.queue.push(request);
     ++waiting_;
     waiting_bytes_ += request.bytes;
     return true;
--- a/src/dotterelport/gateway/budget_broker.cpp
+++ b/src/dotterelport/gateway/budget_broker.cpp
@@ -174,21 +174,60 @@
 
 milliseconds budget_broker::retry_after(const std::string& workspace, tokens upper_tokens)
 {
-    if (!is_large_fleet()) {
-        return grant_retry_after({.is_large_fleet = false, .is_isolated = false, .own = {}});
+    grant_refusal refusal = unexplained_refusal();
+    if (!refusal.is_large_fleet) {
+        return grant_retry_after(refusal);
     }
-    grant_refusal refusal{.is_large_fleet = true,
-                          .is_isolated = link_.group_size() > 0 && link_.live_peers().empty(),
-                          .own = {}};
-    const auto stated = statements_.find(workspace);
-    if (stated != statements_.end() && stated->second.owner == owner_of(workspace)) {
-        refusal.stated_by_owner = stated->second.expected_at - steady_now();
+    if (const auto* stated = statement_of(workspace)) {
+        refusal.stated_by_owner = stated->expected_at - steady_now();
     } else {
         refusal.own = keeper_.prospect(workspace, upper_tokens);
     }
     return grant_retry_after(refusal);
 }
 
+grant_refusal budget_broker::unexplained_refusal() const
+{
+    const bool is_large = is_large_fleet();
+    return {.is_large_fleet = is_large,
+            .is_isolated = is_large && link_.group_size() > 0 && link_.live_peers().empty(),
+            .own = {}};
+}
+
+const budget_broker::owner_statement*
+budget_broker::statement_of(const std::string& workspace) const
+{
+    const auto stated = statements_.find(workspace);
+    return stated != statements_.end() && stated->second.owner == owner_of(workspace)
+               ? &stated->second
+               : nullptr;
+}
+
+broker_forecast budget_broker::forecast(const std::string& workspace, tokens upper_tokens) const
+{
+    const std::string owner = owner_of(workspace);
+    grant_refusal refusal = unexplained_refusal();
+    const bool is_unheard = has_too_many_timeouts() && steady_now() < ask_at_;
+    if (is_reserved_here(owner, is_unheard)) {
+        broker_forecast result{.owner = {},
+                               .own = keeper_.forecast(workspace, upper_tokens),
+                               .retry_after = std::nullopt};
+        if (result.own == reservation_forecast::no_grant) {
+            refusal.own =
+                keeper_.known_prospect(workspace, upper_tokens).value_or(grant_prospect{});
+            result.retry_after = grant_retry_after(refusal);
+        }
+        return result;
+    }
+    broker_forecast result{.owner = owner, .own = std::nullopt, .retry_after = std::nullopt};
+    const auto* stated = statement_of(workspace);
+    if (stated != nullptr && refusal.is_large_fleet) {
+        refusal.stated_by_owner = stated->expected_at - steady_now();
+        result.retry_after = grant_retry_after(refusal);
+    }
+    return result;
+}
+
 void budget_broker::note_statement(const std::string& workspace, const peer_message& message)
 {
     constexpr std::size_t position = 3;
@@ -207,7 +246,8 @@
     auto& item = reservations_.at(number);
     const std::string owner = owner_of(item.workspace);
     // An unconfirmed settlement would also end a second reservation of this number there.
-    if (owner == link_.node() || settlements_.contains({owner, number}) || is_unheard()) {
+    if (settlements_.contains({owner, number}) ||
+        is_reserved_here(owner, owner != link_.node() && is_unheard())) {
         item.owner.clear();
         reserve_locally(number);
         return;
@@ -220,7 +260,7 @@
 
 bool budget_broker::is_unheard()
 {
-    if (!is_large_fleet() || timeouts_ < settings_.max_timeouts) {
+    if (!has_too_many_timeouts()) {
         return false;
     }
     const milliseconds now = steady_now();
--- a/src/dotterelport/gateway/budget_keeper.cpp
+++ b/src/dotterelport/gateway/budget_keeper.cpp
@@ -145,6 +145,27 @@
     return shard_of(workspace).prospect(workspace, upper_tokens);
 }
 
+reservation_forecast budget_keeper::forecast(const std::string& workspace,
+                                             tokens upper_tokens) const
+{
+    const auto active = shards_.find(ledger_shard_of(workspace));
+    if (active != shards_.end()) {
+        return active->second->forecast(workspace, upper_tokens);
+    }
+    // A shard that was not used has no grant, and its ledger was not read.
+    return health_->is_backing_off(steady_now()) ? reservation_forecast::no_grant
+                                                 : reservation_forecast::waits;
+}
+
+std::optional<grant_prospect> budget_keeper::known_prospect(const std::string& workspace,
+                                                            tokens upper_tokens) const
+{
+    const auto active = shards_.find(ledger_shard_of(workspace));
+    return active == shards_.end()
+               ? std::nullopt
+               : std::optional(active->second->prospect(workspace, upper_tokens));
+}
+
 void budget_keeper::follow_store(std::function<bool(std::uint32_t)> is_owner,
                                  std::function<void()> on_return)
 {
--- a/src/dotterelport/gateway/forwarding.cpp
+++ b/src/dotterelport/gateway/forwarding.cpp
@@ -18,15 +18,8 @@
 /// Maximum idle time of a kept connection for requests that may be repeated.
 constexpr milliseconds max_idle_if_repeatable{8'000};
 
-/// Timeout of routes that set none.
-constexpr milliseconds default_timeout{30'000};
-
-/// Retry-After when the servers refused a request: time after which a busy server is likely to have
-/// free capacity.
-constexpr milliseconds busy_server_retry_after{300};
-
-/// Retry-After while a configuration, server or grant is missing: time in which an expired
-/// registration or a grant is restored once the store is available again.
+/// Retry-After while a configuration or grant is missing: time in which a grant is restored once
+/// the store is available again.
 constexpr milliseconds store_retry_after{1'000};
 
 constexpr int bad_request = 400;
@@ -106,46 +99,41 @@
         refuse(bad_request, "bad_request_size");
         return;
     }
-    if (context_.stopping) {
-        const bool others_serve = !context_.link.live_peers().empty();
-        if (!accepts_request(*context_.stopping, *route_, time_limit(), others_serve,
-                             steady_now())) {
-            refuse(unavailable, "stopping",
-                   retry_after_stop(*context_.stopping, others_serve, steady_now()));
-            return;
-        }
+    if (const auto reason =
+            refusal_while_stopping(context_.decisions(), *route_, time_limit(), steady_now())) {
+        refuse(*reason);
+        return;
     }
     choose_service();
-    const auto* definition = catalogue_->find_service(service_);
-    if (definition != nullptr && definition->is_closed) {
-        refuse(unavailable, "service_closed", store_retry_after);
+    if (const auto reason = refusal_by_service(catalogue_->find_service(service_))) {
+        refuse(*reason);
         return;
     }
     arm_timers();
     suspects_ = suspects_of(request_, head, exchange_->body());
-    if (!refuse_quarantined() && !refuse_limited()) {
-        reserve();
-    }
-}
-
-bool forwarding::refuse_limited()
-{
-    if (time_until_permitted().value_or(milliseconds{0}) == milliseconds{0}) {
-        return false;
+    if (const auto step = step_before_budget(context_.decisions(), view())) {
+        end_without_server(*step);
+        return;
     }
-    attempt_failed(may_have_run_ ? verdict::may_have_run : verdict::not_run,
-                   attempt_end::servers_limited);
-    return true;
+    reserve();
 }
 
-bool forwarding::refuse_quarantined()
+request_view forwarding::view() const
 {
-    if (!context_.crashes.refused_for(suspects_)) {
-        return false;
-    }
-    attempt_failed(may_have_run_ ? verdict::may_have_run : verdict::not_run,
-                   attempt_end::quarantined);
-    return true;
+    return {.catalogue = *catalogue_,
+            .target = *route_,
+            .owner = workspace_,
+            .service = service_,
+            .parts = request_.parts,
+            .prompt_tokens = request_.prompt_tokens,
+            .max_output_tokens = request_.max_output_tokens,
+            .suspects = suspects_,
+            .held = steady_now() - exchange_->received(),
+            .time_limit = time_limit(),
+            .time_left = time_left(),
+            .is_new = sends_ == 0 && !may_have_run_ && !was_admitted_,
+            .tried = tried_servers_,
+            .refused = refused_servers_};
 }
 
 bool forwarding::authorize()
@@ -153,7 +141,7 @@
     if (request_.key) {
         workspace_ = catalogue_->find_workspace(*request_.key);
     }
-    return workspace_ != nullptr || route_->anonymous || !catalogue_->requires_keys();
+    return may_use(*catalogue_, *route_, workspace_);
 }
 
 void forwarding::choose_service()
@@ -183,19 +171,9 @@
     return context_.retries.try_emplace(service_, context_.retry_options).first->second;
 }
 
-milliseconds forwarding::time_limit() const
-{
-    const milliseconds timeout =
-        route_->timeout > milliseconds{0} ? route_->timeout : default_timeout;
-    return std::min(timeout, request_.deadline.value_or(timeout));
-}
-
 void forwarding::arm_timers()
 {
-    deadline_ = exchange_->received() + time_limit();
-    if (context_.stopping && route_->kind != route_kind::streaming) {
-        deadline_ = std::min(deadline_, context_.stopping->answers_until());
-    }
+    deadline_ = deadline_of(context_.decisions(), *route_, exchange_->received(), time_limit());
     const auto self = shared_from_this();
     deadline_timer_ = context_.loop.schedule(time_left(), [self] { self->deadline_expired(); });
 }
@@ -207,8 +185,7 @@
 
 void forwarding::reserve()
 {
-    const bool is_limited = workspace_ != nullptr && workspace_->prepaid.has_value();
-    if (!is_limited || request_.max_tokens() <= 0) {
+    if (!needs_reservation(workspace_, request_.max_tokens())) {
         dispatch();
         return;
     }
@@ -246,71 +223,6 @@
     }
 }
 
-routing::placement_request
-forwarding::placement_request(std::span<const std::string> excluded) const
-{
-    return {.parts = request_.parts,
-            .prompt_tokens = request_.prompt_tokens,
-            .max_output_tokens = request_.max_output_tokens,
-            .failure_domain = context_.failure_domain,
-            .pause_limit = catalogue_->pause_limit(),
-            .excluded = excluded};
-}
-
-bool forwarding::is_allowed(const backend_server& server) const
-{
-    const auto region = context_.regions.find(server.failure_domain);
-    const auto allows = [&](const std::optional<region_list>& regions) {
-        return !regions ||
-               (region != context_.regions.end() &&
-                std::find(regions->begin(), regions->end(), region->second) != regions->end());
-    };
-    return !is_excluded_after_refusals(server.id) && allows(route_->regions) &&
-           (workspace_ == nullptr || allows(workspace_->regions));
-}
-
-std::vector<const backend_server*> forwarding::allowed_servers() const
-{
-    auto servers = context_.servers.available(service_);
-    std::erase_if(servers, [this](const auto* server) { return !is_allowed(*server); });
-    return servers;
-}
-
-std::optional<milliseconds> forwarding::time_until_permitted() const
-{
-    std::optional<milliseconds> shortest;
-    for (const auto* server : allowed_servers()) {
-        if (std::find(tried_servers_.begin(), tried_servers_.end(), server->id) ==
-            tried_servers_.end()) {
-            const milliseconds time = context_.statements.time_until_permitted(server->id);
-            shortest = std::min(shortest.value_or(time), time);
-        }
-    }
-    return shortest;
-}
-
-std::optional<routing::placement_choice> forwarding::choose_server() const
-{
-    std::vector<routing::placement_candidate> candidates;
-    std::vector<std::string> excluded = tried_servers_;
-    for (const auto* server : allowed_servers()) {
-        candidates.push_back({.server = server->id,
-                              .failure_domain = server->failure_domain,
-                              .capacity = server->capacity,
-                              .rate_limited = context_.statements.is_limited(server->id),
-                              .memory = cache_capacity_});
-        // Limited servers stay candidates, so that the servers preferred for a prompt do not change
-        // with each permit.
-        if (context_.statements.time_until_permitted(server->id) > milliseconds{0}) {
-            excluded.push_back(server->id);
-        }
-    }
-    if (context_.admissions.may_have_full_servers(service_)) {
-        exclude_full_servers(candidates, excluded);
-    }
-    return context_.placement.choose(placement_request(excluded), candidates, steady_now());
-}
-
 void forwarding::dispatch()
 {
     // On an overloaded VM the loop may be late: the caller may have left, or the time limit may
@@ -323,27 +235,36 @@
         deadline_expired();
         return;
     }
-    if (refuse_quarantined() || refuse_limited() || wait_if_short()) {
+    const request_plan plan = plan_request(context_.decisions(), view(), steady_now());
+    switch (plan.step) {
+    case request_step::wait:
+        if (!wait_for_capacity(plan.longest_wait)) {
+            refuse_for_capacity();
+        }
         return;
-    }
-    const auto choice = choose_server();
-    const backend_server* server = choice ? context_.servers.find(choice->server) : nullptr;
-    if (server == nullptr) {
-        // If a server is left that permits the request, placement has found too little memory.
-        const bool are_full = !choice && time_until_permitted().has_value();
-        if (are_full) {
-            json fields = log_fields();
-            fields["prompt_tokens"] = request_.prompt_tokens;
-            fields["memory_tokens"] = cache_capacity_;
-            log(events::engines_full, fields);
+    case request_step::no_capacity:
+        refuse_for_capacity();
+        return;
+    case request_step::send:
+        if (!refuse_late(*plan.choice)) {
+            send(*context_.servers.find(plan.choice->server), *plan.choice);
         }
-        attempt_failed(may_have_run_ ? verdict::may_have_run : verdict::not_run,
-                       are_full ? attempt_end::engines_full : attempt_end::no_server);
+        return;
+    default:
+        end_without_server(plan.step);
         return;
     }
-    if (!refuse_late(*choice)) {
-        send(*server, *choice);
+}
+
+void forwarding::end_without_server(request_step step)
+{
+    if (step == request_step::engines_full) {
+        json fields = log_fields();
+        fields["prompt_tokens"] = request_.prompt_tokens;
+        fields["memory_tokens"] = cache_capacity_;
+        log(events::engines_full, fields);
     }
+    attempt_failed(may_have_run_ ? verdict::may_have_run : verdict::not_run, end_of(step));
 }
 
 void forwarding::send(const backend_server& server, const routing::placement_choice& choice)
@@ -383,7 +304,9 @@
          .last_event = last_event,
          .urgency = routing::engine_urgency(request_.prompt_tokens)});
     call.max_idle = route_->may_repeat() ? max_idle_if_repeatable : max_idle_if_not_repeatable;
-    context_.placement.sent(server.id, started->id, placement_request(), cache_capacity_, now);
+    context_.placement.sent(server.id, started->id,
+                            placement_request_of(context_.decisions(), view()), cache_capacity_,
+                            now);
     context_.peers.add_prompt(server.id, request_.parts);
     context_.crashes.sent(suspects_);
     context_.statements.sent(server.id);
@@ -532,7 +455,7 @@
         exchange_->abort();
         finish();
     } else if (std::holds_alternative<refuse_not_run>(decision) && !may_have_run_) {
-        refuse(unavailable, to_string(end), retry_after(end));
+        refuse(unavailable, to_string(end), retry_after_end(context_.decisions(), view(), end));
     } else {
         // The last server has not run the request, but an earlier server may have.
         const auto* failure = std::get_if<report_failure>(&decision);
@@ -540,20 +463,6 @@
     }
 }
 
-milliseconds forwarding::retry_after(attempt_end end) const
-{
-    switch (end) {
-    case attempt_end::no_server:
-        return store_retry_after;
-    case attempt_end::servers_limited:
-        return time_until_permitted().value_or(store_retry_after);
-    case attempt_end::quarantined:
-        return context_.crashes.refused_for(suspects_).value_or(busy_server_retry_after);
-    default:
-        return busy_server_retry_after;
-    }
-}
-
 void forwarding::deadline_expired()
 {
     context_.loop.cancel(std::exchange(deadline_timer_, 0));
--- a/src/dotterelport/gateway/forwarding.hpp
+++ b/src/dotterelport/gateway/forwarding.hpp
@@ -30,6 +30,7 @@
 #include "dotterelport/request/retry_budget.hpp"
 #include "dotterelport/routing/placement.hpp"
 #include "metrics.hpp"
+#include "request_decisions.hpp"
 #include "waiting_room.hpp"
 
 namespace dotterelport::gateway {
@@ -67,6 +68,19 @@
     /// Set when the process receives a stop order.
     const std::optional<stop_order>& stopping;
     net::buffer_budget buffers{answer_limits};
+
+    [[nodiscard]] decision_context decisions() const
+    {
+        return {.failure_domain = failure_domain,
+                .regions = regions,
+                .servers = servers,
+                .statements = statements,
+                .placement = placement,
+                .admissions = admissions,
+                .crashes = crashes,
+                .link = link,
+                .stopping = stopping};
+    }
 };
 
 /// Forwards one request: finds its route, checks its key, reserves its budget, chooses a server,
@@ -115,23 +129,14 @@
     };
 
     [[nodiscard]] bool authorize();
-    /// @brief Ends the request if it would crash the server that runs it.
-    /// @return whether the request has ended
-    bool refuse_quarantined();
-    /// @brief Ends the request if all servers that could run it limit their requests.
-    /// @return whether the request has ended
-    bool refuse_limited();
+    /// @brief The request as far as decisions about it depend on it.
+    [[nodiscard]] request_view view() const;
+    /// @brief Ends the request, which no server can run now.
+    void end_without_server(request_step step);
     void choose_service();
     void reserve();
     void reserved(reservation_outcome outcome);
     void dispatch();
-    /// @brief Available servers that the regions of the route and of the workspace allow.
-    [[nodiscard]] std::vector<const backend_server*> allowed_servers() const;
-    [[nodiscard]] bool is_allowed(const backend_server& server) const;
-    [[nodiscard]] std::optional<routing::placement_choice> choose_server() const;
-    /// @brief Time until one of the servers to which the request was not sent before permits it; 0
-    /// if it may be sent now, and nothing if there is no such server.
-    [[nodiscard]] std::optional<milliseconds> time_until_permitted() const;
     void send(const backend_server& server, const routing::placement_choice& choice);
     /// @brief Sends the request to a server.
     /// @param started the new attempt
@@ -165,20 +170,10 @@
     /// @brief Keeps a request that full servers refused until one may have a free slot, or ends it.
     /// @return false if the request has not been refused by a full server
     bool wait_after(attempt_end end);
-    /// @brief Keeps a new request while all servers are full, or ends it if too many wait.
-    /// @return false if the request is to be sent now
-    bool wait_if_short();
     /// @return false if too many requests wait
     bool wait_for_capacity(milliseconds longest);
     void wait_ended(bool is_admitted);
     void refuse_for_capacity();
-    /// @brief Excludes full servers if there is another one.
-    void exclude_full_servers(const std::vector<routing::placement_candidate>& candidates,
-                              std::vector<std::string>& excluded) const;
-    /// @brief Returns whether a request that was sent to as many servers as it may be is limited to
-    /// those of them that refused it.
-    [[nodiscard]] bool is_excluded_after_refusals(const std::string& server) const;
-    [[nodiscard]] int priority() const;
     [[nodiscard]] net::backend_handler make_handler(std::uint64_t attempt_id);
 
     bool received_head(const net::http1_answer_head& head);
@@ -208,8 +203,10 @@
     /// accept few requests after a start: it may have started again.
     void limit_if_restarted(const std::string& server, attempt_end end);
 
-    /// @brief Time that the caller and the route allow, from the first byte of the request on.
-    [[nodiscard]] milliseconds time_limit() const;
+    [[nodiscard]] milliseconds time_limit() const
+    {
+        return time_limit_of(*route_, request_.deadline);
+    }
     void arm_timers();
     void arm_stall_timer();
     /// @brief Ends the attempt if the server has sent no complete event for the stall limit.
@@ -223,7 +220,7 @@
 
     /// @brief Carries out the decision made after an attempt.
     void execute(const attempt_decision& decision, attempt_end end, const json& fields);
-    [[nodiscard]] milliseconds retry_after(attempt_end end) const;
+    void refuse(const refusal& reason) { refuse(reason.status, reason.reason, reason.retry_after); }
     void refuse(int status, std::string_view reason, milliseconds retry_after = milliseconds{0});
     void settle();
     void finish();
@@ -234,9 +231,6 @@
     [[nodiscard]] request::retry_budget& retries() const;
     [[nodiscard]] milliseconds time_left() const;
     [[nodiscard]] tokens delivered_tokens() const;
-    /// @param excluded servers that must not be chosen
-    [[nodiscard]] routing::placement_request
-    placement_request(std::span<const std::string> excluded = {}) const;
     [[nodiscard]] json log_fields() const;
     /// @brief Adds how the answer of the attempt was framed and what it lacks.
     void add_answer_fields(json& fields) const;
--- a/src/dotterelport/gateway/forwarding_admission.cpp
+++ b/src/dotterelport/gateway/forwarding_admission.cpp
@@ -14,12 +14,6 @@
 
 } // namespace
 
-int forwarding::priority() const
-{
-    return workspace_ == nullptr ? route_->priority
-                                 : workspace_->priority.value_or(route_->priority);
-}
-
 bool forwarding::refuse_late(const routing::placement_choice& choice)
 {
     // A request that has run, or has begun to be answered, must not be reported as not run.
@@ -27,12 +21,7 @@
         return false;
     }
     const auto decision =
-        context_.admissions.decide(service_,
-                                   {.priority = priority(),
-                                    .time_limit = time_limit(),
-                                    .time_left = time_left(),
-                                    .expected_start_ms = choice.expected_start_ms},
-                                   steady_now());
+        context_.admissions.decide(service_, admission_request_of(view(), choice), steady_now());
     const auto* rejection = std::get_if<reject_now>(&decision);
     if (rejection == nullptr) {
         return false;
@@ -59,22 +48,6 @@
                                      route_->target_latency, now);
 }
 
-bool forwarding::is_excluded_after_refusals(const std::string& server) const
-{
-    if (refused_servers_.empty()) {
-        return false;
-    }
-    // Refused requests may be sent again to the servers that refused them.
-    const auto others = std::count_if(
-        tried_servers_.begin(), tried_servers_.end(), [this](const std::string& tried) {
-            return std::find(refused_servers_.begin(), refused_servers_.end(), tried) ==
-                   refused_servers_.end();
-        });
-    return refused_servers_.size() + static_cast<std::size_t>(others) >= route_->max_attempts &&
-           std::find(refused_servers_.begin(), refused_servers_.end(), server) ==
-               refused_servers_.end();
-}
-
 void forwarding::record_refusal(const std::string& server)
 {
     if (!context_.admissions.is_active(service_)) {
@@ -119,38 +92,11 @@
     return true;
 }
 
-bool forwarding::wait_if_short()
-{
-    const bool is_new = sends_ == 0 && !may_have_run_ && !was_admitted_;
-    if (!is_new || context_.stopping || !context_.admissions.is_short(service_, steady_now())) {
-        return false;
-    }
-    const milliseconds longest = admission::longest_wait(steady_now() - exchange_->received(),
-                                                         route_->target_latency, time_left());
-    if (longest <= milliseconds{0}) {
-        return false;
-    }
-    const milliseconds closed = context_.admissions.closed_for(service_, steady_now());
-    if (closed > longest || !wait_for_capacity(longest)) {
-        refuse_for_capacity();
-    }
-    return true;
-}
-
 bool forwarding::wait_for_capacity(milliseconds longest)
 {
-    // Work of a small request with a prompt, in tokens.
-    constexpr double tokens_per_cost = 2'048;
-    // Callers state the size, and the queue passes a request over once for each unit of its cost.
-    constexpr double max_cost = 64;
+    const std::size_t bytes = exchange_->head().target.size() + exchange_->body().size();
     wait_ = context_.waiting.enter(
-        service_,
-        {.workspace = workspace_ == nullptr ? std::string() : workspace_->name,
-         .priority = priority(),
-         .cost =
-             std::min(max_cost, 1 + static_cast<double>(request_.max_tokens()) / tokens_per_cost),
-         .bytes = exchange_->head().target.size() + exchange_->body().size(),
-         .deadline = steady_now() + longest},
+        service_, waiting_request_of(view(), bytes, longest, steady_now()),
         [self = shared_from_this()](bool is_admitted) { self->wait_ended(is_admitted); });
     if (wait_ == 0) {
         return false;
@@ -199,26 +145,4 @@
     refuse(unavailable, rejection.reason, rejection.retry_after);
 }
 
-void forwarding::exclude_full_servers(const std::vector<routing::placement_candidate>& candidates,
-                                      std::vector<std::string>& excluded) const
-{
-    const milliseconds now = steady_now();
-    std::vector<std::string> full;
-    std::size_t free = 0;
-    for (const auto& candidate : candidates) {
-        if (std::find(excluded.begin(), excluded.end(), candidate.server) != excluded.end()) {
-            continue;
-        }
-        if (context_.admissions.is_full(service_, candidate.server, now)) {
-            full.push_back(candidate.server);
-        } else if (context_.placement.loads().available(candidate.server, now) !=
-                   routing::availability::ejected) {
-            ++free;
-        }
-    }
-    if (free > 0) {
-        excluded.insert(excluded.end(), full.begin(), full.end());
-    }
-}
-
 } // namespace dotterelport::gateway
--- a/src/dotterelport/gateway/forwarding_answer.cpp
+++ b/src/dotterelport/gateway/forwarding_answer.cpp
@@ -218,7 +218,8 @@
     }
     if (status >= first_server_error && route_->may_repeat() && !exchange_->is_started() &&
         sends_ < route_->max_attempts && time_left() > milliseconds{0} &&
-        time_until_permitted() == milliseconds{0} && retries().try_retry()) {
+        time_until_permitted(context_.decisions(), view()) == milliseconds{0} &&
+        retries().try_retry()) {
         close_attempt(attempt_end::server_error);
         may_have_run_ = true;
         clear_attempt();
@@ -370,7 +371,8 @@
     }
     // Without a substitute, the server is the only one that may still complete the answer.
     if (!second_ &&
-        (time_until_permitted() != milliseconds{0} || !retries().can_retry() || !choose_server())) {
+        (time_until_permitted(context_.decisions(), view()) != milliseconds{0} ||
+         !retries().can_retry() || !choose_server(context_.decisions(), view(), steady_now()))) {
         schedule_stall_check(substitute_check);
         return;
     }
--- a/src/dotterelport/gateway/forwarding_second.cpp
+++ b/src/dotterelport/gateway/forwarding_second.cpp
@@ -45,10 +45,11 @@
         return;
     }
     if (attempt_->has_data || second_ || context_.stopping ||
-        context_.crashes.refused_for(suspects_) || time_until_permitted() != milliseconds{0}) {
+        context_.crashes.refused_for(suspects_) ||
+        time_until_permitted(context_.decisions(), view()) != milliseconds{0}) {
         return;
     }
-    const auto choice = choose_server();
+    const auto choice = choose_server(context_.decisions(), view(), steady_now());
     const backend_server* server = choice ? context_.servers.find(choice->server) : nullptr;
     if (server == nullptr || context_.statements.is_cold(server->id) ||
         context_.statements.is_limited(server->id)) {
--- a/src/dotterelport/gateway/server_directory.cpp
+++ b/src/dotterelport/gateway/server_directory.cpp
@@ -220,11 +220,24 @@
     return server != nullptr && !server->draining && leaving_.insert(id).second;
 }
 
-bool server_directory::accepts_requests(const backend_server& server) const
+std::string_view server_directory::unavailable_reason(const backend_server& server) const
 {
-    return evacuations_.is_known() && !evacuations_.contains(server.failure_domain) &&
-           !server.draining && !replaced_.contains(server.id) && !leaving_.contains(server.id) &&
-           !unconfirmed_.contains(server.id);
+    if (!evacuations_.is_known()) {
+        return "evacuations_unknown";
+    }
+    if (evacuations_.contains(server.failure_domain)) {
+        return "evacuated";
+    }
+    if (server.draining) {
+        return "draining";
+    }
+    if (replaced_.contains(server.id)) {
+        return "replaced";
+    }
+    if (leaving_.contains(server.id)) {
+        return "leaving";
+    }
+    return unconfirmed_.contains(server.id) ? "unconfirmed" : "";
 }
 
 void server_directory::expire(milliseconds now)
--- a/src/dotterelport/gateway/shard_keeper.cpp
+++ b/src/dotterelport/gateway/shard_keeper.cpp
@@ -22,6 +22,13 @@
 /// backend server have no agent.
 const incarnation no_agent{.node = "direct", .epoch = 1};
 
+constexpr enum_names<reservation_forecast, 4> forecast_names{{
+    {reservation_forecast::reserved, "reserved"},
+    {reservation_forecast::exhausted, "exhausted"},
+    {reservation_forecast::no_grant, "no_grant"},
+    {reservation_forecast::waits, "waits"},
+}};
+
 } // namespace
 
 std::string_view to_string(reservation_outcome value)
@@ -29,6 +36,11 @@
     return name_of(outcome_names, value);
 }
 
+std::string_view to_string(reservation_forecast value)
+{
+    return name_of(forecast_names, value);
+}
+
 budget::demand_share shard_keeper_settings::default_sizing()
 {
     budget::demand_share result;
@@ -189,12 +201,10 @@
         done(reservation_outcome::reserved);
         return;
     }
-    if (is_exhausted(workspace, upper_tokens)) {
-        done(reservation_outcome::exhausted);
-        return;
-    }
-    if (lacks_capacity(workspace, upper_tokens) || health_->is_backing_off(steady_now())) {
-        done(reservation_outcome::no_grant);
+    const auto expected = forecast_without_grant(workspace, upper_tokens);
+    if (expected != reservation_forecast::waits) {
+        done(expected == reservation_forecast::exhausted ? reservation_outcome::exhausted
+                                                         : reservation_outcome::no_grant);
         return;
     }
     waiting_.push_back(
@@ -209,6 +219,25 @@
     }
 }
 
+reservation_forecast shard_keeper::forecast_without_grant(const std::string& workspace,
+                                                          tokens upper_tokens) const
+{
+    if (is_exhausted(workspace, upper_tokens)) {
+        return reservation_forecast::exhausted;
+    }
+    return lacks_capacity(workspace, upper_tokens) || health_->is_backing_off(steady_now())
+               ? reservation_forecast::no_grant
+               : reservation_forecast::waits;
+}
+
+reservation_forecast shard_keeper::forecast(const std::string& workspace, tokens upper_tokens) const
+{
+    const auto* account = session_.holder().find_account(workspace);
+    return account != nullptr && account->covers(upper_tokens)
+               ? reservation_forecast::reserved
+               : forecast_without_grant(workspace, upper_tokens);
+}
+
 grant_prospect shard_keeper::prospect(const std::string& workspace, tokens upper_tokens) const
 {
     const milliseconds now = steady_now();
--- a/src/dotterelport/gateway/waiting_queue.cpp
+++ b/src/dotterelport/gateway/waiting_queue.cpp
@@ -89,6 +89,16 @@
     return result;
 }
 
+const waiting_request* waiting_queue::find(std::uint64_t id) const
+{
+    const auto found = locations_.find(id);
+    if (found == locations_.end()) {
+        return nullptr;
+    }
+    const auto& place = found->second;
+    return &levels_.at(place.priority).flows.at(place.workspace).requests.at({place.deadline, id});
+}
+
 std::vector<waiting_request> waiting_queue::take_expired(milliseconds now)
 {
     std::vector<std::uint64_t> expired;
--- a/src/dotterelport/routing/placement.cpp
+++ b/src/dotterelport/routing/placement.cpp
@@ -114,6 +114,19 @@
     return static_cast<double>(duration.count());
 }
 
+/// @brief Compares candidates by whether they are ejected, then by how far their memory is used
+/// beyond the safe share, then by cost.
+bool is_better(const placement_assessment& left, const placement_assessment& right)
+{
+    const auto rank = [](const placement_assessment& item) {
+        return std::pair(item.is_ejected, item.is_memory_safe ? 0.0 : item.memory_share);
+    };
+    const auto left_key = std::pair(rank(left), left.compared_ms);
+    const auto right_key = std::pair(rank(right), right.compared_ms);
+    // Ties go to the least recently used server, so that requests rotate over idle servers.
+    return left_key < right_key || (left_key == right_key && left.last_sent < right.last_sent);
+}
+
 } // namespace
 
 load_settings placement_settings::default_load()
@@ -233,7 +246,7 @@
 
 double placement::cost(const placement_request& request, const placement_candidate& candidate,
                        const load_estimate& load, double uncached, double median_ms_per_unit,
-                       milliseconds now) const
+                       milliseconds now, placement_terms& terms) const
 {
     // Requests of other routers. Their number decays with the age of the report, because they end
     // in the meantime.
@@ -246,115 +259,142 @@
     if (request.prompt_tokens > 0) {
         const double prefill_tokens =
             load.pending_prefill_tokens + peer_load.pending_prefill_tokens + uncached;
-        result = prefill_tokens / settings_.prefill_tokens_per_ms +
-                 running * settings_.ms_per_running +
-                 stream_delay_cost(request, uncached, prefill_tokens, running);
+        terms.prefill = prefill_tokens / settings_.prefill_tokens_per_ms;
+        terms.running = running * settings_.ms_per_running;
+        terms.stream_delay = stream_delay_cost(request, uncached, prefill_tokens, running);
+        result = terms.prefill + terms.running + terms.stream_delay;
     } else {
         const double slots = static_cast<double>(std::max<std::size_t>(1, candidate.capacity));
         const double duration_ms = std::max(1.0, load.duration_ms);
-        result = settings_.queue_weight * duration_ms * running / slots +
-                 duration_ms * std::max(0.0, running + 1 - slots);
+        terms.queue = settings_.queue_weight * duration_ms * running / slots +
+                      duration_ms * std::max(0.0, running + 1 - slots);
+        result = terms.queue;
     }
+    const double usual = result;
     if (median_ms_per_unit > 0 && load.ms_per_unit > median_ms_per_unit * slow_ratio) {
         result += load.duration_ms * (1.0 - median_ms_per_unit / load.ms_per_unit);
         result *= load.ms_per_unit / median_ms_per_unit;
     }
+    terms.slow_server = result - usual;
+    const double unstated = result;
     if (load.slowdown) {
         // A call's own work takes longer too, so slow servers differ even if they are idle.
         const double own_ms = request.prompt_tokens == 0 ? load.duration_ms : 0.0;
         result = std::max(0.0, load.slowdown->expected_ms(result + own_ms) - own_ms);
     }
+    terms.slowdown = result - unstated;
+    const double responsive = result;
     result = std::max(result, in_ms(load.unresponsive));
-    result += settings_.failure_ms * failure_share(candidate.server, now);
+    terms.unresponsive = result - responsive;
+    terms.failures = settings_.failure_ms * failure_share(candidate.server, now);
+    result += terms.failures;
     if (candidate.failure_domain != request.failure_domain) {
-        result += settings_.other_domain_ms;
+        terms.other_domain = settings_.other_domain_ms;
+        result += terms.other_domain;
+    }
+    return result;
+}
+
+struct placement::choice_basis {
+    double median_ms_per_unit = 0;
+    tokens shared_tokens = 0;
+    /// Marks of the candidates; empty for requests without a prompt.
+    std::vector<bool> reserved;
+    /// Candidates that all routers prefer for the shared parts, best first.
+    std::vector<std::size_t> preferred;
+    std::vector<bool> is_preferred;
+    std::uint64_t router_hash = 0;
+};
+
+placement_assessment placement::assess(const placement_request& request,
+                                       const placement_candidate& candidate,
+                                       const load_estimate& load, std::size_t index,
+                                       const choice_basis& basis, milliseconds now) const
+{
+    placement_assessment result;
+    result.candidate = &candidate;
+    const auto& excluded = request.excluded;
+    result.is_excluded =
+        std::find(excluded.begin(), excluded.end(), candidate.server) != excluded.end();
+    result.is_out_of_memory = memory_share(request, candidate, load, 0) > 1;
+    result.cached_tokens = caches_.cached(candidate.server, request.parts);
+    const tokens cached = result.cached_tokens;
+    double uncached = static_cast<double>(std::max<tokens>(0, request.prompt_tokens - cached));
+    double shared_uncached = static_cast<double>(std::max<tokens>(0, basis.shared_tokens - cached));
+    // Further engines take part in a chain's load only if they state their slowdown.
+    const auto& preferred = basis.preferred;
+    const bool is_hot = preferred.size() > 1 && basis.is_preferred[index] && load.slowdown;
+    if (is_hot || (!preferred.empty() && preferred.front() == index)) {
+        uncached -= settings_.preferred_cache_probability * shared_uncached;
+        shared_uncached *= 1 - settings_.preferred_cache_probability;
+    }
+    result.expected_start_ms =
+        cost(request, candidate, load, uncached, basis.median_ms_per_unit, now, result.terms);
+    // A chain in frequent use earns its place in the caches of the engines that its load needs.
+    const double shared_weight = is_hot ? 1 : settings_.shared_weight;
+    result.shared_parts_ms =
+        (shared_weight - 1) * shared_uncached / settings_.prefill_tokens_per_ms;
+    if (!basis.reserved.empty()) {
+        result.separation_ms =
+            separation_cost(candidate, basis.reserved[index], request.prompt_tokens);
     }
+    result.cost_ms = result.expected_start_ms + result.shared_parts_ms + result.separation_ms;
+    const double order =
+        load.slowdown ? unit_interval(hash64(candidate.server, basis.router_hash)) : 0.0;
+    result.memory_share = memory_share(request, candidate, load, request.max_output_tokens);
+    result.is_memory_safe = is_safe(request, candidate, result.memory_share, order);
+    result.is_ejected = loads_.available(candidate.server, now) == availability::ejected;
+    // Routers with the same view order the servers whose expected times hardly differ each in
+    // its own way. The shift is 0 for servers that state no slowdown.
+    const double uncertain_ms = uncertainty(request, candidate, load);
+    result.compared_ms = uncertain_ms > 0 ? result.cost_ms + uncertain_ms * order : result.cost_ms;
+    result.last_sent = load.last_sent;
     return result;
 }
 
-std::optional<placement_choice> placement::choose(const placement_request& request,
-                                                  std::span<const placement_candidate> candidates,
-                                                  milliseconds now) const
+std::optional<placement_choice>
+placement::choose(const placement_request& request, std::span<const placement_candidate> candidates,
+                  milliseconds now, std::vector<placement_assessment>* assessments) const
 {
     std::vector<load_estimate> loads;
     loads.reserve(candidates.size());
     for (const auto& candidate : candidates) {
         loads.push_back(loads_.estimate(candidate.server, now));
     }
-    const double median = median_ms_per_unit(loads);
+    choice_basis basis;
+    basis.median_ms_per_unit = median_ms_per_unit(loads);
+    basis.router_hash = hash64(settings_.router);
     add_up_peer_loads(now);
     // The last part is specific to the request or its session.
     const auto shared = request.parts.first(request.parts.empty() ? 0 : request.parts.size() - 1);
-    const tokens shared_tokens = total_tokens(shared);
-    const auto reserved = request.prompt_tokens > 0
-                              ? reserved_servers(candidates, settings_.reserved_share)
-                              : std::vector<bool>();
-    const auto preferred = preferred_servers(shared, candidates, reserved,
-                                             request.prompt_tokens > settings_.long_prompt_tokens,
-                                             engines_for(shared, now));
-    std::vector<bool> is_preferred(candidates.size());
-    for (const std::size_t index : preferred) {
-        is_preferred[index] = true;
-    }
-    std::optional<placement_choice> best;
-    // Servers are compared by whether they are ejected, then by how far their memory is used beyond
-    // the safe share, then by cost.
-    std::pair<bool, double> best_rank;
-    std::optional<milliseconds> best_last_sent;
-    double best_compared = 0;
-    const std::uint64_t router_hash = hash64(settings_.router);
+    basis.shared_tokens = total_tokens(shared);
+    if (request.prompt_tokens > 0) {
+        basis.reserved = reserved_servers(candidates, settings_.reserved_share);
+    }
+    basis.preferred = preferred_servers(shared, candidates, basis.reserved,
+                                        request.prompt_tokens > settings_.long_prompt_tokens,
+                                        engines_for(shared, now));
+    basis.is_preferred.resize(candidates.size());
+    for (const std::size_t index : basis.preferred) {
+        basis.is_preferred[index] = true;
+    }
+    std::optional<placement_assessment> best;
     for (std::size_t i = 0; i < candidates.size(); ++i) {
-        const auto& candidate = candidates[i];
-        const auto& excluded = request.excluded;
-        if (std::find(excluded.begin(), excluded.end(), candidate.server) != excluded.end()) {
-            continue;
+        const auto assessed = assess(request, candidates[i], loads[i], i, basis, now);
+        if (assessments != nullptr) {
+            assessments->push_back(assessed);
         }
-        if (memory_share(request, candidate, loads[i], 0) > 1) {
-            continue;
-        }
-        const tokens cached = caches_.cached(candidate.server, request.parts);
-        double uncached = static_cast<double>(std::max<tokens>(0, request.prompt_tokens - cached));
-        double shared_uncached = static_cast<double>(std::max<tokens>(0, shared_tokens - cached));
-        // Further engines take part in a chain's load only if they state their slowdown.
-        const bool is_hot = preferred.size() > 1 && is_preferred[i] && loads[i].slowdown;
-        if (is_hot || (!preferred.empty() && preferred.front() == i)) {
-            uncached -= settings_.preferred_cache_probability * shared_uncached;
-            shared_uncached *= 1 - settings_.preferred_cache_probability;
-        }
-        const double expected_start = cost(request, candidate, loads[i], uncached, median, now);
-        double expected = expected_start;
-        // A chain in frequent use earns its place in the caches of the engines that its load needs.
-        const double shared_weight = is_hot ? 1 : settings_.shared_weight;
-        expected += (shared_weight - 1) * shared_uncached / settings_.prefill_tokens_per_ms;
-        if (!reserved.empty()) {
-            expected += separation_cost(candidate, reserved[i], request.prompt_tokens);
-        }
-        const double order =
-            loads[i].slowdown ? unit_interval(hash64(candidate.server, router_hash)) : 0.0;
-        const double used_memory =
-            memory_share(request, candidate, loads[i], request.max_output_tokens);
-        const std::pair rank(loads_.available(candidate.server, now) == availability::ejected,
-                             is_safe(request, candidate, used_memory, order) ? 0.0 : used_memory);
-        const auto last_sent = loads[i].last_sent;
-        // Routers with the same view order the servers whose expected times hardly differ each in
-        // its own way. The shift is 0 for servers that state no slowdown.
-        const double uncertain_ms = uncertainty(request, candidate, loads[i]);
-        const double compared = uncertain_ms > 0 ? expected + uncertain_ms * order : expected;
-        // Ties go to the least recently used server, so that requests rotate over idle servers.
-        const bool better =
-            !best || std::pair(rank, compared) < std::pair(best_rank, best_compared) ||
-            (rank == best_rank && compared == best_compared && last_sent < best_last_sent);
-        if (better) {
-            best = {.server = candidate.server,
-                    .cost_ms = expected,
-                    .expected_start_ms = expected_start,
-                    .cached_tokens = cached};
-            best_rank = rank;
-            best_compared = compared;
-            best_last_sent = last_sent;
+        if (assessed.is_usable() && (!best || is_better(assessed, *best))) {
+            best = assessed;
         }
     }
-    return best;
+    if (!best) {
+        return std::nullopt;
+    }
+    return placement_choice{.server = best->candidate->server,
+                            .cost_ms = best->cost_ms,
+                            .expected_start_ms = best->expected_start_ms,
+                            .cached_tokens = best->cached_tokens};
 }
 
 void placement::sent(const std::string& server, std::uint64_t id, const placement_request& request,
--- a/src/dotterelport/routing/placement_test.cpp
+++ b/src/dotterelport/routing/placement_test.cpp
@@ -230,5 +230,45 @@
     CHECK((max_unread_ms <= static_cast<double>(pause_limit.count())) == limited);
 }
 
+// Guards against an explanation whose terms leave out a part of the cost, or that names another
+// server than the one that is chosen.
+TEST_CASE("The assessments of candidates add up to the cost that the choice is based on")
+{
+    placement servers;
+    const std::vector<placement_candidate> candidates{
+        {.server = "i-1", .failure_domain = "a", .capacity = 8},
+        {.server = "i-2", .failure_domain = "b", .capacity = 8}};
+    const std::vector<prompt_part> parts{{.id = 1, .size = 600}, {.id = 2, .size = 400}};
+    const std::vector<std::string> excluded{"i-1"};
+    placement_request request{.parts = parts, .prompt_tokens = 1'000, .failure_domain = "a"};
+    const milliseconds now{1'000};
+    servers.sent("i-1", 1, request, 100'000, now);
+    servers.sent("i-2", 2, request, 100'000, now);
+    servers.failed("i-2", 2, now);
+    for (const bool is_excluded : {false, true}) {
+        request.excluded =
+            is_excluded ? std::span<const std::string>(excluded) : std::span<const std::string>();
+        std::vector<placement_assessment> assessments;
+        const auto choice = servers.choose(request, candidates, now, &assessments);
+        const auto unexplained = servers.choose(request, candidates, now);
+        REQUIRE(choice);
+        REQUIRE(assessments.size() == 2);
+        CHECK(choice->server == unexplained->server);
+        CHECK(assessments[0].is_excluded == is_excluded);
+        for (const auto& item : assessments) {
+            const auto& terms = item.terms;
+            const double sum = terms.prefill + terms.running + terms.stream_delay + terms.queue +
+                               terms.slow_server + terms.slowdown + terms.unresponsive +
+                               terms.failures + terms.other_domain;
+            CHECK(sum == Approx(item.expected_start_ms));
+            CHECK(item.cost_ms == Approx(sum + item.shared_parts_ms + item.separation_ms));
+            if (item.candidate->server == choice->server) {
+                CHECK(item.cost_ms == choice->cost_ms);
+            }
+        }
+        CHECK(assessments[1].terms.failures > 0);
+    }
+}
+
 } // namespace
 } // namespace dotterelport::routing
