Add dotterelctl explain

Cause: operators could not see where a request would be sent and why, other than by sending it and reading the log.

Change: the gateway's operators' server answers /explain with the candidates, the terms of their cost, what excludes servers, and what admission control and the budget would answer. dotterelctl explain prints it as a table or JSON. It uses the functions that decide for a real request and changes nothing.

--- a/include/dotterelport/gateway/gateway.hpp
+++ b/include/dotterelport/gateway/gateway.hpp
@@ -77,6 +77,7 @@
 
     [[nodiscard]] bool is_ready() const;
     [[nodiscard]] net::endpoint callers_address() const;
+    [[nodiscard]] net::endpoint operators_address() const;
     [[nodiscard]] json dump() const;
 
 private:
--- a/include/dotterelport/process/operators_server.hpp
+++ b/include/dotterelport/process/operators_server.hpp
@@ -24,12 +24,22 @@
 
     operators_server(net::event_loop& loop, options settings);
 
+    /// @brief Adds a path of the process.
+    void route(const std::string& path, net::http_handler handler)
+    {
+        server_.route("GET", path, std::move(handler));
+    }
+
+    /// @brief Address with the port that is in use.
+    [[nodiscard]] const net::endpoint& address() const { return address_; }
+
     /// @brief Registry for the metrics of the process.
     [[nodiscard]] prometheus::Registry& metrics() { return *registry_; }
 
 private:
     std::shared_ptr<prometheus::Registry> registry_;
     net::http_server server_;
+    net::endpoint address_;
 };
 
 } // namespace dotterelport::process
--- a/src/dotterelport/ctl/commands.cpp
+++ b/src/dotterelport/ctl/commands.cpp
@@ -11,8 +11,9 @@
 const std::map<std::string, command>& commands()
 {
     static const std::map<std::string, command> table = {
-        {"check", check},   {"diff", diff}, {"apply", apply}, {"show", show},    {"status", status},
-        {"budget", budget}, {"bill", bill}, {"dump", dump},   {"events", events}};
+        {"check", check},   {"diff", diff},      {"apply", apply}, {"show", show},
+        {"status", status}, {"budget", budget},  {"bill", bill},   {"dump", dump},
+        {"events", events}, {"explain", explain}};
     return table;
 }
 
--- a/src/dotterelport/ctl/commands.hpp
+++ b/src/dotterelport/ctl/commands.hpp
@@ -19,6 +19,9 @@
 exit_status status(session& context);
 exit_status dump(session& context);
 
+/// Where a gateway would send a request now, and why.
+exit_status explain(session& context);
+
 /// Accounts: budget, bill.
 exit_status budget(session& context);
 exit_status bill(session& context);
--- a/src/dotterelport/ctl/options.hpp
+++ b/src/dotterelport/ctl/options.hpp
@@ -34,8 +34,16 @@
     bool generation_only = false;
     /// Print JSON instead of a table.
     bool as_json = false;
-    /// budget, bill: workspace to show; empty for all.
+    /// budget, bill: workspace to show; empty for all. explain: workspace of the request; empty for
+    /// a request without a key.
     std::string workspace = {};
+    /// explain: parts of the prompt as ID:TOKENS,..., the request's own part last.
+    std::string parts = {};
+    /// explain: size of the request.
+    std::int64_t prompt_tokens = 0;
+    std::int64_t output_tokens = 0;
+    /// explain: time for which the caller waits; by default that of the route.
+    std::optional<std::int64_t> deadline_ms = {};
     /// Time for which requests to the platform are retried before it counts as unavailable.
     milliseconds platform_timeout{15'000};
 };
--- a/src/dotterelport/gateway/gateway.cpp
+++ b/src/dotterelport/gateway/gateway.cpp
@@ -10,6 +10,7 @@
 #include "dotterelport/gateway/feed_exchange.hpp"
 #include "dotterelport/gateway/overload_guard.hpp"
 #include "dotterelport/process/operators_server.hpp"
+#include "explanation.hpp"
 #include "forwarding.hpp"
 #include "retry_after.hpp"
 
@@ -144,6 +145,9 @@
                                                  .last_attempt = last_attempt,
                                                  .stopping = stopping}
     {
+        operators.route("/explain", [this](const net::http_request& query, const auto& response) {
+            answer_explain(query, *response);
+        });
         set_retry_options();
         second_sends.set_share(configured.second_send_share);
         if (configured.evacuations) {
@@ -170,6 +174,31 @@
         return net::limits_of_vm(current_settings.memory_mb, current_settings.max_fds);
     }
 
+    /// @brief Reports where a request would be sent now, and why.
+    void answer_explain(const net::http_request& query, net::http_response& response) const
+    {
+        constexpr int ok = 200;
+        constexpr int bad_request = 400;
+        constexpr int not_found = 404;
+        const auto fail = [&](int status, std::string_view reason) {
+            send_json(response, status, json{{"error", reason}}.dump() + "\n");
+        };
+        if (catalogue == nullptr) {
+            fail(unavailable, "no configuration");
+            return;
+        }
+        try {
+            const json result =
+                explain(context.decisions(), broker, *catalogue, parse_explained_request(query),
+                        guard.refuses(), steady_now());
+            send_json(response, ok, result.dump() + "\n");
+        } catch (const unknown_item& failure) {
+            fail(not_found, failure.what());
+        } catch (const invalid_query& failure) {
+            fail(bad_request, failure.what());
+        }
+    }
+
     /// @brief Counts a client that a limit of all clients made give way; logged by check().
     void client_limited(net::limit_cause cause)
     {
@@ -577,6 +606,11 @@
     return state_->not_ready_reason().empty();
 }
 
+net::endpoint gateway::operators_address() const
+{
+    return state_->operators.address();
+}
+
 net::endpoint gateway::callers_address() const
 {
     return state_->callers->address();
--- a/src/dotterelport/process/operators_server.cpp
+++ b/src/dotterelport/process/operators_server.cpp
@@ -38,7 +38,7 @@
             constexpr int indent = 2;
             send_json(*response, 200, dump().dump(indent) + "\n");
         });
-    server_.listen(settings.address);
+    address_ = server_.listen(settings.address);
 }
 
 } // namespace dotterelport::process
--- a/src/programs/dotterelctl.cpp
+++ b/src/programs/dotterelctl.cpp
@@ -12,7 +12,8 @@
 
 constexpr const char* description =
     "Operates a dotterelport fleet. Commands: check FILE, diff FILE, apply FILE, show, status, "
-    "budget, bill, dump NODE, events. Exit status: 0 done, 1 refused, 2 wrong usage, 3 another "
+    "budget, bill, dump NODE, events, explain IP:PORT METHOD HOST/PATH. Exit status: 0 done, 1 "
+    "refused, 2 wrong usage, 3 another "
     "configuration was accepted in the meantime, 4 the platform did not answer";
 
 options parse(int argc, char** argv)
@@ -27,9 +28,23 @@
         "the command starts",
         false, 0, "number", command_line);
     TCLAP::SwitchArg generation("", "generation", "show: print only the generation", command_line);
-    TCLAP::SwitchArg as_json("", "json", "status, budget, bill: print JSON", command_line);
-    TCLAP::ValueArg<std::string> workspace("", "workspace", "budget, bill: only this workspace",
+    TCLAP::SwitchArg as_json("", "json", "status, budget, bill, explain: print JSON", command_line);
+    TCLAP::ValueArg<std::string> workspace("", "workspace",
+                                           "budget, bill: only this workspace; "
+                                           "explain: workspace of the request",
                                            false, "", "name", command_line);
+    TCLAP::ValueArg<std::string> parts("", "parts",
+                                       "explain: parts of the prompt with hexadecimal ids, the "
+                                       "request's own part last",
+                                       false, "", "id:tokens,...", command_line);
+    TCLAP::ValueArg<std::int64_t> prompt_tokens("", "prompt-tokens", "explain: size of the prompt",
+                                                false, 0, "number", command_line);
+    TCLAP::ValueArg<std::int64_t> output_tokens("", "output-tokens",
+                                                "explain: maximum size of the answer", false, 0,
+                                                "number", command_line);
+    TCLAP::ValueArg<std::int64_t> deadline(
+        "", "deadline-ms", "explain: time for which the caller waits; default: that of the route",
+        false, 0, "milliseconds", command_line);
     TCLAP::ValueArg<int> patience("", "patience-ms", "time to wait for the platform", false, 15000,
                                   "milliseconds", command_line);
     TCLAP::UnlabeledValueArg<std::string> command("command", "what to do", true, "", "command",
@@ -47,6 +62,12 @@
     result.generation_only = generation.getValue();
     result.as_json = as_json.getValue();
     result.workspace = workspace.getValue();
+    result.parts = parts.getValue();
+    result.prompt_tokens = prompt_tokens.getValue();
+    result.output_tokens = output_tokens.getValue();
+    if (deadline.isSet()) {
+        result.deadline_ms = deadline.getValue();
+    }
     result.platform_timeout = dotterelport::milliseconds{patience.getValue()};
     return result;
 }
