--- a/src/dotterelport/gateway/forwarding_admission.cpp
+++ b/src/dotterelport/gateway/forwarding_admission.cpp
@@ -17,12 +17,6 @@
 
 } // namespace
 
-int forwarding::priority() const
-{
-    return workspace_ == nullptr ? route_->priority
-                                 : workspace_->priority.value_or(route_->priority);
-}
-
 bool forwarding::refuse_late(const routing::placement_choice& choice)
 {
     // A request that has run, or has begun to be answered, must not be reported as not run.
@@ -30,12 +24,7 @@
         return false;
     }
     const auto decision =
-        context_.admissions.decide(service_,
-                                   {.priority = priority(),
-                                    .time_limit = time_limit(),
-                                    .time_left = time_left(),
-                                    .expected_start_ms = choice.expected_start_ms},
-                                   steady_now());
+        context_.admissions.decide(service_, admission_request_of(view(), choice), steady_now());
     const auto* rejection = std::get_if<reject_now>(&decision);
     if (rejection == nullptr) {
         return false;
@@ -62,22 +51,6 @@
                                      route_->target_latency, now);
 }
 
-bool forwarding::is_excluded_after_refusals(const std::string& server) const
-{
-    if (refused_servers_.empty()) {
-        return false;
-    }
-    // Refused requests may be sent again to the servers that refused them.
-    const auto others = std::count_if(
-        tried_servers_.begin(), tried_servers_.end(), [this](const std::string& tried) {
-            return std::find(refused_servers_.begin(), refused_servers_.end(), tried) ==
-                   refused_servers_.end();
-        });
-    return refused_servers_.size() + static_cast<std::size_t>(others) >= route_->max_attempts &&
-           std::find(refused_servers_.begin(), refused_servers_.end(), server) ==
-               refused_servers_.end();
-}
-
 void forwarding::record_refusal(const std::string& server)
 {
     if (!context_.admissions.is_active(service_)) {
@@ -122,24 +95,6 @@
     return true;
 }
 
-bool forwarding::wait_if_short()
-{
-    const bool is_new = sends_ == 0 && !may_have_run_ && !was_admitted_;
-    if (!is_new || context_.stopping || !context_.admissions.is_short(service_, steady_now())) {
-        return false;
-    }
-    const milliseconds longest = admission::longest_wait(steady_now() - exchange_->received(),
-                                                         route_->target_latency, time_left());
-    if (longest <= milliseconds{0}) {
-        return false;
-    }
-    const milliseconds closed = context_.admissions.closed_for(service_, steady_now());
-    if (closed > longest || !wait_for_capacity(longest)) {
-        refuse_for_capacity();
-    }
-    return true;
-}
-
 bool forwarding::wait_to_continue(attempt_end end)
 {
     const bool was_refused = end == attempt_end::server_refused;
@@ -171,7 +126,7 @@
 std::optional<milliseconds> forwarding::time_until_continued() const
 {
     std::optional<milliseconds> shortest;
-    for (const auto* server : allowed_servers()) {
+    for (const auto* server : allowed_servers(context_.decisions(), view())) {
         if (std::find(tried_servers_.begin(), tried_servers_.end(), server->id) ==
             tried_servers_.end()) {
             const milliseconds time =
@@ -186,7 +141,7 @@
 void forwarding::continue_stream()
 {
     const milliseconds now = steady_now();
-    const auto choice = choose_server();
+    const auto choice = choose_server(context_.decisions(), view(), now);
     if (choice && !context_.admissions.is_full(service_, choice->server, now)) {
         if (std::exchange(has_retry_, false) || retries().try_retry()) {
             events_.resume();
@@ -233,20 +188,14 @@
 
 bool forwarding::enter_queue(milliseconds until)
 {
-    // Work of a small request with a prompt, in tokens.
-    constexpr double tokens_per_cost = 2'048;
-    // Callers state the size, and the queue passes a request over once for each unit of its cost.
-    constexpr double max_cost = 64;
-    wait_ = context_.waiting.enter(
-        service_,
-        {.workspace = workspace_ == nullptr ? std::string() : workspace_->name,
-         .priority = priority(),
-         .cost =
-             std::min(max_cost, 1 + static_cast<double>(request_.max_tokens()) / tokens_per_cost),
-         .bytes = exchange_->head().target.size() + exchange_->body().size(),
-         .deadline = until,
-         .has_begun = exchange_->is_started()},
-        [self = shared_from_this()](bool is_admitted) { self->wait_ended(is_admitted); });
+    const std::size_t bytes = exchange_->head().target.size() + exchange_->body().size();
+    const milliseconds now = steady_now();
+    waiting_request request = waiting_request_of(view(), bytes, until - now, now);
+    request.has_begun = exchange_->is_started();
+    wait_ =
+        context_.waiting.enter(service_, request, [self = shared_from_this()](bool is_admitted) {
+            self->wait_ended(is_admitted);
+        });
     return wait_ != 0;
 }
 
@@ -286,26 +235,4 @@
     refuse(unavailable, rejection.reason, rejection.retry_after);
 }
 
-void forwarding::exclude_full_servers(const std::vector<routing::placement_candidate>& candidates,
-                                      std::vector<std::string>& excluded) const
-{
-    const milliseconds now = steady_now();
-    std::vector<std::string> full;
-    std::size_t free = 0;
-    for (const auto& candidate : candidates) {
-        if (std::find(excluded.begin(), excluded.end(), candidate.server) != excluded.end()) {
-            continue;
-        }
-        if (context_.admissions.is_full(service_, candidate.server, now)) {
-            full.push_back(candidate.server);
-        } else if (context_.placement.loads().available(candidate.server, now) !=
-                   routing::availability::ejected) {
-            ++free;
-        }
-    }
-    if (free > 0) {
-        excluded.insert(excluded.end(), full.begin(), full.end());
-    }
-}
-
 } // namespace dotterelport::gateway
