Limit the time of a body by its own limit, not by that of the head

The timer of header_timeout was set at the first byte of a request and never set again, so that a body which took longer than 3 s was refused with 408. The documented limit of a body is idle_timeout. The timer is now set again when the head is complete and the body is not.

The new test fails with stream_connection.cpp as in (no exchange) and passes with the change; test-net passes (70 cases).

--- a/src/dotterelport/net/stream_connection.cpp
+++ b/src/dotterelport/net/stream_connection.cpp
@@ -166,7 +166,15 @@
             first_byte_time_ = steady_now();
             arm_timer();
         }
-        if ((!head_ && !parse_head()) || !parse_body()) {
+        const bool had_head = head_.has_value();
+        if (!had_head && !parse_head()) {
+            break;
+        }
+        if (!parse_body()) {
+            if (!had_head && !close_after_write_) {
+                // The limit of the head ends with it; the body has its own.
+                arm_timer();
+            }
             break;
         }
         dispatch();
--- a/src/dotterelport/net/stream_server_test.cpp
+++ b/src/dotterelport/net/stream_server_test.cpp
@@ -122,6 +122,18 @@
     CHECK(net.exchanges[1]->head().target == "/2");
 }
 
+// Guards against a time limit for heads that also refuses bodies which take longer.
+TEST_CASE("A body may take longer than its head")
+{
+    fixture net({.header_timeout = 50ms});
+    net.send("POST /1 HTTP/1.1\r\nContent-Length: 2\r\n\r\na");
+    net.loop.run_for(200ms);
+    net.send("b");
+    net.wait_until([&] { return !net.exchanges.empty(); });
+    REQUIRE(net.exchanges.size() == 1);
+    CHECK(net.exchanges[0]->body() == "ab");
+}
+
 TEST_CASE("A client that disconnects is detected at once, also before any byte is written")
 {
     fixture net;
