Limit what clients make routers and agents hold

http_server used the server of h2o, which bounds the size of one body only. It now passes the requests of a stream_server to its routes, so that gateway, router, agent and operators' servers share client_budget and refuse or close in the same way: 503 and 413 only for requests that were not handed on. Router and agent read memory_mb and max_fds (256 and 1,024), count clients that give way by server and cause, log them at most once a second (462, 561) and state bytes and connections in /dump. The router's callers have three quarters of the limits, its port for peers has a quarter. Stand-ins have no limits, as before.

A client that disconnects is reported at once instead of at the next write. The function of on_close runs in the next iteration of the loop: run inside write(), it fails the new case of net_test.

--- a/include/dotterelport/net/client_budget.hpp
+++ b/include/dotterelport/net/client_budget.hpp
@@ -26,6 +26,9 @@
 /// @brief Derives the limits from the memory and the descriptors of the VM.
 client_limits limits_of_vm(std::size_t memory_mb, std::size_t max_fds);
 
+/// @brief The part of the limits for one of several servers of a process, in quarters.
+client_limits quarters_of(const client_limits& limits, std::size_t quarters);
+
 /// Why a client's request was refused or its connection closed.
 enum class limit_cause {
     /// The bytes of a request that was not complete found no room: refused with 503.
--- a/include/dotterelport/net/http_server.hpp
+++ b/include/dotterelport/net/http_server.hpp
@@ -4,9 +4,11 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
+#include "dotterelport/net/client_budget.hpp"
 #include "dotterelport/net/endpoint.hpp"
 #include "dotterelport/net/event_loop.hpp"
 #include "dotterelport/net/http.hpp"
@@ -44,11 +46,11 @@
     /// @brief Returns whether send() or start() was called.
     [[nodiscard]] bool is_started() const;
 
-    /// @brief Number of bytes that were written but not yet handed to the connection.
+    /// @brief Number of bytes that were written but not yet handed to the kernel.
     [[nodiscard]] std::size_t buffered() const;
 
-    /// @brief Sets a function that is called once if the connection is closed before the end of the
-    /// answer. A client that disconnects is detected by the next write.
+    /// @brief Sets a function that is called once if the client disconnects, or its connection
+    /// gives way to a limit, before the end of the answer.
     void on_close(std::function<void()> function);
 
     struct impl;
@@ -68,9 +70,8 @@
         std::size_t max_body_bytes = 1U << 20U;
         /// Idle keep-alive connections are closed after this time.
         milliseconds idle_timeout{30'000};
-        /// When more connections are accepted, the oldest one without a request in progress is
-        /// closed. 0 means no limit.
-        std::size_t max_connections = 0;
+        /// What all connections together may make the process hold; no limit if absent.
+        std::optional<client_limits> clients = std::nullopt;
     };
 
     explicit http_server(event_loop& loop);
@@ -92,9 +93,17 @@
     /// @brief Stops accepting connections; requests in progress continue.
     void stop_listening();
 
+    /// @brief Sets a function that is called each time that a limit of all clients together makes a
+    /// request refused or a connection closed.
+    void on_limit(std::function<void(limit_cause cause)> function);
+
     /// @brief Number of requests whose answer is not complete.
     [[nodiscard]] std::size_t requests_in_progress() const;
 
+    /// @brief Number of bytes that clients make the server hold.
+    [[nodiscard]] std::size_t held_bytes() const;
+    [[nodiscard]] std::size_t connection_count() const;
+
     struct impl;
 
 private:
--- a/include/dotterelport/net/stream_server.hpp
+++ b/include/dotterelport/net/stream_server.hpp
@@ -127,6 +127,8 @@
     /// "Connection: close". Requests that have arrived on a connection are answered before it is
     /// closed.
     void close_after_answers(bool enabled) { closes_after_answers_ = enabled; }
+    /// @brief Closes the listening socket; open connections continue.
+    void stop_listening();
     /// @brief Closes the listening socket and the idle connections. Requests that have already
     /// arrived are still handled.
     void stop();
--- a/include/dotterelport/process/settings.hpp
+++ b/include/dotterelport/process/settings.hpp
@@ -1,6 +1,7 @@
 #ifndef DOTTERELPORT_PROCESS_SETTINGS_HPP
 #define DOTTERELPORT_PROCESS_SETTINGS_HPP
 
+#include <cstddef>
 #include <optional>
 #include <string>
 
@@ -30,6 +31,10 @@
     net::address_overrides address_overrides;
     /// Longest time that a graceful shutdown waits for requests in progress.
     milliseconds drain_timeout{300'000};
+    /// Memory of the VM and descriptors that the process may open; they limit what clients may make
+    /// it hold.
+    std::size_t memory_mb = 256;
+    std::size_t max_fds = 1'024;
     std::string log_file = "-";
     severity log_level = severity::info;
 };
--- a/src/dotterelport/agent/daemon.cpp
+++ b/src/dotterelport/agent/daemon.cpp
@@ -9,6 +9,7 @@
 #include "dotterelport/membership/configuration_sources.hpp"
 #include "dotterelport/membership/directory.hpp"
 #include "dotterelport/object_store/client.hpp"
+#include "dotterelport/process/limited_clients.hpp"
 #include "dotterelport/process/operators_server.hpp"
 
 namespace dotterelport::agent {
@@ -62,6 +63,7 @@
     config::follower configuration;
     agent local_agent;
     process::operators_server operators;
+    process::limited_clients limited_clients;
     net::http_server peers;
     net::rpc_server methods;
     bool is_service_configured = false;
@@ -83,7 +85,12 @@
       operators(loop, {.address = process_settings.operators_address,
                        .not_ready_reason = [this] { return not_ready_reason(); },
                        .dump = [this] { return dump(); }}),
-      peers(loop, {.max_body_bytes = max_message_bytes, .idle_timeout = server_idle_timeout}),
+      limited_clients(
+          loop, operators.metrics(),
+          {.metric = "dotterelport_agent_limited_clients_total", .event = events::clients_limited}),
+      peers(loop, {.max_body_bytes = max_message_bytes,
+                   .idle_timeout = server_idle_timeout,
+                   .clients = net::limits_of_vm(settings.memory_mb, settings.max_fds)}),
       methods(peers)
 {
     local_agent.set_generation_source([this] { return generation(); });
@@ -94,6 +101,7 @@
     });
     local_agent.serve(peers, methods);
     local_agent.add_metrics(operators.metrics());
+    limited_clients.observe("peers", peers);
     peers.listen(settings.peers_address);
     log(events::agent_started, {{"node", settings.name},
                                 {"peers", to_string(settings.peers_address)},
@@ -142,6 +150,7 @@
     result["not_ready_reason"] = not_ready_reason();
     result["nodes"] = nodes.dump();
     result["platform_calls"] = platform.calls();
+    result["clients"] = limited_clients.dump();
     return result;
 }
 
--- a/src/dotterelport/agent/events.hpp
+++ b/src/dotterelport/agent/events.hpp
@@ -43,6 +43,10 @@
     "An order was refused because of its stale fencing number."};
 inline constexpr log_event cache_event_gap{560, severity::debug, "cache_event_gap",
                                            "Cache events of the engine are missing."};
+inline constexpr log_event clients_limited{
+    561, severity::warning, "agent_clients_limited",
+    "Clients together reached the limit of bytes or of connections: requests that were not handed "
+    "on were refused, or connections closed."};
 
 } // namespace dotterelport::agent::events
 
--- a/src/dotterelport/net/client_budget.cpp
+++ b/src/dotterelport/net/client_budget.cpp
@@ -35,6 +35,16 @@
     return result;
 }
 
+client_limits quarters_of(const client_limits& limits, std::size_t quarters)
+{
+    constexpr std::size_t all = 4;
+    client_limits result = limits;
+    result.bytes = limits.bytes * quarters / all;
+    result.reserve = limits.reserve * quarters / all;
+    result.connections = std::max(min_connections, limits.connections * quarters / all);
+    return result;
+}
+
 std::string_view to_string(limit_cause value)
 {
     constexpr std::array<std::string_view, 5> names{
--- a/src/dotterelport/net/client_budget_test.cpp
+++ b/src/dotterelport/net/client_budget_test.cpp
@@ -110,4 +110,15 @@
     CHECK(limits_of_vm(88, 100).connections == 16);
 }
 
+// Guards against servers of one process that exceed the limits of its VM together.
+TEST_CASE("The servers of a process share the limits of its VM")
+{
+    const client_limits all = limits_of_vm(256, 1'024);
+    CHECK(quarters_of(all, 4) == all);
+    CHECK(quarters_of(all, 3) ==
+          client_limits{
+              .bytes = 48U << 20U, .connections = 370, .reserve = 6U << 20U, .small = 64U << 10U});
+    CHECK(quarters_of(limits_of_vm(88, 100), 1).connections == 16);
+}
+
 } // namespace dotterelport::net
--- a/src/dotterelport/net/http_server.cpp
+++ b/src/dotterelport/net/http_server.cpp
@@ -2,26 +2,15 @@
 
 #include <algorithm>
 #include <cctype>
-#include <cerrno>
-#include <cstring>
-#include <iterator>
-#include <list>
-#include <set>
+#include <limits>
+#include <numeric>
 #include <utility>
 
-#include <h2o.h>
-#include <h2o/http1.h>
-#include <sys/socket.h>
-#include <unistd.h>
-
-#include "dotterelport/base/error.hpp"
-#include "socket_address.hpp"
+#include "dotterelport/net/stream_server.hpp"
 
 namespace dotterelport::net {
 namespace {
 
-constexpr int listen_backlog = 1024;
-
 std::string to_lower(std::string_view text)
 {
     std::string result(text);
@@ -30,178 +19,90 @@
     return result;
 }
 
-std::string to_text(h2o_iovec_t vector)
+http_request to_request(const stream_exchange& exchange)
 {
-    return vector.base == nullptr ? std::string() : std::string(vector.base, vector.len);
+    const auto& head = exchange.head();
+    const auto query_at = head.target.find('?');
+    http_request result;
+    result.method = head.method;
+    result.path = head.target.substr(0, query_at);
+    if (query_at != std::string::npos) {
+        result.query = head.target.substr(query_at + 1);
+    }
+    for (const auto& [name, value] : head.headers) {
+        result.headers.emplace_back(to_lower(name), value);
+    }
+    result.body = exchange.body();
+    return result;
 }
 
-void add_headers(h2o_req_t* request, const header_list& headers)
+client_limits no_limits()
 {
-    constexpr int maybe_token = 1;
-    for (const auto& [name, value] : headers) {
-        const std::string lower = to_lower(name);
-        const h2o_iovec_t pooled_name = h2o_strdup(&request->pool, lower.data(), lower.size());
-        const h2o_iovec_t pooled_value = h2o_strdup(&request->pool, value.data(), value.size());
-        h2o_add_header_by_str(&request->pool, &request->res.headers, pooled_name.base,
-                              pooled_name.len, maybe_token, nullptr, pooled_value.base,
-                              pooled_value.len);
-    }
+    constexpr std::size_t unlimited = std::numeric_limits<std::size_t>::max();
+    return {.bytes = unlimited, .connections = unlimited, .reserve = 0};
 }
 
-/// Allocated in the memory pool of the h2o request, which calls on_dispose() when it is freed.
-struct request_guard {
-    h2o_generator_t generator;
-    http_response::impl* response;
-    std::shared_ptr<http_response>* owner;
-};
-
 } // namespace
 
 struct http_response::impl {
-    h2o_req_t* request = nullptr;
-    request_guard* guard = nullptr;
-    std::size_t* in_progress = nullptr;
-    std::set<const h2o_socket_t*>* busy = nullptr;
-    const h2o_socket_t* socket = nullptr;
+    std::shared_ptr<stream_exchange> exchange;
     std::function<void()> on_close;
-    /// Data that was handed to h2o and is not written yet.
-    std::string in_flight;
-    std::string pending;
-    bool started = false;
-    bool finished = false;
-    bool final_sent = false;
-    /// h2o accepts more data only after it has called on_proceed().
-    bool may_send = false;
-
-    void send_pending()
-    {
-        if (!may_send || request == nullptr || final_sent || (pending.empty() && !finished)) {
-            return;
-        }
-        may_send = false;
-        in_flight = std::exchange(pending, {});
-        h2o_iovec_t buffer = h2o_iovec_init(in_flight.data(), in_flight.size());
-        final_sent = finished;
-        h2o_send(request, &buffer, in_flight.empty() ? 0 : 1,
-                 finished ? H2O_SEND_STATE_FINAL : H2O_SEND_STATE_IN_PROGRESS);
-    }
-
-    void begin(int status, const header_list& headers)
-    {
-        started = true;
-        request->res.status = status;
-        request->res.reason = reason_phrase(status).data();
-        add_headers(request, headers);
-        h2o_start_response(request, &guard->generator);
-    }
 };
 
-namespace {
-
-void on_proceed(h2o_generator_t* generator, h2o_req_t* /*request*/)
-{
-    auto* response = reinterpret_cast<request_guard*>(generator)->response;
-    response->may_send = true;
-    response->send_pending();
-}
-
-void on_stop(h2o_generator_t* /*generator*/, h2o_req_t* /*request*/)
-{
-    // h2o disposes of the request next, which calls on_dispose().
-}
-
-void on_dispose(void* memory)
-{
-    auto* guard = static_cast<request_guard*>(memory);
-    const std::unique_ptr<std::shared_ptr<http_response>> owner(guard->owner);
-    auto* response = guard->response;
-    response->request = nullptr;
-    --*response->in_progress;
-    response->busy->erase(response->socket);
-    auto on_close = std::exchange(response->on_close, nullptr);
-    if (!response->final_sent && on_close) {
-        on_close();
-    }
-}
-
-} // namespace
-
 http_response::http_response() : impl_(std::make_unique<impl>()) {}
 http_response::~http_response() = default;
 
 void http_response::send(int status, const header_list& headers, std::string_view body)
 {
-    if (!is_open() || impl_->started) {
-        return;
+    if (is_open() && !is_started()) {
+        impl_->on_close = nullptr;
+        impl_->exchange->respond(status, headers, body);
     }
-    auto* request = impl_->request;
-    request->res.content_length = body.size();
-    impl_->begin(status, headers);
-    impl_->finished = true;
-    impl_->final_sent = true;
-    h2o_iovec_t buffer = h2o_strdup(&request->pool, body.data(), body.size());
-    h2o_send(request, &buffer, body.empty() ? 0 : 1, H2O_SEND_STATE_FINAL);
 }
 
 void http_response::start(int status, const header_list& headers)
 {
-    if (!is_open() || impl_->started) {
-        return;
+    if (is_open()) {
+        impl_->exchange->start(status, headers);
     }
-    impl_->begin(status, headers);
-    h2o_send(impl_->request, nullptr, 0, H2O_SEND_STATE_IN_PROGRESS);
 }
 
 void http_response::write(std::string_view data)
 {
-    if (!is_open() || impl_->finished) {
-        return;
+    if (is_open() && is_started()) {
+        impl_->exchange->write(data);
     }
-    impl_->pending.append(data);
-    impl_->send_pending();
 }
 
 void http_response::finish()
 {
-    if (!is_open() || impl_->finished) {
-        return;
+    if (is_open() && is_started()) {
+        impl_->on_close = nullptr;
+        impl_->exchange->finish();
     }
-    impl_->finished = true;
-    impl_->send_pending();
 }
 
 void http_response::abort()
 {
-    if (!is_open() || impl_->final_sent) {
-        return;
-    }
-    if (impl_->may_send) {
-        impl_->finished = true;
-        impl_->final_sent = true;
-        h2o_send(impl_->request, nullptr, 0, H2O_SEND_STATE_ERROR);
-        return;
-    }
-    auto* socket = impl_->request->conn->callbacks->get_socket(impl_->request->conn);
-    ::shutdown(h2o_socket_get_fd(socket), SHUT_RDWR);
-    if (!impl_->started) {
-        // h2o frees the request when sending this answer fails on the closed socket.
-        send(500, {}, "");
+    if (is_open()) {
+        impl_->on_close = nullptr;
+        impl_->exchange->abort();
     }
 }
 
 bool http_response::is_open() const
 {
-    return impl_->request != nullptr;
+    return impl_->exchange != nullptr && impl_->exchange->is_open();
 }
 
 bool http_response::is_started() const
 {
-    return impl_->started;
+    return impl_->exchange != nullptr && impl_->exchange->is_started();
 }
 
 std::size_t http_response::buffered() const
 {
-    return impl_->pending.size();
+    return impl_->exchange == nullptr ? 0 : impl_->exchange->unsent();
 }
 
 void http_response::on_close(std::function<void()> function)
@@ -217,109 +118,17 @@
         http_handler handler;
     };
 
-    struct handler_entry {
-        h2o_handler_t super;
-        impl* server;
-    };
-
-    /// A connection of a client.
-    struct connection_entry {
-        impl* server;
-        h2o_socket_t* socket;
-        std::list<connection_entry>::iterator self;
-        bool closing = false;
-    };
-
-    h2o_globalconf_t config{};
-    h2o_context_t context{};
-    h2o_accept_ctx_t accept{};
-    h2o_loop_t* loop = nullptr;
-    h2o_socket_t* listener = nullptr;
-    std::size_t max_connections = 0;
-    /// Connections of clients in the order in which they were accepted, with the number of requests
-    /// in progress. Kept only if they are limited.
-    std::list<connection_entry> connections;
+    event_loop& loop;
+    stream_server::options options;
+    std::vector<std::unique_ptr<stream_server>> servers;
     std::vector<route_entry> routes;
-    std::size_t in_progress = 0;
-    /// Connections with a request in progress.
-    std::set<const h2o_socket_t*> busy;
-
-    impl(h2o_loop_t* event_loop, const options& settings)
-        : loop(event_loop), max_connections(settings.max_connections)
-    {
-        h2o_config_init(&config);
-        config.max_request_entity_size = settings.max_body_bytes;
-        config.http1.req_timeout = static_cast<std::uint64_t>(settings.idle_timeout.count());
-        config.http1.upgrade_to_http2 = 0;
-        constexpr std::uint16_t any_port = 65535;
-        auto* host =
-            h2o_config_register_host(&config, h2o_iovec_init(H2O_STRLIT("default")), any_port);
-        auto* path = h2o_config_register_path(host, "/", 0);
-        auto* handler =
-            reinterpret_cast<handler_entry*>(h2o_create_handler(path, sizeof(handler_entry)));
-        handler->super.on_req = on_request;
-        handler->server = this;
-        h2o_context_init(&context, loop, &config);
-        accept.ctx = &context;
-        accept.hosts = config.hosts;
-    }
-
-    static int on_request(h2o_handler_t* handler, h2o_req_t* request)
-    {
-        reinterpret_cast<handler_entry*>(handler)->server->dispatch(request);
-        return 0;
-    }
-
-    static void on_accept(h2o_socket_t* listener, const char* failure)
-    {
-        constexpr int accepts_per_wakeup = 64;
-        auto* self = static_cast<impl*>(listener->data);
-        if (failure != nullptr) {
-            return;
-        }
-        for (int i = 0; i < accepts_per_wakeup; ++i) {
-            h2o_socket_t* socket = h2o_evloop_socket_accept(listener);
-            if (socket == nullptr) {
-                return;
-            }
-            if (self->max_connections > 0) {
-                self->limit_connections();
-                self->follow(socket);
-            }
-            h2o_accept(&self->accept, socket);
-        }
-    }
+    std::function<void(limit_cause)> on_limit;
 
-    void follow(h2o_socket_t* socket)
-    {
-        connections.push_back({.server = this, .socket = socket, .self = {}});
-        auto& entry = connections.back();
-        entry.self = std::prev(connections.end());
-        socket->on_close.cb = [](void* data) {
-            const auto* closed = static_cast<connection_entry*>(data);
-            closed->server->connections.erase(closed->self);
-        };
-        socket->on_close.data = &entry;
-    }
-
-    /// Closes the oldest connection without a request in progress if there are too many. h2o closes
-    /// it when it reads the end.
-    void limit_connections()
-    {
-        const auto open = std::count_if(connections.begin(), connections.end(),
-                                        [](const auto& entry) { return !entry.closing; });
-        if (static_cast<std::size_t>(open) < max_connections) {
-            return;
-        }
-        const auto oldest =
-            std::find_if(connections.begin(), connections.end(), [this](const auto& entry) {
-                return !entry.closing && !busy.contains(entry.socket);
-            });
-        if (oldest != connections.end()) {
-            oldest->closing = true;
-            ::shutdown(h2o_socket_get_fd(oldest->socket), SHUT_RDWR);
-        }
-    }
+    impl(event_loop& event_loop, const http_server::options& settings)
+        : loop(event_loop), options({.max_body_bytes = settings.max_body_bytes,
+                                     .idle_timeout = settings.idle_timeout,
+                                     .clients = settings.clients.value_or(no_limits())})
+    {}
 
     [[nodiscard]] const route_entry* find_route(const http_request& request) const
     {
@@ -334,28 +143,26 @@
         return nullptr;
     }
 
-    std::shared_ptr<http_response> make_response(h2o_req_t* request)
+    std::shared_ptr<http_response> make_response(const std::shared_ptr<stream_exchange>& exchange)
     {
         auto response = std::make_shared<http_response>();
-        auto* guard = static_cast<request_guard*>(
-            h2o_mem_alloc_shared(&request->pool, sizeof(request_guard), on_dispose));
-        guard->generator = {on_proceed, on_stop};
-        guard->response = response->impl_.get();
-        guard->owner = new std::shared_ptr<http_response>(response);
-        response->impl_->request = request;
-        response->impl_->guard = guard;
-        response->impl_->in_progress = &in_progress;
-        ++in_progress;
-        response->impl_->busy = &busy;
-        response->impl_->socket = request->conn->callbacks->get_socket(request->conn);
-        busy.insert(response->impl_->socket);
+        response->impl_->exchange = exchange;
+        // A connection may give way while another answer is written, so that the function must not
+        // run inside the sender of that answer.
+        exchange->on_disconnect([this, response] {
+            loop.post([response] {
+                if (const auto function = std::exchange(response->impl_->on_close, nullptr)) {
+                    function();
+                }
+            });
+        });
         return response;
     }
 
-    void dispatch(h2o_req_t* request)
+    void dispatch(const std::shared_ptr<stream_exchange>& exchange)
     {
-        const http_request received = read_request(request);
-        auto response = make_response(request);
+        const http_request received = to_request(*exchange);
+        auto response = make_response(exchange);
         const route_entry* entry = find_route(received);
         if (entry == nullptr) {
             send_json(*response, 404,
@@ -366,36 +173,27 @@
         entry->handler(received, response);
     }
 
-    static http_request read_request(const h2o_req_t* request)
+    template<typename Count> [[nodiscard]] std::size_t sum(Count count) const
     {
-        http_request received;
-        received.method = to_text(request->method);
-        const std::string target = to_text(request->path);
-        received.path = target.substr(0, request->query_at);
-        if (request->query_at != SIZE_MAX) {
-            received.query = target.substr(request->query_at + 1);
-        }
-        for (std::size_t i = 0; i < request->headers.size; ++i) {
-            const h2o_header_t& header = request->headers.entries[i];
-            received.headers.emplace_back(to_text(*header.name), to_text(header.value));
-        }
-        received.body = to_text(request->entity);
-        return received;
+        return std::accumulate(
+            servers.begin(), servers.end(), std::size_t{0},
+            [&](std::size_t total, const auto& server) { return total + count(*server); });
     }
 };
 
 http_server::http_server(event_loop& loop) : http_server(loop, options{}) {}
 
 http_server::http_server(event_loop& loop, const options& settings)
-    : impl_(new impl(loop.native(), settings))
+    : impl_(new impl(loop, settings))
 {}
 
-// The implementation state is never freed: open connections of h2o refer to it until the process
-// ends.
+// The implementation state is never freed: a handler may destroy the server while one of its
+// connections is in use, and open connections refer to it until the process ends.
 http_server::~http_server()
 {
     stop_listening();
     impl_->routes.clear();
+    impl_->on_limit = nullptr;
 }
 
 void http_server::route(const std::string& method, const std::string& path, http_handler handler)
@@ -407,30 +205,45 @@
 
 endpoint http_server::listen(const endpoint& address)
 {
-    endpoint bound = address;
-    const int descriptor = open_bound_socket(SOCK_STREAM, bound);
-    if (::listen(descriptor, listen_backlog) != 0) {
-        const std::string message = std::strerror(errno);
-        ::close(descriptor);
-        throw error("cannot listen on " + to_string(address) + ": " + message);
-    }
-    impl_->listener = h2o_evloop_socket_create(impl_->loop, descriptor, H2O_SOCKET_FLAG_DONT_READ);
-    impl_->listener->data = impl_;
-    h2o_socket_read_start(impl_->listener, impl::on_accept);
-    return bound;
+    auto server = std::make_unique<stream_server>(
+        impl_->loop, address, impl_->options,
+        [state = impl_](const std::shared_ptr<stream_exchange>& exchange) {
+            state->dispatch(exchange);
+        });
+    server->on_limit([state = impl_](limit_cause cause) {
+        if (state->on_limit) {
+            state->on_limit(cause);
+        }
+    });
+    impl_->servers.push_back(std::move(server));
+    return impl_->servers.back()->address();
 }
 
 void http_server::stop_listening()
 {
-    if (impl_->listener != nullptr) {
-        h2o_socket_read_stop(impl_->listener);
-        h2o_socket_close(std::exchange(impl_->listener, nullptr));
+    for (const auto& server : impl_->servers) {
+        server->stop_listening();
     }
 }
 
+void http_server::on_limit(std::function<void(limit_cause cause)> function)
+{
+    impl_->on_limit = std::move(function);
+}
+
 std::size_t http_server::requests_in_progress() const
 {
-    return impl_->in_progress;
+    return impl_->sum([](const stream_server& server) { return server.exchange_count(); });
+}
+
+std::size_t http_server::held_bytes() const
+{
+    return impl_->sum([](const stream_server& server) { return server.held_bytes(); });
+}
+
+std::size_t http_server::connection_count() const
+{
+    return impl_->sum([](const stream_server& server) { return server.connection_count(); });
 }
 
 void send_json(http_response& response, int status, std::string_view body)
--- a/src/dotterelport/net/net_test.cpp
+++ b/src/dotterelport/net/net_test.cpp
@@ -290,6 +290,55 @@
     CHECK(closed);
 }
 
+// Guards against functions of other requests that run inside write(), for example while its caller
+// iterates over the connections that it writes to.
+TEST_CASE("A connection that gives way to a limit is reported after the write that needs room")
+{
+    fixture net;
+    constexpr std::size_t limit = 24U << 20U;
+    constexpr std::size_t answer_bytes = 16U << 20U;
+    http_server server(net.loop,
+                       {.clients = client_limits{.bytes = limit, .connections = 10, .reserve = 0}});
+    std::vector<std::shared_ptr<http_response>> responses;
+    bool writing = false;
+    int closed = 0;
+    int closed_while_writing = 0;
+    server.route("GET", "/", [&](const http_request&, const auto& response) {
+        responses.push_back(response);
+        response->on_close([&] {
+            ++closed;
+            closed_while_writing += writing ? 1 : 0;
+        });
+        response->start(200, {});
+    });
+    const endpoint to = server.listen({"127.0.0.1", 0});
+    constexpr std::size_t client_count = 2;
+    std::vector<std::unique_ptr<tcp_connector>> connectors;
+    connectors.reserve(client_count);
+    std::vector<std::unique_ptr<tcp_connection>> clients;
+    for (std::size_t i = 0; i < client_count; ++i) {
+        connectors.push_back(std::make_unique<tcp_connector>(
+            net.loop, to, test_limit, [&](std::unique_ptr<tcp_connection> opened) {
+                opened->start({.on_input = [] {}, .on_end = [](stream_end) {}});
+                opened->pause_reading();
+                opened->write("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+                clients.push_back(std::move(opened));
+            }));
+        // The first client has moved least when the second one needs room.
+        net.loop.run_for(milliseconds{200});
+    }
+    REQUIRE(responses.size() == client_count);
+    for (const auto& response : responses) {
+        // Larger than what the kernel accepts; the second answer needs the room of the first.
+        writing = true;
+        response->write(std::string(answer_bytes, 'x'));
+        writing = false;
+        net.loop.run_for(milliseconds{100});
+    }
+    CHECK(closed == 1);
+    CHECK(closed_while_writing == 0);
+}
+
 TEST_CASE("An exchange may be cancelled from its own callbacks")
 {
     fixture net;
--- a/src/dotterelport/net/stream_server.cpp
+++ b/src/dotterelport/net/stream_server.cpp
@@ -188,6 +188,11 @@
     }
 }
 
+void stream_server::stop_listening()
+{
+    listener_.reset();
+}
+
 void stream_server::stop()
 {
     // Closing the listening socket resets the connections that wait to be accepted, and closing a
--- a/src/dotterelport/process/operators_server.cpp
+++ b/src/dotterelport/process/operators_server.cpp
@@ -8,9 +8,11 @@
 
 namespace {
 
-/// The server is for few clients, which send no bodies.
-constexpr net::http_server::options server_options{.max_body_bytes = 16U << 10U,
-                                                   .max_connections = 64};
+/// The server is for few clients, which send no bodies. The reserve is enough for small requests on
+/// all connections; the rest is for dumps, which may have several MiB.
+constexpr net::http_server::options server_options{
+    .max_body_bytes = 16U << 10U,
+    .clients = net::client_limits{.bytes = 16U << 20U, .connections = 64, .reserve = 4U << 20U}};
 
 } // namespace
 
--- a/src/dotterelport/process/process_test.cpp
+++ b/src/dotterelport/process/process_test.cpp
@@ -2,13 +2,18 @@
 
 #include <cstdio>
 #include <fstream>
+#include <memory>
 #include <string>
+#include <vector>
 
 #include <prometheus/counter.h>
+#include <prometheus/text_serializer.h>
 #include <unistd.h>
 
 #include "dotterelport/base/error.hpp"
 #include "dotterelport/net/http_client.hpp"
+#include "dotterelport/net/tcp_connection.hpp"
+#include "dotterelport/process/limited_clients.hpp"
 #include "dotterelport/process/operators_server.hpp"
 #include "dotterelport/process/settings.hpp"
 
@@ -54,6 +59,8 @@
     CHECK(result.callers_address == net::endpoint{"127.0.0.1", 1});
     CHECK(result.address_overrides.at({"127.0.0.1", 9}) == net::endpoint{"127.0.0.1", 10});
     CHECK(result.log_level == severity::warning);
+    CHECK(result.memory_mb == 256);
+    CHECK(result.max_fds == 1'024);
 }
 
 TEST_CASE("Settings with an unknown key, a wrong type or a value out of range are rejected")
@@ -66,6 +73,7 @@
     const auto [pointer, value, error_path] =
         GENERATE(row{"/colour", "red", ""}, row{"/name", 5, "/name"},
                  row{"/drain_timeout_ms", -1, "/drain_timeout_ms"},
+                 row{"/memory_mb", 0, "/memory_mb"}, row{"/max_fds", "many", "/max_fds"},
                  row{"/listen/peers", "127.0.0.1:99999", "/listen/peers"},
                  row{"/listen/peers", "localhost:80", "/listen/peers"},
                  row{"/log", {{"level", "loud"}}, "/log/level"}, row{"/service", "coal-llm", ""});
@@ -114,5 +122,35 @@
     CHECK(json::parse(fetch("/dump").body)["state"] == "ok");
 }
 
+// Guards against clients that are closed without a trace for operators.
+TEST_CASE("Clients that give way are counted by server and cause")
+{
+    net::event_loop loop;
+    prometheus::Registry registry;
+    limited_clients subject(loop, registry,
+                            {.metric = "limited_clients_total",
+                             .event = {1, severity::warning, "clients_limited", "test"}});
+    net::http_server server(
+        loop, {.clients = net::client_limits{
+                   .bytes = 10'000, .connections = 2, .reserve = 5'000, .small = 1'000}});
+    subject.observe("callers", server);
+    const net::endpoint address = server.listen({"127.0.0.1", 0});
+    constexpr std::size_t client_count = 3;
+    std::vector<std::unique_ptr<net::tcp_connector>> connectors;
+    connectors.reserve(client_count);
+    std::vector<std::unique_ptr<net::tcp_connection>> connections;
+    for (std::size_t i = 0; i < client_count; ++i) {
+        connectors.push_back(std::make_unique<net::tcp_connector>(
+            loop, address, milliseconds{1'000}, [&](std::unique_ptr<net::tcp_connection> opened) {
+                connections.push_back(std::move(opened));
+            }));
+    }
+    loop.run_for(milliseconds{100});
+    CHECK(subject.dump() == json{{"callers", {{"bytes", 0}, {"connections", 2}}}});
+    CHECK_THAT(prometheus::TextSerializer().Serialize(registry.Collect()),
+               Catch::Contains("cause=\"idle_connection\"") &&
+                   Catch::Contains("server=\"callers\"") && Catch::Contains("} 1"));
+}
+
 } // namespace
 } // namespace dotterelport::process
--- a/src/dotterelport/process/settings.cpp
+++ b/src/dotterelport/process/settings.cpp
@@ -47,6 +47,8 @@
         {"platform", endpoint_schema()},
         {"address_overrides", {{"type", "object"}, {"additionalProperties", endpoint_schema()}}},
         {"drain_timeout_ms", {{"type", "integer"}, {"minimum", 0}, {"maximum", 3'600'000}}},
+        {"memory_mb", {{"type", "integer"}, {"minimum", 1}}},
+        {"max_fds", {{"type", "integer"}, {"minimum", 1}}},
         {"log", object_schema({{"file", {{"type", "string"}, {"minLength", 1}}},
                                {"level", {{"enum", {"debug", "info", "warning", "error"}}}}},
                               json::array())},
@@ -116,6 +118,8 @@
     result.address_overrides = read_overrides(document, path);
     result.drain_timeout =
         milliseconds{document.value("drain_timeout_ms", result.drain_timeout.count())};
+    result.memory_mb = document.value("memory_mb", result.memory_mb);
+    result.max_fds = document.value("max_fds", result.max_fds);
     const json log = document.value("log", json::object());
     result.log_file = log.value("file", result.log_file);
     result.log_level =
--- a/src/dotterelport/router/callers_server.cpp
+++ b/src/dotterelport/router/callers_server.cpp
@@ -32,8 +32,9 @@
 
 callers_server::callers_server(context environment)
     : context_(std::move(environment)),
-      server_(context_.dispatch.loop,
-              {.max_body_bytes = server_body_limit, .idle_timeout = idle_connection_timeout})
+      server_(context_.dispatch.loop, {.max_body_bytes = server_body_limit,
+                                       .idle_timeout = idle_connection_timeout,
+                                       .clients = context_.clients})
 {
     server_.route("POST", "/v1/chat/completions",
                   [this](const auto& request, const auto& response) {
--- a/src/dotterelport/router/callers_server.hpp
+++ b/src/dotterelport/router/callers_server.hpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "dotterelport/net/http_server.hpp"
@@ -21,12 +22,17 @@
         metrics& counters;
         /// Empty if the router serves callers, otherwise the reason why it does not.
         std::function<std::string()> not_ready_reason;
+        /// What callers together may make the process hold; no limit if absent.
+        std::optional<net::client_limits> clients = std::nullopt;
     };
 
     explicit callers_server(context environment);
 
     net::endpoint listen(const net::endpoint& address) { return server_.listen(address); }
 
+    /// @brief The HTTP server, for observation.
+    [[nodiscard]] net::http_server& server() { return server_; }
+
     /// @brief Stops accepting connections, and refuses requests on open connections as `leaving`.
     void stop();
 
--- a/src/dotterelport/router/events.hpp
+++ b/src/dotterelport/router/events.hpp
@@ -32,6 +32,10 @@
                                    "requests are finished and grants returned"};
 inline constexpr log_event drain_timeout{461, severity::warning, "drain_timeout",
                                          "requests were still in progress at the time limit"};
+inline constexpr log_event clients_limited{
+    462, severity::warning, "router_clients_limited",
+    "clients together reached the limit of bytes or of connections: requests that were not handed "
+    "on were refused, or connections closed"};
 
 } // namespace dotterelport::router::events
 
--- a/src/dotterelport/router/router_daemon.cpp
+++ b/src/dotterelport/router/router_daemon.cpp
@@ -24,6 +24,16 @@
 /// Limit on the last write of this node's record.
 constexpr milliseconds record_write_timeout{3'000};
 
+/// Quarters of what clients may make the process hold, for callers and for other nodes. They are
+/// separate so that callers cannot use up what the budgets of other routers need.
+constexpr std::size_t callers_quarters = 3;
+constexpr std::size_t peers_quarters = 1;
+
+net::client_limits client_limits(const process::settings& settings, std::size_t quarters)
+{
+    return net::quarters_of(net::limits_of_vm(settings.memory_mb, settings.max_fds), quarters);
+}
+
 membership::node_record own_record(const process::settings& settings)
 {
     membership::node_record record;
@@ -62,9 +72,16 @@
                         .not_ready_reason = [this] { return not_ready_reason(); },
                         .dump = [this] { return dump(); }}),
       metrics_(operators_.metrics()), dispatch_(make_dispatch()),
-      callers_({dispatch_, metrics_, [this] { return not_ready_reason(); }}), peers_(loop),
-      peers_rpc_(peers_), poller_(loop, rpc_, nodes_, agents_)
+      limited_clients_(loop, operators_.metrics(),
+                       {.metric = "dotterelport_router_limited_clients_total",
+                        .event = events::clients_limited}),
+      callers_({dispatch_, metrics_, [this] { return not_ready_reason(); },
+                client_limits(settings, callers_quarters)}),
+      peers_(loop, {.clients = client_limits(settings, peers_quarters)}), peers_rpc_(peers_),
+      poller_(loop, rpc_, nodes_, agents_)
 {
+    limited_clients_.observe("callers", callers_.server());
+    limited_clients_.observe("peers", peers_);
     peers_rpc_.add("status", [this](const json&) { return status(); });
     peers_rpc_.add("dump", [this](const json&) { return dump(); });
     configuration_.serve(peers_rpc_);
@@ -197,6 +214,7 @@
     result["nodes"] = nodes_.dump();
     result["budgets"] = budgets_.dump();
     result["platform_calls"] = platform_.calls();
+    result["clients"] = limited_clients_.dump();
     return result;
 }
 
--- a/src/dotterelport/router/router_daemon.hpp
+++ b/src/dotterelport/router/router_daemon.hpp
@@ -9,6 +9,7 @@
 #include "callers_server.hpp"
 #include "dotterelport/config/follower.hpp"
 #include "dotterelport/membership/directory.hpp"
+#include "dotterelport/process/limited_clients.hpp"
 #include "dotterelport/process/operators_server.hpp"
 #include "dotterelport/process/settings.hpp"
 #include "dotterelport/request/retry_budget.hpp"
@@ -59,6 +60,7 @@
     process::operators_server operators_;
     metrics metrics_;
     dispatch_context dispatch_;
+    process::limited_clients limited_clients_;
     callers_server callers_;
     net::http_server peers_;
     net::rpc_server peers_rpc_;
