Do not take stopping gateways for a sign of being cut off

Cause: since a gateway that hears fewer than half of the gateways that it heard within the last minute withholds tokens when the store comes back from an older copy. Stopping gateways send no load messages, so that a rolling restart looked like a cut.

Change: gateways that announced their stop count neither as heard before nor as ones that may still get copies; their successors get them.

--- a/include/dotterelport/gateway/peer_link.hpp
+++ b/include/dotterelport/gateway/peer_link.hpp
@@ -147,7 +147,7 @@
     [[nodiscard]] bool is_owner_or_standby(std::uint32_t shard, std::size_t standby_count) const;
 
     /// @brief Returns whether this gateway hears at least half of the gateways of its group that it
-    /// heard within the last minute.
+    /// heard within the last minute and that are not stopping.
     [[nodiscard]] bool hears_most() const;
 
     /// @brief Place of this gateway in the ranking of a shard among all gateways, reachable or not;
@@ -188,6 +188,9 @@
     void receive(std::string_view datagram);
     [[nodiscard]] const std::set<std::string>& group() const;
     [[nodiscard]] bool is_available(const std::string& node) const;
+    /// @brief Returns whether a gateway that is not stopping was heard recently enough to have got
+    /// the last copies of a ledger.
+    [[nodiscard]] bool is_briefly_absent(const std::string& node) const;
     /// @brief Number of gateways that are considered as owner of a shard.
     [[nodiscard]] std::size_t owner_candidates() const;
 
--- a/src/dotterelport/gateway/budgets_test.cpp
+++ b/src/dotterelport/gateway/budgets_test.cpp
@@ -769,6 +769,38 @@
     CHECK(budgets.used > restored_fixture::prepaid * 9 / 10);
 }
 
+// Guards against a gateway that takes itself for cut off while others stop, as in a rolling
+// restart: it would withhold tokens that it knows to be unused.
+TEST_CASE("Tokens are not withheld because other gateways stop")
+{
+    restored_fixture budgets(5);
+    const std::size_t owner = budgets.owner();
+    REQUIRE(budgets.use(*budgets.nodes[owner], 3'000));
+    budgets.run_for(flush_time);
+    budgets.save_copy();
+    for (int i = 0; i < 10; ++i) {
+        REQUIRE(budgets.use(*budgets.nodes[owner], 1'000));
+    }
+    budgets.run_for(flush_time);
+    std::vector<std::size_t> stopping;
+    for (std::size_t i = 0; i < budgets.nodes.size() && stopping.size() < 3; ++i) {
+        if (i != owner) {
+            budgets.nodes[i]->link.leave();
+            stopping.push_back(i);
+        }
+    }
+    budgets.loop.run_for(50ms);
+    for (const std::size_t i : stopping) {
+        budgets.nodes[i].reset();
+    }
+    budgets.run_for(1s);
+    budgets.restore_copy();
+    budgets.run_for(restored_fixture::recovery_time);
+    budgets.use_up();
+    CHECK(budgets.used <= restored_fixture::prepaid);
+    CHECK(budgets.used > restored_fixture::prepaid * 9 / 10);
+}
+
 TEST_CASE("Bills that the store has lost are written again, each once")
 {
     restored_fixture budgets(1);
--- a/src/dotterelport/gateway/peer_link.cpp
+++ b/src/dotterelport/gateway/peer_link.cpp
@@ -246,8 +246,7 @@
         const std::string next =
             ranking_.owner(shard, owner_candidates(), [&](const std::string& node) {
                 return !ahead.contains(node) &&
-                       (node == self_.node || is_available(node) ||
-                        received_within(peers_.at(node).last_received, settings_.absent_after));
+                       (node == self_.node || is_available(node) || is_briefly_absent(node));
             });
         if (next == self_.node || next.empty()) {
             return next == self_.node;
@@ -257,11 +256,22 @@
     return false;
 }
 
+bool peer_link::is_briefly_absent(const std::string& node) const
+{
+    const auto& peer = peers_.at(node);
+    // A stopping gateway gets no copies any more, and its successors do.
+    return steady_now() >= peer.leaving_until &&
+           received_within(peer.last_received, settings_.absent_after);
+}
+
 bool peer_link::hears_most() const
 {
-    const auto count_heard_within = [this](milliseconds limit) {
+    const milliseconds now = steady_now();
+    const auto count_heard_within = [&](milliseconds limit) {
         return std::count_if(group().begin(), group().end(), [&](const std::string& node) {
-            return received_within(peers_.at(node).last_received, limit);
+            const auto& peer = peers_.at(node);
+            // Stopping gateways send no load messages.
+            return now >= peer.leaving_until && received_within(peer.last_received, limit);
         });
     };
     return 2 * count_heard_within(settings_.silent_after) >=
