--- a/review/kit2.py
+++ b/review/kit2.py
@@ -44,8 +44,9 @@
 
 
 def free_port():
-    """A port that is unused on all loopback addresses, below the range of outgoing connections."""
-    for port in range(20000 + os.getpid() % 9000, 32000):
+    """The first of four ports that are likely to be unused on all loopback addresses, below the range
+    of outgoing connections."""
+    for port in range(20000 + os.getpid() * 8 % 9000, 32000):
         with socket.socket() as probe:
             try:
                 probe.bind(("0.0.0.0", port))
