--- a/review/kit2.py
+++ b/review/kit2.py
@@ -43,16 +43,24 @@
         self.file.flush()
 
 
+# Addresses of the gateways and of the machines of the engines.
+ADDRESSES = [f"127.0.0.{number}" for number in range(1, 5)] + \
+            [f"127.0.1.{number}" for number in range(1, 7)]
+
+
 def free_port():
-    """The first of four ports that are likely to be unused on all loopback addresses, below the range
+    """The first of four ports that are unused on the loopback addresses of the cases, below the range
     of outgoing connections."""
-    for port in range(20000 + os.getpid() * 8 % 9000, 32000):
-        with socket.socket() as probe:
-            try:
-                probe.bind(("0.0.0.0", port))
-                return port
-            except OSError:
-                continue
+    for first in range(20000 + os.getpid() * 8 % 9000, 32000, 4):
+        try:
+            for port in range(first, first + 4):
+                for ip in ADDRESSES:
+                    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+                        with socket.socket(socket.AF_INET, kind) as probe:
+                            probe.bind((ip, port))
+            return first
+        except OSError:
+            continue
     raise CannotRun("no free port")
 
 
