--- a/review/6/case.py
+++ b/review/6/case.py
@@ -72,6 +72,10 @@
     silent = False
     late_write = None
 
+    def __init__(self, record):
+        super().__init__(record)
+        self.lost = set()
+
     async def handle(self, writer, line, body):
         is_ledger = line.startswith("PUT /objects/dotterelport-budget/")
         if is_ledger:
@@ -85,8 +89,17 @@
                 self.silent = True
                 asyncio.create_task(self.trouble())
         if self.silent:
-            return
-        await super().handle(writer, line, body)
+            self.lost.add(writer)
+        if writer not in self.lost:
+            await super().handle(writer, line, body)
+
+    def answer(self, writer, status, document):
+        """Also watches that wait when the store goes silent get no answer. A connection on which an
+        answer was lost returns nothing further."""
+        if self.silent:
+            self.lost.add(writer)
+        if writer not in self.lost:
+            super().answer(writer, status, document)
 
     async def trouble(self):
         self.record("the store goes silent; the write above is not answered")
@@ -212,4 +225,4 @@
     return clients.got <= RESERVED
 
 
-run(case, FOLDER)
+run(case, FOLDER / "record.txt")
--- a/review/kit2.py
+++ b/review/kit2.py
@@ -34,8 +34,8 @@
 class Record:
     """Writes record.txt: what was sent, answered and run."""
 
-    def __init__(self, folder):
-        self.file = open(Path(folder) / "record.txt", "w")
+    def __init__(self, path):
+        self.file = open(path, "w")
         self.began = time.monotonic()
 
     def __call__(self, text):
@@ -399,9 +399,9 @@
     return (text + "\r\n").encode() + body
 
 
-def run(case, folder):
+def run(case, path):
     """Runs a case, which returns whether the rule held, and exits with the status of the issue."""
-    record = Record(folder)
+    record = Record(path)
     fleet = Fleet(record)
     status = NOT_RUN
     try:
